--- /dev/null
+++ b/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Scratch tools apart from the package: a cell on loopback, the demo, load."""
--- /dev/null
+++ b/lab/cell.py
@@ -0,0 +1,394 @@
+"""A whole cell on loopback: stand-ins and daemons as separate processes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from attrs import define, field
+
+from redwingrun.httpclient import Call, HttpClient
+
+ROOT = Path(__file__).resolve().parent.parent
+EXAMPLES = ROOT / "examples" / "objects"
+IP = "127.0.0.1"
+OPERATOR_TOKEN = "operator-token-for-the-lab"
+TOKENS = {
+    OPERATOR_TOKEN: {"name": "lan", "role": "operator"},
+    "second-operator-token-lab": {"name": "iria", "role": "operator"},
+    "setters-token-for-the-lab": {"name": "setters", "role": "caller", "team": "setters"},
+    "head-setter-token-for-lab": {"name": "head", "role": "caller", "team": "head-setter"},
+    "faro-token-for-the-lab-00": {"name": "faro", "role": "caller", "team": "editorial-faro"},
+    "brena-token-for-the-lab-0": {"name": "brena", "role": "caller", "team": "editorial-brena"},
+    "nordes-token-for-the-lab-": {"name": "nordes", "role": "caller", "team": "editorial-nordes"},
+}
+TOKEN_BY_TEAM = {item.get("team"): token for token, item in TOKENS.items() if "team" in item}
+HANOI = ("hoan-kiem", "cau-giay", "long-bien")
+NORTE = ("norte-oviedo", "norte-santander", "norte-bilbao")
+FAST_LEASES = {
+    "lease_term_s": 2.0,
+    "lease_margin_s": 0.4,
+    "lease_renew_s": 0.4,
+    "promise_s": 1.6,
+    "table_timeout_s": 0.6,
+    "task_term_s": 3.0,
+    "task_margin_s": 0.4,
+    "task_renew_s": 0.5,
+    "worker_timeout_s": 1.0,
+    "config_poll_s": 0.5,
+    "host_poll_s": 0.5,
+}
+
+
+@define
+class Layout:
+    """How large the cell is.
+
+    :param weights: of the entry hosts, one each.
+    :param speeds: of each user's minions.
+    """
+
+    weights: tuple[float, ...] = (1.0, 0.5, 2.0)
+    speeds: tuple[float, ...] = (0.5, 1.0, 2.0, 1.0, 0.5, 2.0)
+    workers: int = 6
+    norte: bool = True
+    settings: dict[str, Any] = field(factory=lambda: dict(FAST_LEASES))
+    stragglers: float = 0.0
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that nobody listens on now."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for item in sockets:
+            item.bind((IP, 0))
+        return [item.getsockname()[1] for item in sockets]
+    finally:
+        for item in sockets:
+            item.close()
+
+
+@define
+class Host:
+    """One entry host and its two daemons."""
+
+    name: str
+    data_centre: str
+    http_port: int
+    settings_by_daemon: dict[str, Path]
+    process_by_daemon: dict[str, subprocess.Popen] = field(factory=dict)
+
+    @property
+    def url(self) -> str:
+        """Where callers reach the entry."""
+        return f"http://{IP}:{self.http_port}"
+
+
+@define
+class Response:
+    """One answer to a caller of the lab."""
+
+    status: int
+    body: bytes
+    headers: dict[str, str]
+
+    @property
+    def verdict(self) -> str:
+        """The verdict, empty when none came."""
+        return self.headers.get("X-Verdict", "")
+
+    def json(self) -> Any:
+        """Return the body as JSON."""
+        return json.loads(self.body)
+
+
+class Cell:
+    """Starts, breaks and stops a cell; use it with ``async with``."""
+
+    def __init__(self, layout: Layout | None = None):
+        self.layout = layout or Layout()
+        self.folder = Path(tempfile.mkdtemp(prefix="redwingrun-"))
+        self.hosts: list[Host] = []
+        self._standins: dict[str, subprocess.Popen] = {}
+        self._control: dict[str, int] = {}
+        self._platform_port = 0
+        self.upstream_port: dict[str, int] = {}
+        self.client = HttpClient("lab")
+        self.pools: dict[str, Any] = {}
+
+    async def __aenter__(self) -> Cell:
+        self._start_standins()
+        await self.until(self._standins_up, 20, "the stand-ins listen")
+        for index, weight in enumerate(self.layout.weights):
+            self.add_host(f"entry-{index}", weight)
+        await self.publish()
+        await self.until(self.all_ready, 30, "all hosts are ready and all shards owned")
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        self.client.close()
+        processes = [item for host in self.hosts for item in host.process_by_daemon.values()]
+        processes += list(self._standins.values())
+        for process in processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in processes:
+            process.wait()
+
+    # Starting
+
+    def _spawn(self, name: str, *command: str) -> subprocess.Popen:
+        log = (self.folder / f"{name}.log").open("ab")
+        environment = {**os.environ, "PYTHONPATH": str(ROOT)}
+        return subprocess.Popen(
+            [sys.executable, "-m", *command],
+            stdout=log,
+            stderr=log,
+            env=environment,
+            cwd=self.folder,
+        )
+
+    def _start_standins(self) -> None:
+        ports = iter(free_ports(8 + 2 * len(self.layout.speeds) + 2 * self.layout.workers))
+        self._platform_port = next(ports)
+        self._control = {kind: next(ports) for kind in ("platform", "minions", "workers")}
+        minions = self._minions("routeboard", HANOI, ports)
+        workers = self._workers("walls", HANOI, ports, cores=32, memory_gb=128)
+        if self.layout.norte:
+            minions += self._minions("tertulia", NORTE, ports)
+            workers += self._workers("guides", NORTE, ports, cores=16, memory_gb=32)
+        hosts = {item["name"]: "live" for item in minions + workers}
+        platform = {
+            "port": self._platform_port,
+            "control": self._control["platform"],
+            "hosts": hosts,
+        }
+        plans = {
+            "platform": platform,
+            "minions": {
+                "items": minions,
+                "control": self._control["minions"],
+                "stragglers": self.layout.stragglers,
+            },
+            "workers": {"items": workers, "control": self._control["workers"]},
+        }
+        for kind, plan in plans.items():
+            self._start_standin(kind, plan)
+
+    def _start_standin(self, kind: str, plan: dict[str, Any]) -> None:
+        path = self.folder / f"{kind}.json"
+        path.write_text(json.dumps({kind: plan}))
+        self._standins[kind] = self._spawn(kind, "standins", str(path))
+
+    def _minions(self, pool: str, places: tuple[str, ...], ports: Any) -> list[dict]:
+        upstreams = {}
+        items = []
+        for index, speed in enumerate(self.layout.speeds):
+            name = f"{pool}-m{index}"
+            port = next(ports)
+            self.upstream_port[name] = port
+            place = places[index % len(places)]
+            upstreams[name] = {"address": f"http://{IP}:{port}", "data_centre": place}
+            items.append({"name": name, "port": port, "speed": speed})
+        self.pools[pool] = {"type": "minions", "shard_size": 2, "upstreams": upstreams}
+        return items
+
+    def _workers(
+        self, pool: str, places: tuple[str, ...], ports: Any, cores: int, memory_gb: int
+    ) -> list[dict]:
+        upstreams = {}
+        items = []
+        for index in range(self.layout.workers):
+            name = f"{pool}-w{index}"
+            port = next(ports)
+            self.upstream_port[name] = port
+            place = places[index % len(places)]
+            capacity = {"cores": cores, "memory_gb": memory_gb}
+            upstreams[name] = {
+                "address": f"http://{IP}:{port}",
+                "data_centre": place,
+                "rack": f"{place}-r{index % 2}",
+                **capacity,
+            }
+            items.append({"name": name, "port": port, "capacity": capacity})
+        self.pools[pool] = {"type": "workers", "upstreams": upstreams}
+        return items
+
+    def add_host(self, name: str, weight: float = 1.0) -> Host:
+        """Start both daemons of one more host."""
+        token_file = self.folder / "tokens.json"
+        token_file.write_text(json.dumps(TOKENS))
+        secret_file = self.folder / "secret"
+        secret_file.write_text("peer-secret-for-the-lab")
+        ports = free_ports(4)
+        places = HANOI
+        place = places[len(self.hosts) % len(places)]
+        paths = {}
+        for daemon, (http_port, peer_port) in zip(
+            ("entry", "placer"), (ports[:2], ports[2:]), strict=True
+        ):
+            settings = {
+                "host": name,
+                "data_centre": place,
+                "listen_ip": IP,
+                "http_port": http_port,
+                "peer_port": peer_port,
+                "table_url": f"http://{IP}:{self._platform_port}",
+                "object_store_url": f"http://{IP}:{self._platform_port}",
+                "host_list_url": f"http://{IP}:{self._platform_port}",
+                "token_file": str(token_file),
+                "peer_secret_file": str(secret_file),
+                "weight": weight,
+                **self.layout.settings,
+            }
+            paths[daemon] = self.folder / f"{name}-{daemon}.jsonc"
+            paths[daemon].write_text(json.dumps(settings))
+        host = Host(name, place, ports[0], paths)
+        self.hosts.append(host)
+        self.start_host(host)
+        return host
+
+    def start_host(self, host: Host, daemons: tuple[str, ...] = ("entry", "placer")) -> None:
+        """Start a host's daemons."""
+        for daemon in daemons:
+            path = str(host.settings_by_daemon[daemon])
+            process = self._spawn(f"{host.name}-{daemon}", "lab.daemon", daemon, path)
+            host.process_by_daemon[daemon] = process
+
+    # Breaking
+
+    def send_signal(
+        self, host: Host, number: int, daemons: tuple[str, ...] = ("entry", "placer")
+    ) -> None:
+        """Send a signal to a host's daemons."""
+        for daemon in daemons:
+            process = host.process_by_daemon[daemon]
+            if process.poll() is None:
+                process.send_signal(number)
+
+    def kill(self, host: Host, daemons: tuple[str, ...] = ("entry", "placer")) -> None:
+        """Kill a host's daemons at once."""
+        self.send_signal(host, signal.SIGKILL, daemons)
+        for daemon in daemons:
+            host.process_by_daemon[daemon].wait()
+
+    async def faults(self, kind: str, *items: dict[str, Any]) -> None:
+        """Replace the faults of the platform, the minions or the workers."""
+        await self._control_call(kind, "POST", "fault", list(items))
+
+    async def counters(self, kind: str) -> dict[str, Any]:
+        """Return what the platform, the minions or the workers counted."""
+        return (await self._control_call(kind, "GET", "counters")).json()
+
+    async def _control_call(
+        self, kind: str, method: str, path: str, plain: Any = None
+    ) -> Response:
+        url = f"http://{IP}:{self._control[kind]}/{path}"
+        return await self.call(method, url, plain)
+
+    async def set_hosts(self, states: dict[str, str]) -> None:
+        """Set states in the platform's list of hosts."""
+        await self.call("POST", f"http://{IP}:{self._platform_port}/hosts", states)
+
+    async def upstream_call(self, name: str, path: str, plain: Any) -> Response:
+        """Call a stand-in minion or worker."""
+        return await self.call("POST", f"http://{IP}:{self.upstream_port[name]}/{path}", plain)
+
+    # Calling
+
+    async def call(
+        self,
+        method: str,
+        url: str,
+        plain: Any = None,
+        headers: dict[str, str] | None = None,
+        timeout_s: float = 15.0,
+    ) -> Response:
+        """Send one call; a status of 0 means no answer, with its verdict."""
+        body = None if plain is None else json.dumps(plain).encode()
+        result = await self.client.send(Call(method, url, timeout_s, body, headers or {}))
+        if result.is_error():
+            failure = result.error
+            return Response(0, failure.reason.encode(), {"X-Verdict": failure.verdict.value})
+        return Response(result.ok.status, result.ok.body, dict(result.ok.headers.get_all()))
+
+    async def as_team(
+        self,
+        team: str,
+        method: str,
+        path: str,
+        plain: Any = None,
+        host: Host | None = None,
+        headers: dict[str, str] | None = None,
+        timeout_s: float = 15.0,
+    ) -> Response:
+        """Call an entry as a team."""
+        token = TOKEN_BY_TEAM[team]
+        url = (host or self.hosts[0]).url + path
+        all_headers = {"Authorization": f"Bearer {token}", **(headers or {})}
+        return await self.call(method, url, plain, all_headers, timeout_s)
+
+    async def as_operator(
+        self,
+        method: str,
+        path: str,
+        plain: Any = None,
+        host: Host | None = None,
+        token: str = OPERATOR_TOKEN,
+    ) -> Response:
+        """Call an entry as an operator."""
+        url = (host or self.hosts[0]).url + path
+        return await self.call(method, url, plain, {"Authorization": f"Bearer {token}"})
+
+    def sources(self) -> dict[str, str]:
+        """Return the texts of the object files of this cell."""
+        names = ["hanoi.jsonc", "norte.jsonc"] if self.layout.norte else ["hanoi.jsonc"]
+        texts = {name: (EXAMPLES / name).read_text() for name in names}
+        texts["pools.jsonc"] = json.dumps({"pools": self.pools})
+        return texts
+
+    async def publish(self, based_on: int = 0, reason: str = "first set") -> Response:
+        """Publish this cell's objects."""
+        plain = {"based_on": based_on, "sources": self.sources(), "reason": reason}
+        await self.until(self._answers, 20, "the first entry answers")
+        return await self.as_operator("POST", "/v1/config", plain)
+
+    # Waiting
+
+    async def until(self, check: Callable[[], Any], timeout_s: float, what: str) -> None:
+        """Wait until an async check holds.
+
+        :raises TimeoutError: naming what was waited for.
+        """
+        ends_s = time.monotonic() + timeout_s
+        while not await check():
+            if time.monotonic() > ends_s:
+                raise TimeoutError(f"waited {timeout_s} s until {what}; logs in {self.folder}")
+            await asyncio.sleep(0.05)
+
+    async def _answers(self) -> bool:
+        return (await self.call("GET", self.hosts[0].url + "/healthz")).status == 200
+
+    async def _standins_up(self) -> bool:
+        replies = [await self._control_call(kind, "GET", "counters") for kind in self._control]
+        return all(reply.status == 200 for reply in replies)
+
+    async def all_ready(self) -> bool:
+        """Tell whether every live host is ready and every shard has an owner."""
+        live = [host for host in self.hosts if host.process_by_daemon["entry"].poll() is None]
+        for host in live:
+            if (await self.call("GET", host.url + "/readyz")).status != 200:
+                return False
+        status = (await self.as_operator("GET", "/v1/status", host=live[0])).json()
+        return bool(status.get("owners")) and all(status["owners"].values())
--- /dev/null
+++ b/redwingrun/callers.py
@@ -0,0 +1,238 @@
+"""The callers' HTTP: quick requests, tasks, their results and cancellation."""
+
+from __future__ import annotations
+
+import math
+import secrets
+from typing import TYPE_CHECKING, Any
+
+from tornado.web import HTTPError
+
+from redwingrun.auth import Identity
+from redwingrun.coordination.ledger import Mismatch
+from redwingrun.coordination.verdict import Answer, Failure, Verdict, not_run
+from redwingrun.httpclient import DIGEST_HEADER, REQUEST_ID_HEADER, VERDICT_HEADER, digest
+from redwingrun.objects import QUICK, Workload
+from redwingrun.requests import Request
+from redwingrun.web import Handler, refused
+
+if TYPE_CHECKING:
+    from redwingrun.entry import Entry
+
+KEY_HEADER = "Idempotency-Key"
+DEADLINE_HEADER = "X-Deadline-S"
+URGENT_HEADER = "X-Urgent"
+RUN_TIME_HEADER = "X-Run-S"
+ID_BYTES = 8
+LONGEST_DEADLINE_S = 3600.0
+LONGEST_RUN_S = 366 * 86400.0
+
+
+class CallerHandler(Handler):
+    """What the callers' handlers share."""
+
+    node: Entry
+
+    def workload(self, name: str, team: str) -> Workload:
+        """Return a workload that the team may ask for.
+
+        :raises HTTPError: 404 when there is none, 403 when it is for others.
+        """
+        workload = self.node.objects.workloads.get(name)
+        if workload is None:
+            raise HTTPError(404, f"there is no workload {name!r}")
+        if team not in workload.teams:
+            raise HTTPError(403, f"team {team!r} may not ask for workload {name!r}")
+        return workload
+
+    def caller(self) -> Identity:
+        """Return the caller.
+
+        :raises HTTPError: 401 for a stranger, 403 for an operator.
+        """
+        found = self.identity()
+        if found.is_operator:
+            raise HTTPError(403, "work is asked for with a team's token, not an operator's")
+        return found
+
+    def number_header(self, name: str, default: float, most: float) -> float:
+        """Return a positive number from a header.
+
+        :raises HTTPError: 400 when it is not one.
+        """
+        text = self.request.headers.get(name)
+        if text is None:
+            return default
+        try:
+            value = float(text)
+        except ValueError as error:
+            raise HTTPError(400, f"{name}: {text!r} is not a number") from error
+        if not math.isfinite(value) or not 0 < value <= most:
+            raise HTTPError(400, f"{name}: {text} is outside 0 to {most:g} seconds")
+        return value
+
+    def idempotency_key(self) -> str:
+        """Return the caller's key, empty without one."""
+        key = self.request.headers.get(KEY_HEADER, "")
+        return self.checked_id(key, KEY_HEADER) if key else ""
+
+    def send_answer(self, answer: Answer, request_id: str) -> None:
+        """Answer with a whole result and its digest."""
+        self.set_header("Content-Type", "application/octet-stream")
+        self.set_header(VERDICT_HEADER, answer.verdict.value)
+        self.set_header(REQUEST_ID_HEADER, request_id)
+        self.set_header(DIGEST_HEADER, digest(answer.body))
+        self.set_header("X-Upstream", answer.upstream)
+        self.set_header("X-Waited-S", f"{answer.waited_s:.6f}")
+        self.finish(answer.body)
+
+
+class RunHandler(CallerHandler):
+    """Quick requests: the answer comes on the same connection."""
+
+    running: Request | None = None
+
+    async def post(self, name: str) -> None:
+        """Run a request on a minion."""
+        caller = self.caller()
+        workload = self.workload(name, caller.team)
+        if workload.kind != QUICK:
+            raise HTTPError(400, f"{name} is {workload.kind} work: post it to /v1/tasks/{name}")
+        policy = self.node.objects.policies[workload.policy]
+        deadline_s = self.number_header(DEADLINE_HEADER, policy.deadline_s, LONGEST_DEADLINE_S)
+        key = self.idempotency_key()
+        if not workload.idempotent and not key:
+            raise HTTPError(400, f"{name} runs at most once: send an {KEY_HEADER} header")
+        given_id = self.request.headers.get(REQUEST_ID_HEADER, "")
+        request_id = self.checked_id(given_id, REQUEST_ID_HEADER) if given_id else ""
+        # The caller's id may repeat; ours must not, answers are matched by it.
+        request_id = f"{request_id or 'r'}.{secrets.token_hex(ID_BYTES)}"
+        self.running = self.node.request(
+            workload, caller.team, self.request.body, request_id, deadline_s
+        )
+        self.set_header(REQUEST_ID_HEADER, request_id)
+        if key and not workload.idempotent:
+            outcome = await self.node.run_once(self.running, key)
+        else:
+            outcome = await self.node.run_request(self.running)
+        self._send_outcome(outcome, request_id)
+
+    def _send_outcome(self, outcome: Answer | Failure | Mismatch, request_id: str) -> None:
+        if isinstance(outcome, Mismatch):
+            outcome = refused("key-reused", f"this {KEY_HEADER} came with another body before")
+        if isinstance(outcome, Answer):
+            self.send_answer(outcome, request_id)
+        else:
+            self.send_failure(outcome, request_id=request_id)
+
+    def on_connection_close(self) -> None:
+        """Take a request out of the queue whose caller has left."""
+        if self.running is not None:
+            self.node.router.cancel(self.running)
+
+
+class RequestHandler(CallerHandler):
+    """One quick request by its id."""
+
+    def get(self, request_id: str) -> None:
+        """Explain what became of it."""
+        caller = self.identity()
+        trail = self.node.known_trail(request_id)
+        if trail is None or not (caller.is_operator or caller.team == trail.team):
+            raise HTTPError(404, f"no request {request_id} is known on this host")
+        self.send_json({"request_id": request_id, "team": trail.team, "steps": trail.steps})
+
+    def delete(self, request_id: str) -> None:
+        """Cancel it if it still waits."""
+        cancelled = self.node.cancel_request(request_id, self.caller().team)
+        if cancelled is None:
+            raise HTTPError(404, f"no request {request_id} is under way on this host")
+        verdict = Verdict.NOT_RUN if cancelled else Verdict.MAY_HAVE_RUN
+        self.send_json({"request_id": request_id, "verdict": verdict.value})
+
+
+class ResultHandler(CallerHandler):
+    """The kept answer of a request that runs at most once."""
+
+    async def get(self, key: str) -> None:
+        """Answer as the first time; another team's key is not found."""
+        caller = self.caller()
+        outcome = await self.node.kept_answer(caller.team, key)
+        if isinstance(outcome, Answer):
+            self.send_answer(outcome, "")
+        else:
+            self.send_failure(outcome)
+
+
+class TasksHandler(CallerHandler):
+    """Tasks: accepted here, run on workers, asked for later."""
+
+    async def post(self, name: str) -> None:
+        """Submit a task."""
+        caller = self.caller()
+        workload = self.workload(name, caller.team)
+        if workload.kind == QUICK:
+            raise HTTPError(400, f"{name} is quick work: post it to /v1/run/{name}")
+        key = self.idempotency_key() or secrets.token_hex(ID_BYTES)
+        run_s = self.number_header(RUN_TIME_HEADER, workload.run_s, LONGEST_RUN_S)
+        urgent = self.request.headers.get(URGENT_HEADER, "") == "1"
+        if urgent and not self.node.objects.policies[workload.policy].urgent:
+            raise HTTPError(403, f"the policy of {name} does not allow urgent work")
+        task_id = f"{workload.pool}:{caller.team}:{key}"
+        reply = await self.node.task_calls.submit(
+            workload, caller.team, task_id, self.request.body, run_s, urgent
+        )
+        self._send(reply, 202)
+
+    def _send(self, reply: dict[str, Any] | Failure, status: int = 200) -> None:
+        if isinstance(reply, Failure):
+            self.send_failure(reply)
+        else:
+            reply.pop("body", None)
+            self.send_json(reply, status)
+
+
+class TaskHandler(TasksHandler):
+    """One task by its id."""
+
+    async def get(self, task_id: str, part: str) -> None:
+        """Answer with its state, its result, or why it waits."""
+        reply = await self._ask(task_id, explain=part == "/explain")
+        if part == "/result" and not isinstance(reply, Failure):
+            self._send_result(reply)
+        else:
+            self._send(reply)
+
+    async def delete(self, task_id: str, part: str) -> None:
+        """Cancel it."""
+        if part:
+            raise HTTPError(405, f"cancel the task itself, not its {part}")
+        reply = await self._ask(task_id, cancel=True)
+        identity = self.identity()
+        if identity.is_operator and not isinstance(reply, Failure):
+            await self.node.audit.action("cancel", identity.name, task_id)
+        self._send(reply)
+
+    async def _ask(
+        self, task_id: str, cancel: bool = False, explain: bool = False
+    ) -> dict[str, Any] | Failure:
+        return await self.node.task_calls.ask(task_id, self.identity(), cancel, explain)
+
+    def _send_result(self, reply: dict[str, Any]) -> None:
+        if reply["state"] != "succeeded":
+            detail = f"the task is {reply['state']}: {reply['detail']}"
+            self.send_failure(not_run("not-found", detail), state=reply["state"])
+            return
+        self.send_answer(Answer(reply["body"], reply["worker"]), reply["task_id"])
+
+
+def caller_routes(node: Entry) -> list[tuple[str, type[Handler], dict[str, Any]]]:
+    """Return the callers' routes."""
+    settings = {"node": node}
+    return [
+        (r"/v1/run/([^/]+)", RunHandler, settings),
+        (r"/v1/requests/([^/]+)", RequestHandler, settings),
+        (r"/v1/results/([^/]+)", ResultHandler, settings),
+        (r"/v1/task/([^/]+)(|/result|/explain)", TaskHandler, settings),
+        (r"/v1/tasks/([^/]+)", TasksHandler, settings),
+    ]
--- /dev/null
+++ b/redwingrun/entry.py
@@ -0,0 +1,244 @@
+"""The daemon ``redwingrun-entry``: callers in front, minions and peers behind."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections import OrderedDict
+from typing import Any
+
+from attrs import define, field
+from grpclib.server import Stream
+from tornado.web import Application
+
+from redwingrun.audit import AuditTrail
+from redwingrun.callers import caller_routes
+from redwingrun.config import Settings
+from redwingrun.coordination.ledger import Attempt, Ledger, Mismatch
+from redwingrun.coordination.verdict import Answer, Failure, Verdict, not_run
+from redwingrun.daemon import daemon_main
+from redwingrun.httpclient import digest
+from redwingrun.membership import ENTRY
+from redwingrun.minions import HttpMinionClient
+from redwingrun.node import Node
+from redwingrun.objects import MINIONS, Workload
+from redwingrun.operators import operator_routes
+from redwingrun.peer_pb2 import News
+from redwingrun.peerservice import PeerService
+from redwingrun.requests import Request
+from redwingrun.retries import RetryBudget
+from redwingrun.router import Outcome, Router
+from redwingrun.runtimes import RunTimes
+from redwingrun.taskcalls import TaskCalls
+from redwingrun.web import NotFoundHandler, common_routes
+
+TOKEN_BYTES = 12
+TRAILS_KEPT = 2000
+STEPS_PER_TRAIL = 20
+POLL_LEDGER_S = 0.1
+LONGEST_LEDGER_POLL_S = 1.0
+
+
+@define
+class Trail:
+    """What became of one request, for ``redwingrun explain``."""
+
+    team: str
+    steps: list[str] = field(factory=list)
+
+    def add(self, step: str) -> None:
+        """Add a step, unless there are many already."""
+        if len(self.steps) < STEPS_PER_TRAIL:
+            self.steps.append(step)
+
+
+class Entry(Node):
+    """Takes callers' requests and runs them on the minions of all entries."""
+
+    kind = ENTRY
+
+    def __init__(self, settings: Settings):
+        self.run_times = RunTimes()
+        self.budget = RetryBudget(settings.retry_share)
+        self._trail_by_id: OrderedDict[str, Trail] = OrderedDict()
+        self._request_by_id: dict[str, Request] = {}
+        super().__init__(settings)
+        minions = HttpMinionClient(self.http, settings.connect_timeout_s)
+        self.router = Router(self, minions, self.run_times, self.budget)
+        self.ledger = Ledger(self.table, self.writer)
+        self.task_calls = TaskCalls(self)
+        self.audit = AuditTrail(self.table)
+
+    def application(self) -> Application:
+        """Return the HTTP surface."""
+        self.spawn(self.router.expire(), "expire")
+        self.spawn(self.router.tell_all(), "tell-all")
+        routes = common_routes(self) + caller_routes(self) + operator_routes(self)
+        return Application(
+            routes,
+            default_handler_class=NotFoundHandler,
+            default_handler_args={"node": self},
+            log_function=self._log_request,
+        )
+
+    def _log_request(self, handler: Any) -> None:
+        self.metrics.count("http_requests_total", status=str(handler.get_status()))
+
+    def service(self) -> PeerService:
+        """Return what peers may call."""
+        return EntryService(self)
+
+    def on_change(self) -> None:
+        """Take changed ownership, members, objects or leaving hosts."""
+        pools = [pool for pool in self.objects.pools.values() if pool.type == MINIONS]
+        self.membership.shards = [name for pool in pools for name in pool.shards()]
+        self.router.update()
+
+    def pool_news(self, news: News) -> None:
+        """Add what this daemon tells of its pools."""
+        self.router.add_news(news)
+
+    async def finish(self) -> None:
+        """Finish what is in flight."""
+        self.router.refuse_waiting()
+        await self.router.idle()
+
+    def debug(self) -> dict[str, Any]:
+        """Return what the debug page shows besides the common part."""
+        return {
+            "waiting": self.router.waiting(),
+            "in_flight": self.router.in_flight,
+            "ejected": self.router.ejected(),
+            "retries": self.budget.retries,
+        }
+
+    # Requests
+
+    def request(
+        self, workload: Workload, team: str, body: bytes, request_id: str, deadline_s: float
+    ) -> Request:
+        """Return a request as the routing sees it."""
+        now_s = self.clock.now()
+        policy = self.objects.policies[workload.policy]
+        run_time = self.run_times.of(workload.name, workload.run_s)
+        learned_long = self.run_times.is_long(workload.name, workload.run_s)
+        return Request(
+            request_id=request_id,
+            workload=workload.name,
+            team=team,
+            pool=workload.pool,
+            arrived_s=now_s,
+            deadline_s=now_s + deadline_s,
+            estimate_s=run_time.mean_s,
+            slow_estimate_s=run_time.slow_s if run_time.learned else 0.0,
+            long=policy.long or learned_long,
+            once=not workload.idempotent,
+            body=body,
+            digest=digest(body),
+        )
+
+    async def run_request(self, request: Request) -> Outcome:
+        """Run an idempotent request, or one whose key is held, to its outcome."""
+        trail = self.trail(request.request_id, request.team)
+        if not self.ready:
+            return not_run("not-ready", "this host has no lease or no configuration")
+        self._request_by_id[request.request_id] = request
+        try:
+            outcome = await self.router.run(request)
+        finally:
+            self._request_by_id.pop(request.request_id, None)
+        self._note(request, trail, outcome)
+        return outcome
+
+    def _note(self, request: Request, trail: Trail, outcome: Outcome) -> None:
+        total_s = self.clock.now() - request.arrived_s
+        kind = "long" if request.long else "short"
+        self.metrics.count(
+            "requests_total", verdict=outcome.verdict.value, workload=request.workload
+        )
+        if isinstance(outcome, Answer):
+            self.metrics.seconds("waiting_seconds", outcome.waited_s, cls=kind)
+            self.metrics.seconds("answer_seconds", total_s, cls=kind)
+            trail.add(f"answered by {outcome.upstream} after waiting {outcome.waited_s:.4f} s")
+        else:
+            trail.add(f"{outcome.verdict.value}: {outcome.reason}: {outcome.detail}")
+        self.log.detail(
+            "request",
+            request=request.request_id,
+            team=request.team,
+            workload=request.workload,
+            verdict=outcome.verdict.value,
+            upstream=outcome.upstream,
+            seconds=round(total_s, 6),
+        )
+
+    async def run_once(self, request: Request, idempotency_key: str) -> Outcome | Mismatch:
+        """Run a request that must run at most once, under its key."""
+        token = secrets.token_hex(TOKEN_BYTES)
+        found = await self._claim(request, idempotency_key, token)
+        if not isinstance(found, Attempt):
+            return found
+        outcome = await self.run_request(request)
+        if not await self.ledger.finish(found, outcome):
+            self.log.fault("ledger-unfinished", request=request.request_id)
+        return outcome
+
+    async def _claim(
+        self, request: Request, idempotency_key: str, token: str
+    ) -> Attempt | Outcome | Mismatch:
+        """Claim the key, waiting for another attempt's outcome if there is one."""
+        pause_s = POLL_LEDGER_S
+        while True:
+            found = await self.ledger.begin(request.team, idempotency_key, request.digest, token)
+            waits = isinstance(found, Failure) and found.verdict is Verdict.MAY_HAVE_RUN
+            late = self.clock.now() + pause_s > request.deadline_s
+            if not waits or late:
+                return found
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, LONGEST_LEDGER_POLL_S)
+
+    async def kept_answer(self, team: str, idempotency_key: str) -> Outcome:
+        """Return the answer that is kept for a team's key."""
+        return await self.ledger.kept(team, idempotency_key)
+
+    def cancel_request(self, request_id: str, team: str) -> bool | None:
+        """Cancel a waiting request; ``None`` when it is not known here."""
+        request = self._request_by_id.get(request_id)
+        if request is None or request.team != team:
+            return None
+        return self.router.cancel(request)
+
+    def trail(self, request_id: str, team: str) -> Trail:
+        """Return the trail of a request, made if need be; old ones are dropped."""
+        trail = self._trail_by_id.get(request_id)
+        if trail is None:
+            trail = Trail(team)
+            self._trail_by_id[request_id] = trail
+            if len(self._trail_by_id) > TRAILS_KEPT:
+                self._trail_by_id.popitem(last=False)
+        return trail
+
+    def known_trail(self, request_id: str) -> Trail | None:
+        """Return the trail of a request, if there is one."""
+        return self._trail_by_id.get(request_id)
+
+
+class EntryService(PeerService):
+    """What an entry answers to its peers."""
+
+    _node: Entry
+
+    def heard(self, news: News) -> None:
+        """Take a peer's news about its pools."""
+        self._node.router.heard(news)
+
+    async def Run(self, stream: Stream) -> None:  # noqa: N802
+        """Run a request on one of our minions, if a slot is free."""
+        message = await stream.recv_message()
+        self._node.router.heard(message.news)
+        await stream.send_message(await self._node.router.run_for_peer(message))
+
+
+def main() -> None:
+    """Run the daemon from the command line."""
+    daemon_main("redwingrun-entry", Entry)
--- /dev/null
+++ b/redwingrun/node.py
@@ -0,0 +1,302 @@
+"""What both daemons are made of: clients, membership, configuration, health, stop."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from abc import ABC, abstractmethod
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application
+
+from redwingrun.auth import TokenBook, load_secret
+from redwingrun.config import Settings
+from redwingrun.coordination.clock import MonotonicClock
+from redwingrun.coordination.codec import decode
+from redwingrun.coordination.follower import (
+    VERSION_KEY,
+    Follower,
+    ObjectStoreUnavailable,
+    VersionRow,
+)
+from redwingrun.coordination.groupcommit import GroupCommit
+from redwingrun.coordination.members import MemberRow
+from redwingrun.coordination.table import TableUnavailable, TableUnknown
+from redwingrun.httpclient import HttpClient
+from redwingrun.logs import Log
+from redwingrun.membership import ENTRY, PLACER, Membership
+from redwingrun.metrics import Metrics
+from redwingrun.objects import ObjectSet
+from redwingrun.peer_pb2 import ConfigRequest, News
+from redwingrun.peers import PeerClient, PeerServer
+from redwingrun.peerservice import PeerService
+from redwingrun.platform import (
+    HostListUnavailable,
+    HostState,
+    HttpHostList,
+    HttpObjectStore,
+    HttpTable,
+)
+
+DRAINS_PREFIX = "drains/"
+BACKLOG = 1024
+HEADER_LIMIT_BYTES = 16 * 1024
+IDLE_TIMEOUT_S = 60.0
+
+
+class Node(ABC):
+    """One daemon on one host.
+
+    Subclasses say what they serve; :meth:`run` lives until SIGTERM.
+    """
+
+    kind: str
+
+    def __init__(self, settings: Settings):
+        self.settings = settings
+        self.clock = MonotonicClock()
+        self.log = Log(f"{self.kind}@{settings.host}", settings.log_level)
+        self.metrics = Metrics()
+        self.tokens = TokenBook.load(Path(settings.token_file))
+        self._secret = load_secret(Path(settings.peer_secret_file))
+        self.http = HttpClient(f"{settings.host}/{self.kind}")
+        timeout_s = settings.table_timeout_s
+        self.table = HttpTable(self.http, settings.table_url, timeout_s, self.metrics)
+        self.store = HttpObjectStore(self.http, settings.object_store_url, timeout_s, self.metrics)
+        self._host_list = HttpHostList(self.http, settings.host_list_url, timeout_s)
+        self.writer = GroupCommit(self.table, settings.group())
+        self.peers = PeerClient(self._secret)
+        self.membership = Membership(
+            settings,
+            self.kind,
+            self.table,
+            self.peers,
+            self.clock,
+            self.log,
+            self.metrics,
+            self.on_change,
+        )
+        self.follower = Follower()
+        self.content = ObjectSet().content()
+        self.objects = ObjectSet()
+        self.leaving_hosts: set[str] = set()
+        self.drained: set[str] = set()
+        self.ready = False
+        self._stop = asyncio.Event()
+        self._tasks: list[asyncio.Task] = []
+        self._news_sequence = 0
+
+    # What a daemon adds
+
+    @abstractmethod
+    def application(self) -> Application:
+        """Return the HTTP surface."""
+
+    @abstractmethod
+    def service(self) -> PeerService:
+        """Return what peers may call."""
+
+    @abstractmethod
+    def on_change(self) -> None:
+        """Take changed ownership, members, objects or leaving hosts."""
+
+    @abstractmethod
+    async def finish(self) -> None:
+        """Finish what is in flight; new work has been stopped."""
+
+    @abstractmethod
+    def debug(self) -> dict[str, Any]:
+        """Return what the debug page shows besides the common part."""
+
+    @abstractmethod
+    def pool_news(self, news: News) -> None:
+        """Add what this daemon tells of its pools."""
+
+    # Life
+
+    def spawn(self, work: Coroutine[Any, Any, None], name: str) -> asyncio.Task:
+        """Run a task for the daemon's life; its failure is logged, never silent."""
+        task = asyncio.create_task(work, name=name)
+        self._tasks.append(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    def _ended(self, task: asyncio.Task) -> None:
+        if task in self._tasks:
+            self._tasks.remove(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.metrics.count("task_failures_total", task=task.get_name())
+            self.log.fault("task-failed", task=task.get_name(), error=repr(task.exception()))
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then stop gracefully."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop.set)
+        settings = self.settings
+        peer_server = PeerServer(self.service(), self._secret)
+        await peer_server.start(settings.listen_ip, settings.peer_port)
+        http_server = self._listen()
+        self.spawn(self.membership.run(), "membership")
+        self.spawn(self._follow(), "follow")
+        self.spawn(self._watch_hosts(), "hosts")
+        self.log.event("started", member=self.membership.member_id)
+        await self._stop.wait()
+        await self._shut_down(http_server, peer_server)
+
+    def _listen(self) -> HTTPServer:
+        server = HTTPServer(
+            self.application(),
+            max_body_size=self.settings.max_body_bytes,
+            max_header_size=HEADER_LIMIT_BYTES,
+            idle_connection_timeout=IDLE_TIMEOUT_S,
+        )
+        server.listen(self.settings.http_port, self.settings.listen_ip, backlog=BACKLOG)
+        return server
+
+    async def _shut_down(self, http_server: HTTPServer, peer_server: PeerServer) -> None:
+        self.log.event("stopping")
+        self.ready = False
+        for task in self._tasks:
+            if task.get_name() == "membership":
+                task.cancel()
+        await self.membership.leave()
+        try:
+            await asyncio.wait_for(self.finish(), self.settings.drain_timeout_s)
+        except TimeoutError:
+            self.log.fault("stop-timeout", waited_s=self.settings.drain_timeout_s)
+        http_server.stop()
+        await http_server.close_all_connections()
+        await peer_server.stop()
+        for task in list(self._tasks):
+            task.cancel()
+        self.peers.close()
+        self.log.event("stopped")
+
+    # Configuration
+
+    async def _follow(self) -> None:
+        while True:
+            await self._poll_version()
+            self._update_ready()
+            await asyncio.sleep(self.settings.config_poll_s)
+
+    async def _poll_version(self) -> None:
+        try:
+            stored = await self.table.read(VERSION_KEY)
+            drains = await self.table.scan(DRAINS_PREFIX)
+        except (TableUnavailable, TableUnknown):
+            await self._ask_peer()
+            return
+        drained = {row.key[len(DRAINS_PREFIX) :] for row in drains}
+        if drained != self.drained:
+            self.drained = drained
+            self.on_change()
+        if stored is not None:
+            await self.hear_version(decode(VersionRow, stored.value))
+
+    async def _ask_peer(self) -> None:
+        # Without the table a version published just before the outage still spreads.
+        peers = self.other_members()
+        if not peers:
+            return
+        peer = random.choice(peers)
+        timeout_s = self.settings.table_timeout_s
+        result = await self.peers.call(peer.peer_address, "Tell", self.news(), timeout_s)
+        if result.is_ok():
+            await self.hear_news(result.ok, peer.peer_address)
+
+    async def hear_news(self, news: News, address: str = "") -> None:
+        """Take the version that a peer has in force."""
+        row = VersionRow(number=news.config_number, digest=news.config_digest)
+        await self.hear_version(row, address)
+
+    async def hear_version(self, row: VersionRow, address: str = "") -> None:
+        """Take news of a version, and fetch and apply it when it is newer."""
+        if not self.follower.hear(row):
+            return
+        wanted = self.follower.wanted
+        content = await self._fetch(wanted.digest, address)
+        if content is not None:
+            self._apply(wanted, content)
+
+    async def _fetch(self, digest: str, address: str) -> bytes | None:
+        try:
+            content = await self.store.get(digest)
+            if content is not None:
+                return content
+        except ObjectStoreUnavailable as error:
+            self.log.event("object-store-unreachable", error=str(error))
+        addresses = [address] if address else []
+        addresses += [row.peer_address for row in self.other_members()]
+        for candidate in addresses:
+            content = await self._fetch_from_peer(candidate, digest)
+            if content:
+                return content
+        return None
+
+    async def _fetch_from_peer(self, address: str, digest: str) -> bytes:
+        timeout_s = self.settings.table_timeout_s
+        request = ConfigRequest(digest=digest)
+        result = await self.peers.call(address, "Config", request, timeout_s)
+        return result.ok.content if result.is_ok() else b""
+
+    def _apply(self, row: VersionRow, content: bytes) -> None:
+        objects = ObjectSet.from_content(content)
+        if not self.follower.accept(row, content):
+            return
+        self.content = content
+        self.objects = objects
+        self.membership.config_version = row.number
+        self.metrics.gauge("config_version", row.number)
+        self.log.event("config", version=row.number, digest=row.digest)
+        self.on_change()
+        self.membership.wake()
+
+    def _update_ready(self) -> None:
+        stopping = self._stop.is_set()
+        self.ready = not stopping and self.membership.valid() and self.follower.in_force.number > 0
+
+    # Hosts
+
+    async def _watch_hosts(self) -> None:
+        while True:
+            try:
+                hosts = await self._host_list.hosts()
+            except HostListUnavailable as error:
+                self.log.detail("host-list-unreachable", error=str(error))
+            else:
+                leaving = {name for name, host in hosts.items() if host.state is HostState.LEAVING}
+                if leaving != self.leaving_hosts:
+                    self.leaving_hosts = leaving
+                    self.on_change()
+            await asyncio.sleep(self.settings.host_poll_s)
+
+    def unwelcome(self, name: str) -> bool:
+        """Tell whether an upstream must get no new work."""
+        return name in self.leaving_hosts or name in self.drained
+
+    # Members
+
+    def other_members(self) -> list[MemberRow]:
+        """Return all members but this one, of both kinds."""
+        found = []
+        for kind in (ENTRY, PLACER):
+            found.extend(self.membership.members(kind).values())
+        return [row for row in found if row.member_id != self.membership.member_id]
+
+    def news(self) -> News:
+        """Return what this daemon tells its peers."""
+        self._news_sequence += 1
+        news = News(
+            member_id=self.membership.member_id,
+            config_number=self.follower.in_force.number,
+            config_digest=self.follower.in_force.digest,
+            sequence=self._news_sequence,
+        )
+        self.pool_news(news)
+        return news
--- /dev/null
+++ b/redwingrun/packing.py
@@ -0,0 +1,131 @@
+"""Ways to choose a worker among those that a task fits on."""
+
+from __future__ import annotations
+
+import statistics
+from abc import ABC, abstractmethod
+
+from attrs import define
+
+from redwingrun.objects import Size
+
+EPSILON = 1e-9
+
+
+@define
+class Room:
+    """A worker's capacity and what of it is not reserved."""
+
+    name: str
+    rack: str
+    data_centre: str
+    cores: float
+    memory_gb: float
+    accelerators: float
+    free_cores: float
+    free_memory_gb: float
+    free_accelerators: float
+
+    def holds(self, size: Size) -> bool:
+        """Tell whether a task of this size fits now."""
+        return (
+            size.cores <= self.free_cores + EPSILON
+            and size.memory_gb <= self.free_memory_gb + EPSILON
+            and size.accelerators <= self.free_accelerators + EPSILON
+        )
+
+    def take(self, size: Size, times: int = 1) -> None:
+        """Reserve, or with a negative count give back, a task's size."""
+        self.free_cores -= times * size.cores
+        self.free_memory_gb -= times * size.memory_gb
+        self.free_accelerators -= times * size.accelerators
+
+
+class Packer(ABC):
+    """Rates the workers that a task fits on; the highest is taken."""
+
+    def choose(self, size: Size, rooms: list[Room]) -> Room:
+        """Return the best of several rooms; there is at least one."""
+        best = rooms[0]
+        best_score = self.score(size, best)
+        for room in rooms[1:]:
+            score = self.score(size, room)
+            if score > best_score:
+                best, best_score = room, score
+        return best
+
+    @abstractmethod
+    def score(self, size: Size, room: Room) -> float:
+        """Rate one room; higher is better."""
+
+
+class BestFit(Packer):
+    """Least room left, over all dimensions; accelerators are kept for who needs them."""
+
+    def score(self, size: Size, room: Room) -> float:
+        """Rate by what would be left, as shares of the capacity."""
+        return -_left(size, room)
+
+
+class WorstFit(Packer):
+    """Most room left."""
+
+    def score(self, size: Size, room: Room) -> float:
+        """Rate by what would be left, as shares of the capacity."""
+        return _left(size, room)
+
+
+class DotProduct(Packer):
+    """Alignment of what is asked for with what is free."""
+
+    def score(self, size: Size, room: Room) -> float:
+        """Rate by the dot product of demand and room, as shares of the capacity."""
+        total = 0.0
+        if room.cores:
+            total += size.cores * room.free_cores / (room.cores * room.cores)
+        if room.memory_gb:
+            total += size.memory_gb * room.free_memory_gb / (room.memory_gb * room.memory_gb)
+        if room.accelerators:
+            total += size.accelerators * room.free_accelerators / room.accelerators**2
+        return total
+
+
+class ReferenceLevelPacker(Packer):
+    """The optimized reference level rule over what would be left in each dimension.
+
+    See :class:`redwingrun.choosers.ReferenceLevel` for its source.
+    """
+
+    def choose(self, size: Size, rooms: list[Room]) -> Room:
+        """Return the room whose smallest gap to the worst is largest."""
+        rows = [_left_shares(size, room) for room in rooms]
+        columns = list(zip(*rows, strict=True))
+        spreads = [statistics.pstdev(column) for column in columns]
+        worst = [max(column) for column in columns]
+        used = [index for index, spread in enumerate(spreads) if spread > 0]
+        if not used:
+            return rooms[0]
+
+        def smallest_gap(position: int) -> float:
+            row = rows[position]
+            return min((worst[index] - row[index]) / spreads[index] for index in used)
+
+        return rooms[max(range(len(rooms)), key=smallest_gap)]
+
+    def score(self, size: Size, room: Room) -> float:
+        """Unused: the rule compares all rooms at once."""
+        return 0.0
+
+
+def _left_shares(size: Size, room: Room) -> tuple[float, float, float]:
+    cores = (room.free_cores - size.cores) / room.cores if room.cores else 0.0
+    memory = (room.free_memory_gb - size.memory_gb) / room.memory_gb if room.memory_gb else 0.0
+    accelerators = 0.0
+    if room.accelerators:
+        accelerators = (room.free_accelerators - size.accelerators) / room.accelerators
+    return cores, memory, accelerators
+
+
+def _left(size: Size, room: Room) -> float:
+    cores, memory, accelerators = _left_shares(size, room)
+    return cores + memory + accelerators
--- /dev/null
+++ b/redwingrun/platform.py
@@ -0,0 +1,177 @@
+"""The platform's services over HTTP: table, object store and list of hosts."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from enum import Enum
+
+import orjson
+from attrs import frozen
+
+from redwingrun.coordination.follower import ObjectStore, ObjectStoreUnavailable
+from redwingrun.coordination.table import (
+    Committed,
+    Condition,
+    Conflict,
+    Row,
+    Table,
+    TableUnavailable,
+    TableUnknown,
+    Transaction,
+)
+from redwingrun.coordination.verdict import Failure, Verdict
+from redwingrun.httpclient import Call, HttpClient, Reply
+from redwingrun.metrics import Metrics
+
+CONFLICT_STATUS = 409
+NOT_FOUND_STATUS = 404
+
+
+def _plain_condition(condition: Condition) -> dict[str, object]:
+    return {
+        "key": condition.key,
+        "expect": condition.expect.value,
+        "version": condition.version,
+    }
+
+
+class HttpTable(Table):
+    """The table over HTTP; see ``docs/INTERFACES.md`` for the protocol."""
+
+    def __init__(self, client: HttpClient, url: str, timeout_s: float, metrics: Metrics):
+        self._client = client
+        self._url = url.rstrip("/")
+        self._timeout_s = timeout_s
+        self._metrics = metrics
+
+    async def transact(self, transaction: Transaction) -> Committed | Conflict:
+        """Apply a transaction."""
+        body = orjson.dumps(
+            {
+                "conditions": [_plain_condition(item) for item in transaction.conditions],
+                "writes": [{"key": item.key, "value": item.value} for item in transaction.writes],
+            }
+        )
+        self._metrics.count("table_writes_total")
+        reply = await self._send("POST", "/transact", body)
+        plain = orjson.loads(reply.body)
+        if reply.status == CONFLICT_STATUS:
+            return Conflict(tuple(plain["keys"]))
+        return Committed(plain["version"])
+
+    async def read(self, key: str) -> Row | None:
+        """Return one row."""
+        rows = await self._rows("key", key)
+        return rows[0] if rows else None
+
+    async def scan(self, prefix: str) -> tuple[Row, ...]:
+        """Return all rows under a prefix."""
+        return await self._rows("prefix", prefix)
+
+    async def _rows(self, field: str, value: str) -> tuple[Row, ...]:
+        self._metrics.count("table_reads_total")
+        reply = await self._send("POST", "/read", orjson.dumps({field: value}))
+        return tuple(
+            Row(item["key"], item["value"], item["version"]) for item in orjson.loads(reply.body)
+        )
+
+    async def _send(self, method: str, path: str, body: bytes) -> Reply:
+        call = Call(method, self._url + path, self._timeout_s, body)
+        with self._metrics.timed("store_seconds", store="table"):
+            result = await self._client.send(call)
+        if result.is_error():
+            raise _table_error(result.error)
+        reply = result.ok
+        if reply.status not in (200, CONFLICT_STATUS):
+            # The table refuses before it acts, for its rate limit or an outage.
+            raise TableUnavailable(f"the table answered {reply.status}")
+        return reply
+
+
+def _table_error(failure: Failure) -> Exception:
+    text = f"{failure.reason}: {failure.detail}"
+    if failure.verdict is Verdict.NOT_RUN:
+        return TableUnavailable(text)
+    return TableUnknown(text)
+
+
+class HttpObjectStore(ObjectStore):
+    """The object store over HTTP."""
+
+    def __init__(self, client: HttpClient, url: str, timeout_s: float, metrics: Metrics):
+        self._client = client
+        self._url = url.rstrip("/")
+        self._timeout_s = timeout_s
+        self._metrics = metrics
+
+    async def put(self, name: str, content: bytes) -> None:
+        """Keep an object."""
+        reply = await self._send("PUT", name, content)
+        if reply.status >= 300:
+            raise ObjectStoreUnavailable(f"the object store answered {reply.status}")
+
+    async def get(self, name: str) -> bytes | None:
+        """Return an object."""
+        reply = await self._send("GET", name, None)
+        if reply.status == NOT_FOUND_STATUS:
+            return None
+        if reply.status != 200:
+            raise ObjectStoreUnavailable(f"the object store answered {reply.status}")
+        return reply.body
+
+    async def _send(self, method: str, name: str, body: bytes | None) -> Reply:
+        call = Call(method, f"{self._url}/objects/{name}", self._timeout_s, body)
+        with self._metrics.timed("store_seconds", store="objects"):
+            result = await self._client.send(call)
+        if result.is_error():
+            raise ObjectStoreUnavailable(f"{result.error.reason}: {result.error.detail}")
+        return result.ok
+
+
+class HostState(Enum):
+    """What the list says of a host."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@frozen
+class ListedHost:
+    """One line of the list of hosts."""
+
+    name: str
+    state: HostState
+
+
+class HostListUnavailable(Exception):
+    """The list gave no answer; what was known goes on."""
+
+
+class HostList(ABC):
+    """The platform's list of live and leaving hosts; it lags."""
+
+    @abstractmethod
+    async def hosts(self) -> dict[str, ListedHost]:
+        """Return the hosts by name.
+
+        :raises HostListUnavailable: without an answer.
+        """
+
+
+class HttpHostList(HostList):
+    """The list of hosts over HTTP."""
+
+    def __init__(self, client: HttpClient, url: str, timeout_s: float):
+        self._client = client
+        self._url = url.rstrip("/")
+        self._timeout_s = timeout_s
+
+    async def hosts(self) -> dict[str, ListedHost]:
+        """Return the hosts by name."""
+        result = await self._client.send(Call("GET", f"{self._url}/hosts", self._timeout_s))
+        if result.is_error() or result.ok.status != 200:
+            raise HostListUnavailable(str(result))
+        listed = {}
+        for item in orjson.loads(result.ok.body):
+            listed[item["name"]] = ListedHost(item["name"], HostState(item["state"]))
+        return listed
--- /dev/null
+++ b/redwingrun/poolkeeper.py
@@ -0,0 +1,581 @@
+"""The task that runs one pool of workers for as long as this process owns it."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+from enum import Enum
+
+from attrs import define, evolve, field
+
+from redwingrun.coordination.codec import decode, encode
+from redwingrun.coordination.table import (
+    Committed,
+    Condition,
+    TableUnavailable,
+    TableUnknown,
+    Transaction,
+    Write,
+    settle,
+)
+from redwingrun.coordination.tasklease import WorkerLease
+from redwingrun.coordination.verdict import Failure, Verdict, not_run
+from redwingrun.node import Node
+from redwingrun.objects import Pool, Size, Workload, never_runs
+from redwingrun.peer_pb2 import SubmitTask
+from redwingrun.scheduler import Placement, Scheduler
+from redwingrun.tasks import (
+    CHECKPOINTING,
+    QUEUED,
+    STOPPING,
+    TASKS_PREFIX,
+    End,
+    MemberKey,
+    Task,
+    TaskRow,
+)
+from redwingrun.workers import (
+    Grant,
+    MemberReport,
+    StartCall,
+    SyncCall,
+    WorkerClient,
+    WorkerReport,
+)
+
+PLACE_INTERVAL_S = 0.5
+RETRY_INTERVAL_S = 0.25
+MAX_TASKS = 50_000
+MAX_ENDED_KEPT = 5_000
+SILENT_RENEWALS = 2
+END_BY_NAME = {"ok": End.OK, "failed": End.FAILED, "stopped": End.STOPPED, "lapsed": End.LOST}
+# Seen once over its size a member is throttled, then checkpointed, then stopped.
+CHECKPOINT_AT_EXCESS = 2
+STOP_AT_EXCESS = 3
+
+
+class Commit(Enum):
+    """How a fenced write ended, for certain."""
+
+    DONE = "done"
+    REFUSED = "refused"
+    NOT_OWNER = "not owner"
+
+
+@define
+class _Link:
+    """One worker's lease and what to tell it next."""
+
+    lease: WorkerLease
+    wake: asyncio.Event = field(factory=asyncio.Event)
+    forget: list[MemberKey] = field(factory=list)
+    stray: list[MemberKey] = field(factory=list)
+
+
+class PoolKeeper:
+    """Owns the tasks and workers of one pool under one epoch.
+
+    Every write is fenced by the shard's row, and every call to a worker carries
+    the epoch, so a keeper that was paused past its lease can do no harm.
+    """
+
+    def __init__(self, node: Node, pool: str, epoch: int, workers: WorkerClient):
+        self._node = node
+        self._pool = pool
+        self._epoch = epoch
+        self._workers = workers
+        self._lease_settings = node.settings.task_lease()
+        self.scheduler = Scheduler()
+        self.task_by_id: dict[str, Task] = {}
+        self.loaded = False
+        self.closed = False
+        self._link_by_worker: dict[str, _Link] = {}
+        self._place_now = asyncio.Event()
+        self._order = 0
+        self._claimed_s = node.clock.now()
+        self._fence = node.membership.fence(pool)
+        self.writes = 0
+
+    # Life
+
+    def owns(self) -> bool:
+        """Tell whether this keeper may act right now."""
+        return not self.closed and self._node.membership.owns(self._pool, self._epoch)
+
+    async def run(self) -> None:
+        """Load the pool's tasks and keep them going until ownership ends."""
+        while not await self._load():
+            await asyncio.sleep(RETRY_INTERVAL_S)
+            if not self.owns():
+                return
+        self.loaded = True
+        self.update()
+        while self.owns():
+            self._place()
+            await self._pause()
+        self.closed = True
+
+    async def _pause(self) -> None:
+        try:
+            await asyncio.wait_for(self._place_now.wait(), PLACE_INTERVAL_S)
+        except TimeoutError:
+            return
+        self._place_now.clear()
+
+    async def _load(self) -> bool:
+        try:
+            rows = await self._node.table.scan(f"{TASKS_PREFIX}{self._pool}/")
+        except (TableUnavailable, TableUnknown):
+            return False
+        self._set_objects()
+        now_s = self._node.clock.now()
+        for stored in rows:
+            task = Task(decode(TaskRow, stored.value))
+            self.task_by_id[task.task_id] = task
+            self._order = max(self._order, task.row.order)
+            if task.state == QUEUED:
+                self.scheduler.enqueue(task, now_s)
+            elif not task.ended:
+                task.adopt()
+                self.scheduler.reserve(task, tuple(task.row.workers))
+        self._node.log.event("pool-loaded", pool=self._pool, tasks=len(rows))
+        return True
+
+    def update(self) -> None:
+        """Take changed objects or leaving hosts."""
+        if not self.loaded:
+            return
+        self._set_objects()
+        for name in self.scheduler.worker_by_name:
+            if name not in self._link_by_worker:
+                self._link_by_worker[name] = _Link(self._first_lease())
+                self._node.spawn(self._keep_worker(name), f"worker-{name}")
+        self._place_now.set()
+
+    def _set_objects(self) -> None:
+        objects = self._node.objects
+        self.scheduler.objects = objects
+        pool = objects.pools.get(self._pool)
+        upstreams = pool.upstreams_by_name() if pool else {}
+        leaving = {name for name in upstreams if self._node.unwelcome(name)}
+        self.scheduler.set_workers(upstreams, leaving)
+
+    def _first_lease(self) -> WorkerLease:
+        # An earlier owner may have granted up to the moment of our claim.
+        lease = WorkerLease(self._lease_settings, "")
+        lease.heard(0.0, self._node.clock.now())
+        lease.not_after()
+        return lease
+
+    # Submission and questions
+
+    async def submit(self, message: SubmitTask, workload: Workload) -> Task | Failure:
+        """Keep a new task, or return the one that its id means already."""
+        known = self.task_by_id.get(message.task_id)
+        if known is not None:
+            return self._same(known, message.digest)
+        refusal = self._refusal(message, workload)
+        if refusal is not None:
+            return refusal
+        self._order += 1
+        row = self._row(message, workload)
+        done = await self._commit(row, Condition.absent(row.key))
+        if done is Commit.DONE:
+            return self._accepted(row)
+        if done is Commit.REFUSED:
+            return not_run("table-unavailable", "the task could not be kept; send it again")
+        return not_run("not-owner", "this host no longer owns the pool")
+
+    def _same(self, known: Task, digest: str) -> Task | Failure:
+        if known.row.digest != digest:
+            return not_run("key-reused", "this key came with another body before")
+        return known
+
+    def _refusal(self, message: SubmitTask, workload: Workload) -> Failure | None:
+        objects = self._node.objects
+        pool: Pool = objects.pools[self._pool]
+        reason = never_runs(workload, pool)
+        if reason:
+            return not_run("never-fits", reason)
+        whole = Size().plus(workload.task_size, workload.count)
+        for name in objects.lineage(message.team):
+            excess = whole.excess(objects.teams[name].quota_size)
+            if excess:
+                return not_run("over-quota", f"can never start: quota of team {name}: {excess}")
+        if len(self.task_by_id) >= MAX_TASKS:
+            return not_run("queue-full", f"pool {self._pool} has {MAX_TASKS} tasks")
+        return None
+
+    def _row(self, message: SubmitTask, workload: Workload) -> TaskRow:
+        policy = self._node.objects.policies[workload.policy]
+        size = workload.task_size
+        return TaskRow(
+            task_id=message.task_id,
+            pool=self._pool,
+            workload=workload.name,
+            team=message.team,
+            digest=message.digest,
+            order=self._order,
+            run_s=message.run_s,
+            cores=size.cores,
+            memory_gb=size.memory_gb,
+            accelerators=size.accelerators,
+            count=workload.count,
+            urgent=message.urgent,
+            restartable=policy.restart == "checkpoint",
+            service=workload.kind == "service",
+            body=base64.b64encode(message.body).decode(),
+        )
+
+    def _accepted(self, row: TaskRow) -> Task:
+        known = self.task_by_id.get(row.task_id)
+        if known is not None:
+            # The same task was sent twice at once; both writes were ours.
+            return known
+        task = Task(row)
+        self.task_by_id[row.task_id] = task
+        self.scheduler.enqueue(task, self._node.clock.now())
+        self._place_now.set()
+        return task
+
+    async def cancel(self, task: Task) -> Failure | None:
+        """Cancel a task; its row says so before the caller is told."""
+        if task.ended or task.state == STOPPING:
+            return None
+        before = task.row
+        task.happen("cancel", "cancelled")
+        if await self._commit(task.row) is not Commit.DONE:
+            if task.state == STOPPING or task.state == "cancelled":
+                task.row = evolve(task.row, state=before.state, detail=before.detail)
+                self._requeue_if_queued(task)
+            return not_run("table-unavailable", "the cancellation could not be kept")
+        self._wake_workers(task)
+        return None
+
+    def _requeue_if_queued(self, task: Task) -> None:
+        if task.state == QUEUED:
+            self.scheduler.enqueue(task, self._node.clock.now())
+
+    # Writing
+
+    async def _commit(self, row: TaskRow, extra: Condition | None = None) -> Commit:
+        """Write a row under the fence, until the outcome is certain."""
+        conditions = (self._fence,) if extra is None else (self._fence, extra)
+        change = Transaction(conditions, (Write(row.key, encode(row)),))
+        while self.owns():
+            try:
+                result = await self._node.writer.transact(change)
+            except TableUnavailable:
+                return Commit.REFUSED
+            except TableUnknown:
+                if await self._took_effect(row):
+                    return Commit.DONE
+                continue
+            if isinstance(result, Committed):
+                return Commit.DONE
+            if self._fence.key in result.keys:
+                self.closed = True
+                return Commit.NOT_OWNER
+            # The row stands already: an earlier try of ours took effect late.
+            return Commit.DONE if await self._took_effect(row) else Commit.REFUSED
+        return Commit.NOT_OWNER
+
+    async def _took_effect(self, row: TaskRow) -> bool:
+        while self.owns():
+            try:
+                return await settle(self._node.table, row.key, encode(row)) is not None
+            except (TableUnavailable, TableUnknown):
+                await asyncio.sleep(RETRY_INTERVAL_S)
+        return False
+
+    async def _commit_for_sure(self, task: Task) -> bool:
+        """Write a task's row, however long the table is down."""
+        while self.owns():
+            if await self._commit(task.row) is Commit.DONE:
+                return True
+            await asyncio.sleep(RETRY_INTERVAL_S)
+        return False
+
+    # Placement
+
+    def _place(self) -> None:
+        now_s = self._node.clock.now()
+        with self._node.metrics.timed("placement_seconds", pool=self._pool):
+            placements = self.scheduler.place(now_s)
+        for placement in placements:
+            self._begin(placement)
+        for task in self.scheduler.preemptions(self.task_by_id, now_s):
+            task.happen("preempt", "makes room for urgent work")
+            self._wake_workers(task)
+        self._node.metrics.gauge("tasks_queued", self.scheduler.queued(), pool=self._pool)
+
+    def _begin(self, placement: Placement) -> None:
+        task = placement.task
+        workers = self.scheduler.worker_by_name
+        incarnations = [workers[name].incarnation for name in placement.workers]
+        task.place(list(placement.workers), incarnations)
+        waited_s = self._node.clock.now() - task.queued_s
+        self._node.metrics.seconds("task_waiting_seconds", waited_s, pool=self._pool)
+        self._node.spawn(self._start(task, task.row), "start")
+
+    async def _start(self, task: Task, row: TaskRow) -> None:
+        done = await self._commit(row)
+        if done is Commit.NOT_OWNER:
+            return
+        if done is Commit.REFUSED or task.state == STOPPING:
+            # Nothing was sent to any worker.
+            for index in range(row.count):
+                self._member_ended(task, index, End.NOT_RUN)
+            return
+        await asyncio.gather(*[self._start_member(task, index) for index in range(row.count)])
+
+    async def _start_member(self, task: Task, index: int) -> None:
+        row = task.row
+        name = row.workers[index]
+        link = self._link_by_worker[name]
+        worker = self.scheduler.worker_by_name.get(name)
+        stale = worker is None or worker.incarnation != row.incarnations[index]
+        if stale or not self.owns():
+            self._member_ended(task, index, End.NOT_RUN)
+            return
+        call = StartCall(
+            address=worker.upstream.address,
+            grant=self._grant(link, row.incarnations[index]),
+            member=task.key(index),
+            workload=row.workload,
+            size=row.size,
+            run_s=row.run_s,
+            service=row.service,
+            body=row.body,
+            checkpoint=row.checkpoints[index] if row.checkpoints else "",
+        )
+        result = await self._workers.start(call, self._node.settings.worker_timeout_s)
+        if index not in task.starting or task.row.attempt != row.attempt:
+            return
+        task.starting.discard(index)
+        if result.is_ok():
+            link.lease.heard(result.ok.clock_s, self._node.clock.now())
+            task.confirm(index)
+            return
+        self._start_failed(task, index, result.error)
+
+    def _start_failed(self, task: Task, index: int, failure: Failure) -> None:
+        name = task.row.workers[index]
+        self._node.log.event("start-failed", task=task.task_id, worker=name, reason=failure.reason)
+        if failure.verdict is Verdict.NOT_RUN:
+            task.avoid.add(name)
+            self.scheduler.worker_failed(name, self._node.clock.now())
+            self._member_ended(task, index, End.NOT_RUN)
+            return
+        # The next report of the worker says whether it runs.
+        self._link_by_worker[name].wake.set()
+
+    # Workers
+
+    def _grant(self, link: _Link, incarnation: str) -> Grant:
+        return Grant(incarnation, self._epoch, link.lease.not_after())
+
+    async def _keep_worker(self, name: str) -> None:
+        link = self._link_by_worker[name]
+        while self.owns() and name in self.scheduler.worker_by_name:
+            link.wake.clear()
+            await self._sync(name, link)
+            try:
+                await asyncio.wait_for(link.wake.wait(), self._lease_settings.renew_s)
+            except TimeoutError:
+                continue
+        self._link_by_worker.pop(name, None)
+
+    async def _sync(self, name: str, link: _Link) -> None:
+        worker = self.scheduler.worker_by_name[name]
+        members = self._members_on(name)
+        known = bool(worker.incarnation)
+        grant = Grant("", self._epoch, 0.0)
+        if known:
+            grant = self._grant(link, worker.incarnation)
+        call = self._sync_call(worker.upstream.address, grant, members, link)
+        result = await self._workers.sync(call, self._node.settings.worker_timeout_s)
+        if not self.owns():
+            return
+        if result.is_error():
+            self._worker_silent(name, link, result.error)
+            return
+        self._worker_heard(name, link, result.ok, call)
+
+    def _members_on(self, name: str) -> dict[MemberKey, tuple[Task, int]]:
+        worker = self.scheduler.worker_by_name[name]
+        found = {}
+        for task_id in worker.tasks:
+            task = self.task_by_id.get(task_id)
+            if task is None:
+                continue
+            for index in task.live - task.starting:
+                if task.row.workers[index] == name:
+                    found[task.key(index)] = (task, index)
+        return found
+
+    def _sync_call(
+        self,
+        address: str,
+        grant: Grant,
+        members: dict[MemberKey, tuple[Task, int]],
+        link: _Link,
+    ) -> SyncCall:
+        call = SyncCall(address, grant, forget=list(link.forget), stop=list(link.stray))
+        for key, (task, index) in members.items():
+            call.keep.append(key)
+            excess = task.excess.get(index, 0)
+            if task.state == STOPPING or task.stop_all or excess >= STOP_AT_EXCESS:
+                call.stop.append(key)
+            elif task.state == CHECKPOINTING or excess == CHECKPOINT_AT_EXCESS:
+                call.checkpoint.append(key)
+            elif excess:
+                call.throttle.append(key)
+        return call
+
+    def _worker_heard(self, name: str, link: _Link, report: WorkerReport, call: SyncCall) -> None:
+        worker = self.scheduler.worker_by_name.get(name)
+        if worker is None:
+            return
+        now_s = self._node.clock.now()
+        if worker.incarnation != report.incarnation:
+            # Whatever an earlier run of that process held has died with it.
+            worker.incarnation = report.incarnation
+            link.lease = WorkerLease(self._lease_settings, report.incarnation)
+        link.lease.heard(report.clock_s, now_s)
+        link.forget = [key for key in link.forget if key not in call.forget]
+        link.stray = []
+        was_reachable = worker.reachable
+        worker.reachable = True
+        worker.leaving = worker.leaving or report.leaving
+        self._take_members(name, link, report, call)
+        if not was_reachable:
+            self._place_now.set()
+
+    def _take_members(self, name: str, link: _Link, report: WorkerReport, call: SyncCall) -> None:
+        members = self._members_on(name)
+        for key in call.keep:
+            if key not in members:
+                continue
+            task, index = members[key]
+            if task.row.incarnations[index] != report.incarnation:
+                self._member_ended(task, index, End.LOST)
+            else:
+                self._take_member(task, index, report.members.get(key))
+        for key, found in report.members.items():
+            self._take_stray(link, key, found)
+
+    def _take_member(self, task: Task, index: int, found: MemberReport | None) -> None:
+        if found is None:
+            self._member_ended(task, index, task.missing(index))
+        elif found.ended:
+            self._take_end(task, index, found)
+        else:
+            task.confirm(index)
+            over = bool(found.usage.excess(task.row.size))
+            task.excess[index] = task.excess.get(index, 0) + 1 if over else 0
+
+    def _take_end(self, task: Task, index: int, found: MemberReport) -> None:
+        name = task.row.workers[index]
+        if found.ended == "failed":
+            self._worker_failed(task, name)
+        elif found.ended == "ok":
+            self.scheduler.worker_succeeded(name)
+        if found.checkpoint:
+            checkpoints = list(task.row.checkpoints or [""] * task.row.count)
+            checkpoints[index] = found.checkpoint
+            task.row = evolve(task.row, checkpoints=checkpoints)
+        end = END_BY_NAME.get(found.ended, End.LOST)
+        if task.excess.get(index, 0) >= STOP_AT_EXCESS:
+            end = End.FAILED
+        self._member_ended(task, index, end, found.result)
+
+    def _worker_failed(self, task: Task, name: str) -> None:
+        task.avoid.add(name)
+        if self.scheduler.worker_failed(name, self._node.clock.now()):
+            self._node.metrics.count("quarantines_total")
+            self._node.log.event("quarantine", worker=name)
+
+    def _take_stray(self, link: _Link, key: MemberKey, found: MemberReport) -> None:
+        """Stop or forget what the worker has and no present attempt wants."""
+        task = self.task_by_id.get(key.task_id)
+        wanted = task is not None and key.attempt == task.row.attempt and key.index in task.live
+        if wanted:
+            return
+        if not found.ended:
+            link.stray.append(key)
+        elif task is None or task.ended or task.row.attempt != key.attempt:
+            link.forget.append(key)
+
+    def _worker_silent(self, name: str, link: _Link, failure: Failure) -> None:
+        worker = self.scheduler.worker_by_name.get(name)
+        if worker is None:
+            return
+        now_s = self._node.clock.now()
+        if failure.reason == "status-410":
+            # Another run of the process answers there: ask who is there now.
+            worker.incarnation = ""
+            link.wake.set()
+            return
+        silent_s = link.lease.silent_s(now_s)
+        if silent_s > SILENT_RENEWALS * self._lease_settings.renew_s:
+            worker.reachable = False
+        if not link.lease.certainly_over(now_s):
+            return
+        for task, index in self._members_on(name).values():
+            self._member_ended(task, index, End.LOST)
+
+    # Ends
+
+    def _member_ended(self, task: Task, index: int, end: End, result: str = "") -> None:
+        if index not in task.live:
+            return
+        task.member_ended(index, end, result)
+        self.scheduler.release_member(task, index)
+        if task.live:
+            self._wake_workers(task)
+            return
+        self.scheduler.release_quota(task)
+        task.finish(_detail(task))
+        self._place_now.set()
+        if task.ended:
+            self._node.spawn(self._keep_end(task), "end")
+        else:
+            self.scheduler.enqueue(task, self._node.clock.now())
+
+    async def _keep_end(self, task: Task) -> None:
+        if await self._commit_for_sure(task):
+            self._node.metrics.count("tasks_ended_total", state=task.state)
+            self._forget_oldest()
+            for index, name in enumerate(task.row.workers):
+                link = self._link_by_worker.get(name)
+                if link is not None:
+                    link.forget.append(task.key(index))
+
+    def _forget_oldest(self) -> None:
+        ended = [task for task in self.task_by_id.values() if task.ended]
+        if len(ended) <= MAX_ENDED_KEPT:
+            return
+        oldest = min(ended, key=lambda task: task.row.order)
+        del self.task_by_id[oldest.task_id]
+        self._node.spawn(self._delete(oldest.row), "delete")
+
+    async def _delete(self, row: TaskRow) -> None:
+        try:
+            await self._node.writer.transact(Transaction((self._fence,), (Write(row.key, None),)))
+        except (TableUnavailable, TableUnknown):
+            # Found again, and dropped again, when the pool is next loaded.
+            return
+
+    def _wake_workers(self, task: Task) -> None:
+        for name in task.row.workers:
+            link = self._link_by_worker.get(name)
+            if link is not None:
+                link.wake.set()
+
+
+def _detail(task: Task) -> str:
+    ends = ", ".join(
+        f"{end.value} on {task.row.workers[index]}" for index, end in sorted(task.ends.items())
+    )
+    return ends[:200]
