Split the configuration task from the node, add the command line

Cause: the configuration protocol could not be searched by a model while it was part of the daemon's frame, which needs sockets.

Change: ConfigTask holds polling, fetching and applying; the node keeps drains and hosts.

--- /dev/null
+++ b/redwingrun/cmdline.py
@@ -0,0 +1,372 @@
+"""The operator's and caller's command ``redwingrun``: a thin layer over the API."""
+
+from __future__ import annotations
+
+import difflib
+import json
+import platform
+import sys
+from collections.abc import Callable
+from functools import wraps
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+from rich.console import Console
+from rich.table import Table
+
+from redwingrun import __version__
+from redwingrun.api import Api
+from redwingrun.auth import TokenBook
+from redwingrun.config import load_settings, reference
+from redwingrun.errors import NotReachable, RedwingrunError
+from redwingrun.jsonfile import read_json_file
+from redwingrun.objects import KIND_BY_SECTION, load_objects
+
+EXIT_REFUSED = 1
+EXIT_UNREACHABLE = 3
+WAIT_S = 60.0
+
+app = typer.Typer(
+    help="Operate a redwingrun cell, and send work to it.",
+    no_args_is_help=True,
+    add_completion=False,
+)
+debug_app = typer.Typer(help="Help in finding faults.", no_args_is_help=True)
+app.add_typer(debug_app, name="debug")
+
+Server = Annotated[
+    str, typer.Option(envvar="REDWINGRUN_SERVER", help="Address of any entry, http://IP:port.")
+]
+Token = Annotated[
+    str, typer.Option(envvar="REDWINGRUN_TOKEN", help="Your token; better in the environment.")
+]
+AsJson = Annotated[bool, typer.Option("--json", help="Print JSON.")]
+Files = Annotated[list[Path], typer.Argument(help="Files in JSON with comments.")]
+
+
+def told(command: Callable[..., None]) -> Callable[..., None]:
+    """Turn the errors a user can act on into a message and an exit code."""
+
+    @wraps(command)
+    def run(*args: Any, **kwargs: Any) -> None:
+        try:
+            command(*args, **kwargs)
+        except NotReachable as error:
+            typer.echo(f"redwingrun: {error}", err=True)
+            raise typer.Exit(EXIT_UNREACHABLE) from error
+        except RedwingrunError as error:
+            typer.echo(f"redwingrun: {error}", err=True)
+            raise typer.Exit(EXIT_REFUSED) from error
+
+    return run
+
+
+class Output:
+    """Prints rows: a table on a terminal, tab-separated when piped, or JSON."""
+
+    def __init__(self, as_json: bool):
+        self._as_json = as_json
+        self._console = Console()
+
+    def rows(self, columns: list[str], rows: list[list[str]]) -> None:
+        """Print rows."""
+        if self._as_json:
+            items = [dict(zip(columns, row, strict=True)) for row in rows]
+            typer.echo(json.dumps(items, indent=2))
+            return
+        if not self._console.is_terminal:
+            for row in rows:
+                typer.echo("\t".join(row))
+            return
+        table = Table(*columns)
+        for row in rows:
+            table.add_row(*row)
+        self._console.print(table)
+
+    def value(self, plain: Any, text: str) -> None:
+        """Print one thing, as JSON or as a line."""
+        typer.echo(json.dumps(plain, indent=2) if self._as_json else text)
+
+
+@app.command()
+@told
+def check(files: Files, as_json: AsJson = False) -> None:
+    """Check object files as one set, or settings files, or token files.
+
+    Example: redwingrun check objects/*.jsonc
+    """
+    kinds: dict[str, list[Path]] = {"objects": [], "settings": [], "tokens": []}
+    for path in files:
+        kinds[_kind_of(path)].append(path)
+    for path in kinds["settings"]:
+        load_settings(path)
+    for path in kinds["tokens"]:
+        TokenBook.load(path)
+    if kinds["objects"]:
+        load_objects(kinds["objects"])
+    counts = {kind: len(paths) for kind, paths in kinds.items() if paths}
+    summary = ", ".join(f"{count} {kind} file(s)" for kind, count in counts.items())
+    Output(as_json).value({"ok": True, **counts}, f"ok: {summary}")
+
+
+def _kind_of(path: Path) -> str:
+    value = read_json_file(path).value
+    if "host" in value or "table_url" in value:
+        return "settings"
+    first = next(iter(value.values()), None)
+    if isinstance(first, dict) and "role" in first:
+        return "tokens"
+    return "objects"
+
+
+@app.command()
+@told
+def publish(
+    files: Files,
+    server: Server,
+    token: Token,
+    reason: Annotated[str, typer.Option(help="Why, for the audit trail.")],
+    based_on: Annotated[
+        int | None, typer.Option(help="Version that you changed; default the one in force.")
+    ] = None,
+    wait: Annotated[bool, typer.Option(help="Wait until every live daemon has it.")] = False,
+    as_json: AsJson = False,
+) -> None:
+    """Check files as one set and publish them in place of the set in force.
+
+    Example: redwingrun publish objects/*.jsonc --reason "more slots" --wait
+    """
+    load_objects(files)
+    api = Api(server, token)
+    if based_on is None:
+        based_on = api.config()["version"]
+    sources = {str(path): path.read_text(encoding="utf-8") for path in files}
+    done = api.publish(sources, based_on, reason)
+    if wait:
+        _wait_until_in_force(api, done["version"])
+    state = "in force everywhere" if wait else "published"
+    Output(as_json).value(done, f"version {done['version']} {state}")
+
+
+def _wait_until_in_force(api: Api, version: int) -> None:
+    console = Console(stderr=True)
+    with console.status(f"waiting for version {version}") as status:
+        for lagging in api.until_in_force(version, WAIT_S):
+            status.update(f"waiting for {len(lagging)} daemon(s): {', '.join(lagging[:3])}")
+
+
+@app.command()
+@told
+def get(
+    server: Server,
+    token: Token,
+    section: Annotated[str, typer.Argument(help="workloads, policies, pools or teams.")] = "",
+    name: Annotated[str, typer.Argument(help="Name of one object.")] = "",
+) -> None:
+    """Print the objects in force as JSON.
+
+    Example: redwingrun get workloads grade-check
+    """
+    found = Api(server, token).config()
+    plain: Any = found["objects"]
+    for key in (section, name):
+        if key:
+            if key not in plain:
+                known = ", ".join(sorted(plain))
+                raise RedwingrunError(f"there is no {key!r} here, only: {known}")
+            plain = plain[key]
+    typer.echo(json.dumps(plain, indent=2, sort_keys=True))
+
+
+@app.command()
+@told
+def diff(files: Files, server: Server, token: Token) -> None:
+    """Show how files differ from the set in force; exits 0 either way.
+
+    Example: redwingrun diff objects/*.jsonc
+    """
+    wanted = json.loads(load_objects(files).content())
+    found = Api(server, token).config()
+    before = json.dumps(found["objects"], indent=2, sort_keys=True).splitlines()
+    after = json.dumps(wanted, indent=2, sort_keys=True).splitlines()
+    lines = difflib.unified_diff(before, after, f"version {found['version']}", "files", "", "", 2)
+    text = "\n".join(lines)
+    typer.echo(text or f"no difference from version {found['version']}")
+
+
+@app.command()
+@told
+def submit(
+    workload: Annotated[str, typer.Argument(help="Name of the workload.")],
+    server: Server,
+    token: Token,
+    body: Annotated[str, typer.Option(help="The payload, or @FILE.")] = "{}",
+    key: Annotated[str, typer.Option(help="Idempotency key: the same key runs once.")] = "",
+    deadline_s: Annotated[float | None, typer.Option(help="Longest wait in seconds.")] = None,
+    urgent: Annotated[bool, typer.Option(help="Take the place of batch work.")] = False,
+    task: Annotated[bool, typer.Option(help="Submit a task, do not wait for it.")] = False,
+    as_json: AsJson = False,
+) -> None:
+    """Run a quick request and print its answer, or submit a task with --task.
+
+    Example: redwingrun submit grade-check --body '{"wall": 3}'
+    """
+    headers = {}
+    if key:
+        headers["Idempotency-Key"] = key
+    if deadline_s is not None:
+        headers["X-Deadline-S"] = str(deadline_s)
+    if urgent:
+        headers["X-Urgent"] = "1"
+    payload = Path(body[1:]).read_bytes() if body.startswith("@") else body.encode()
+    api = Api(server, token)
+    if task:
+        reply = api.submit(workload, payload, headers)
+        Output(as_json).value(reply, f"{reply['task_id']} {reply['state']}")
+        return
+    answer = api.run(workload, payload, headers)
+    plain = {
+        "request_id": answer.headers.get("X-Request-Id"),
+        "upstream": answer.headers.get("X-Upstream"),
+        "waited_s": float(answer.headers.get("X-Waited-S", 0)),
+        "answer": answer.body.decode(errors="replace"),
+    }
+    Output(as_json).value(plain, plain["answer"])
+
+
+@app.command()
+@told
+def cancel(
+    name: Annotated[str, typer.Argument(help="Id of a task or request.")],
+    server: Server,
+    token: Token,
+    as_json: AsJson = False,
+) -> None:
+    """Cancel a task, or a request that still waits on that entry.
+
+    Example: redwingrun cancel walls:head-setter:plan-7
+    """
+    reply = Api(server, token).cancel(name)
+    Output(as_json).value(reply, f"{name} {reply.get('state') or reply.get('verdict')}")
+
+
+@app.command()
+@told
+def status(server: Server, token: Token, as_json: AsJson = False) -> None:
+    """Show the daemons, the version each has, and who owns what.
+
+    Example: redwingrun status
+    """
+    found = Api(server, token).status()
+    if as_json:
+        typer.echo(json.dumps(found, indent=2))
+        return
+    output = Output(False)
+    rows = [
+        [row["host"], row["kind"], row["data_centre"], str(row["config_version"])]
+        for row in sorted(found["members"], key=lambda row: (row["host"], row["kind"]))
+    ]
+    output.rows(["host", "daemon", "data centre", "version"], rows)
+    owners = [[shard, owner or "nobody"] for shard, owner in sorted(found["owners"].items())]
+    output.rows(["shard", "owner"], owners)
+    if found["drained"] or found["leaving"]:
+        names = [[name, "drained"] for name in found["drained"]]
+        names += [[name, "leaving"] for name in found["leaving"]]
+        output.rows(["upstream", "state"], names)
+
+
+@app.command()
+@told
+def explain(
+    name: Annotated[str, typer.Argument(help="Id of a task or request.")],
+    server: Server,
+    token: Token,
+    as_json: AsJson = False,
+) -> None:
+    """Say why a task waits, or what became of a request.
+
+    Example: redwingrun explain walls:head-setter:plan-7
+    """
+    found = Api(server, token).explain(name)
+    state = found.get("state", "request")
+    notes = found.get("notes") or found.get("steps") or ["nothing more is known"]
+    Output(as_json).value(found, "\n".join([f"{name}: {state}", *[f"  {line}" for line in notes]]))
+
+
+@app.command()
+@told
+def audit(server: Server, token: Token, as_json: AsJson = False) -> None:
+    """Show every change and every action of an operator, oldest first.
+
+    Example: redwingrun audit
+    """
+    rows = [
+        [
+            row["at"],
+            row["operator"],
+            row["action"],
+            row["subject"] or f"{row['from_version']} to {row['to_version']}",
+            row["reason"],
+        ]
+        for row in Api(server, token).audit()
+    ]
+    Output(as_json).rows(["at", "operator", "action", "subject", "reason"], rows)
+
+
+@app.command()
+@told
+def drain(
+    name: Annotated[str, typer.Argument(help="Name of a minion or worker.")],
+    server: Server,
+    token: Token,
+    back: Annotated[bool, typer.Option(help="Take it back into service.")] = False,
+    as_json: AsJson = False,
+) -> None:
+    """Give a minion or worker no new work; what runs there goes on.
+
+    Example: redwingrun drain routeboard-m3
+    """
+    reply = Api(server, token).drain(name, back)
+    Output(as_json).value(reply, f"{name} {'drained' if reply['drained'] else 'in service'}")
+
+
+@debug_app.command("sys")
+@told
+def debug_sys() -> None:
+    """Show versions and the kinds of objects, to paste into a report.
+
+    Example: redwingrun debug sys
+    """
+    from importlib.metadata import version
+
+    parts = ["tornado", "grpclib", "pycurl", "attrs", "eliot", "Expression", "hdrhistogram"]
+    lines = [f"redwingrun {__version__}", f"python {platform.python_version()}"]
+    lines += [f"{name} {version(name)}" for name in parts]
+    lines.append(f"objects: {', '.join(KIND_BY_SECTION)}")
+    typer.echo("\n".join(lines))
+
+
+@debug_app.command("settings")
+@told
+def debug_settings() -> None:
+    """List every setting with its default and meaning.
+
+    Example: redwingrun debug settings
+    """
+    Output(False).rows(["setting", "default", "meaning"], [list(row) for row in reference()])
+
+
+@debug_app.command("node")
+@told
+def debug_node(server: Server, token: Token) -> None:
+    """Show what one daemon holds; --server may name a placer too.
+
+    Example: redwingrun debug node --server http://10.0.0.1:8081
+    """
+    typer.echo(json.dumps(Api(server, token).debug(), indent=2))
+
+
+def main() -> None:
+    """Run the command line."""
+    sys.exit(app())
--- a/redwingrun/node.py
+++ b/redwingrun/node.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import signal
 from abc import ABC, abstractmethod
 from collections.abc import Coroutine
@@ -15,14 +14,9 @@
 
 from redwingrun.auth import TokenBook, load_secret
 from redwingrun.config import Settings
+from redwingrun.configtask import ConfigTask
 from redwingrun.coordination.clock import MonotonicClock
-from redwingrun.coordination.codec import decode
-from redwingrun.coordination.follower import (
-    VERSION_KEY,
-    Follower,
-    ObjectStoreUnavailable,
-    VersionRow,
-)
+from redwingrun.coordination.follower import Follower
 from redwingrun.coordination.groupcommit import GroupCommit
 from redwingrun.coordination.members import MemberRow
 from redwingrun.coordination.table import TableUnavailable, TableUnknown
@@ -31,7 +25,7 @@
 from redwingrun.membership import ENTRY, PLACER, Membership
 from redwingrun.metrics import Metrics
 from redwingrun.objects import ObjectSet
-from redwingrun.peer_pb2 import ConfigRequest, News
+from redwingrun.peer_pb2 import News
 from redwingrun.peers import PeerClient, PeerServer
 from redwingrun.peerservice import PeerService
 from redwingrun.platform import (
@@ -80,9 +74,16 @@
             self.metrics,
             self.on_change,
         )
-        self.follower = Follower()
-        self.content = ObjectSet().content()
-        self.objects = ObjectSet()
+        self.config = ConfigTask(
+            settings,
+            self.table,
+            self.store,
+            self.peers,
+            self.log,
+            lambda: [row.peer_address for row in self.other_members()],
+            self.news,
+            self._applied,
+        )
         self.leaving_hosts: set[str] = set()
         self.drained: set[str] = set()
         self.ready = False
@@ -142,8 +143,8 @@
         await peer_server.start(settings.listen_ip, settings.peer_port)
         http_server = self._listen()
         self.spawn(self.membership.run(), "membership")
-        self.spawn(self._follow(), "follow")
-        self.spawn(self._watch_hosts(), "hosts")
+        self.spawn(self.config.run(), "config")
+        self.spawn(self._watch(), "watch")
         self.log.event("started", member=self.membership.member_id)
         await self._stop.wait()
         await self._shut_down(http_server, peer_server)
@@ -179,102 +180,55 @@
 
     # Configuration
 
-    async def _follow(self) -> None:
+    @property
+    def follower(self) -> Follower:
+        """The version in force."""
+        return self.config.follower
+
+    @property
+    def objects(self) -> ObjectSet:
+        """The objects in force."""
+        return self.config.objects
+
+    def _applied(self) -> None:
+        number = self.follower.in_force.number
+        self.membership.config_version = number
+        self.metrics.gauge("config_version", number)
+        self.on_change()
+        self.membership.wake()
+
+    async def _watch(self) -> None:
+        """Follow drains and hosts, and be ready or not, until cancelled."""
         while True:
-            await self._poll_version()
-            self._update_ready()
-            await asyncio.sleep(self.settings.config_poll_s)
+            await self._poll_drains()
+            await self._poll_hosts()
+            stopping = self._stop.is_set()
+            configured = self.follower.in_force.number > 0
+            self.ready = not stopping and configured and self.membership.valid()
+            await asyncio.sleep(self.settings.host_poll_s)
 
-    async def _poll_version(self) -> None:
+    async def _poll_drains(self) -> None:
         try:
-            stored = await self.table.read(VERSION_KEY)
-            drains = await self.table.scan(DRAINS_PREFIX)
+            rows = await self.table.scan(DRAINS_PREFIX)
         except (TableUnavailable, TableUnknown):
-            await self._ask_peer()
             return
-        drained = {row.key[len(DRAINS_PREFIX) :] for row in drains}
+        drained = {row.key[len(DRAINS_PREFIX) :] for row in rows}
         if drained != self.drained:
             self.drained = drained
             self.on_change()
-        if stored is not None:
-            await self.hear_version(decode(VersionRow, stored.value))
 
-    async def _ask_peer(self) -> None:
-        # Without the table a version published just before the outage still spreads.
-        peers = self.other_members()
-        if not peers:
-            return
-        peer = random.choice(peers)
-        timeout_s = self.settings.table_timeout_s
-        result = await self.peers.call(peer.peer_address, "Tell", self.news(), timeout_s)
-        if result.is_ok():
-            await self.hear_news(result.ok, peer.peer_address)
-
-    async def hear_news(self, news: News, address: str = "") -> None:
-        """Take the version that a peer has in force."""
-        row = VersionRow(number=news.config_number, digest=news.config_digest)
-        await self.hear_version(row, address)
-
-    async def hear_version(self, row: VersionRow, address: str = "") -> None:
-        """Take news of a version, and fetch and apply it when it is newer."""
-        if not self.follower.hear(row):
-            return
-        wanted = self.follower.wanted
-        content = await self._fetch(wanted.digest, address)
-        if content is not None:
-            self._apply(wanted, content)
+    # Hosts
 
-    async def _fetch(self, digest: str, address: str) -> bytes | None:
+    async def _poll_hosts(self) -> None:
         try:
-            content = await self.store.get(digest)
-            if content is not None:
-                return content
-        except ObjectStoreUnavailable as error:
-            self.log.event("object-store-unreachable", error=str(error))
-        addresses = [address] if address else []
-        addresses += [row.peer_address for row in self.other_members()]
-        for candidate in addresses:
-            content = await self._fetch_from_peer(candidate, digest)
-            if content:
-                return content
-        return None
-
-    async def _fetch_from_peer(self, address: str, digest: str) -> bytes:
-        timeout_s = self.settings.table_timeout_s
-        request = ConfigRequest(digest=digest)
-        result = await self.peers.call(address, "Config", request, timeout_s)
-        return result.ok.content if result.is_ok() else b""
-
-    def _apply(self, row: VersionRow, content: bytes) -> None:
-        objects = ObjectSet.from_content(content)
-        if not self.follower.accept(row, content):
+            hosts = await self._host_list.hosts()
+        except HostListUnavailable as error:
+            self.log.detail("host-list-unreachable", error=str(error))
             return
-        self.content = content
-        self.objects = objects
-        self.membership.config_version = row.number
-        self.metrics.gauge("config_version", row.number)
-        self.log.event("config", version=row.number, digest=row.digest)
-        self.on_change()
-        self.membership.wake()
-
-    def _update_ready(self) -> None:
-        stopping = self._stop.is_set()
-        self.ready = not stopping and self.membership.valid() and self.follower.in_force.number > 0
-
-    # Hosts
-
-    async def _watch_hosts(self) -> None:
-        while True:
-            try:
-                hosts = await self._host_list.hosts()
-            except HostListUnavailable as error:
-                self.log.detail("host-list-unreachable", error=str(error))
-            else:
-                leaving = {name for name, host in hosts.items() if host.state is HostState.LEAVING}
-                if leaving != self.leaving_hosts:
-                    self.leaving_hosts = leaving
-                    self.on_change()
-            await asyncio.sleep(self.settings.host_poll_s)
+        leaving = {name for name, host in hosts.items() if host.state is HostState.LEAVING}
+        if leaving != self.leaving_hosts:
+            self.leaving_hosts = leaving
+            self.on_change()
 
     def unwelcome(self, name: str) -> bool:
         """Tell whether an upstream must get no new work."""
--- a/redwingrun/operators.py
+++ b/redwingrun/operators.py
@@ -61,7 +61,7 @@
         """Answer with the version and content in force on this host."""
         self.operator()
         row = self.node.follower.in_force
-        self.send_json({"version": row.number, "objects": orjson.loads(self.node.content)})
+        self.send_json({"version": row.number, "objects": orjson.loads(self.node.config.content)})
 
     async def post(self) -> None:
         """Check a whole set of objects and publish it."""
@@ -98,7 +98,7 @@
             )
             self.send_failure(not_run("lost-race", detail), version=winner.number)
             return
-        await self.node.hear_version(result.row)
+        await self.node.config.hear(result.row)
         self.send_json({"version": result.row.number, "digest": result.row.digest})
 
 
--- a/redwingrun/peerservice.py
+++ b/redwingrun/peerservice.py
@@ -53,7 +53,7 @@
     async def Config(self, stream: Stream) -> None:  # noqa: N802
         """Give the content in force, if it is the one asked for."""
         request = await stream.recv_message()
-        content = self._node.content
+        content = self._node.config.content
         same = digest_of(content) == request.digest
         await stream.send_message(ConfigReply(content=content if same else b""))
 
--- a/redwingrun/router.py
+++ b/redwingrun/router.py
@@ -457,7 +457,7 @@
                 )
                 self._act(route, route.dispatcher.heard(news.member_id, told, now_s))
         if news.config_number > self._node.follower.in_force.number:
-            self._node.spawn(self._node.hear_news(news), "config")
+            self._node.spawn(self._node.config.hear_news(news), "config")
 
     def add_news(self, news: News) -> None:
         """Add what we tell of each pool."""
--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,259 @@
+"""What several tests share: virtual time, and fakes of table, store and peers."""
+
+from __future__ import annotations
+
+import asyncio
+import selectors
+from collections.abc import Callable
+from typing import Any
+
+from attrs import define, field
+from expression import Error, Ok, Result
+
+from redwingrun.config import Settings
+from redwingrun.coordination.clock import Clock
+from redwingrun.coordination.follower import ObjectStore, ObjectStoreUnavailable
+from redwingrun.coordination.table import (
+    Committed,
+    Conflict,
+    Row,
+    Table,
+    TableUnavailable,
+    TableUnknown,
+    Transaction,
+)
+from redwingrun.coordination.verdict import Failure, may_have_run, not_run
+
+OK = "ok"
+DOWN = "down"
+LOST_REQUEST = "lost request"
+LOST_ANSWER = "lost answer"
+LATE = "late"
+TABLE_MODES = (OK, DOWN, LOST_REQUEST, LOST_ANSWER, LATE)
+CALL_TIMEOUT_S = 0.5
+
+
+class _NoWaitSelector(selectors.DefaultSelector):
+    """Moves virtual time where a real selector would wait."""
+
+    loop: VirtualLoop
+
+    def select(self, timeout: float | None = None) -> list:
+        """Advance to the next timer at once."""
+        if timeout:
+            self.loop.virtual_s += timeout
+        return super().select(0)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop whose time moves only by its own timers."""
+
+    def __init__(self) -> None:
+        self.virtual_s = 1000.0
+        selector = _NoWaitSelector()
+        selector.loop = self
+        super().__init__(selector)
+
+    def time(self) -> float:
+        """Return virtual seconds."""
+        return self.virtual_s
+
+
+class LoopClock(Clock):
+    """A process's clock over a loop's time, with a rate and offset of its own."""
+
+    def __init__(self, loop: VirtualLoop, rate: float = 1.0, offset_s: float = 0.0):
+        self._loop = loop
+        self._rate = rate
+        self._offset_s = offset_s
+
+    def now(self) -> float:
+        """Return this clock's seconds."""
+        return self._loop.time() * self._rate + self._offset_s
+
+
+@define
+class Rows:
+    """The rows of a table, as the platform keeps them."""
+
+    by_key: dict[str, Row] = field(factory=dict)
+    version: int = 0
+    commits: int = 0
+
+    def apply(self, transaction: Transaction) -> Committed | Conflict:
+        """Apply a transaction."""
+        failed = [
+            item.key
+            for item in transaction.conditions
+            if not item.holds(self.by_key.get(item.key))
+        ]
+        if failed:
+            return Conflict(tuple(failed))
+        self.version += 1
+        self.commits += 1
+        for write in transaction.writes:
+            if write.value is None:
+                self.by_key.pop(write.key, None)
+            else:
+                self.by_key[write.key] = Row(write.key, write.value, self.version)
+        return Committed(self.version)
+
+
+@define
+class Process:
+    """What can go wrong with one process: its table, its links, and pauses."""
+
+    name: str
+    table_mode: str = OK
+    paused: asyncio.Event = field(factory=asyncio.Event)
+    late_s: float = 3.0
+
+    def __attrs_post_init__(self) -> None:
+        self.paused.set()
+
+    async def gate(self) -> None:
+        """Hold whatever a paused process would send or receive."""
+        await self.paused.wait()
+
+
+class FakeTable(Table):
+    """One process's view of shared rows."""
+
+    def __init__(self, rows: Rows, process: Process):
+        self._rows = rows
+        self._process = process
+
+    async def transact(self, transaction: Transaction) -> Committed | Conflict:
+        """Apply a transaction, now, late or not at all."""
+        await self._process.gate()
+        mode = self._process.table_mode
+        await self._before(mode)
+        if mode == LATE:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self._process.late_s, self._rows.apply, transaction)
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            raise TableUnknown(mode)
+        result = self._rows.apply(transaction)
+        await self._after(mode)
+        return result
+
+    async def read(self, key: str) -> Row | None:
+        """Return one row."""
+        found = await self.scan(key)
+        return next((row for row in found if row.key == key), None)
+
+    async def scan(self, prefix: str) -> tuple[Row, ...]:
+        """Return rows under a prefix."""
+        await self._process.gate()
+        mode = self._process.table_mode
+        await self._before(mode)
+        if mode in (LOST_ANSWER, LATE):
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            raise TableUnknown(mode)
+        keys = sorted(self._rows.by_key)
+        found = tuple(self._rows.by_key[key] for key in keys if key.startswith(prefix))
+        await self._after(mode)
+        return found
+
+    async def _before(self, mode: str) -> None:
+        await asyncio.sleep(0.01)
+        if mode == DOWN:
+            raise TableUnavailable(mode)
+        if mode == LOST_REQUEST:
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            raise TableUnknown(mode)
+
+    async def _after(self, mode: str) -> None:
+        if mode == LOST_ANSWER:
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            raise TableUnknown(mode)
+        await asyncio.sleep(0.01)
+        await self._process.gate()
+
+
+class FakeStore(ObjectStore):
+    """One process's view of shared objects."""
+
+    def __init__(self, objects: dict[str, bytes], process: Process):
+        self._objects = objects
+        self._process = process
+
+    async def put(self, name: str, content: bytes) -> None:
+        """Keep an object."""
+        await self._reach()
+        self._objects[name] = content
+
+    async def get(self, name: str) -> bytes | None:
+        """Return an object."""
+        await self._reach()
+        return self._objects.get(name)
+
+    async def _reach(self) -> None:
+        await self._process.gate()
+        await asyncio.sleep(0.01)
+        if self._process.table_mode != OK:
+            raise ObjectStoreUnavailable(self._process.table_mode)
+
+
+@define
+class Network:
+    """Which process answers at which address, and which links are cut."""
+
+    handler_by_address: dict[str, Callable[[str, Any], Any]] = field(factory=dict)
+    process_by_address: dict[str, Process] = field(factory=dict)
+    cut: set[tuple[str, str]] = field(factory=set)
+
+
+class FakePeers:
+    """One process's calls to its peers."""
+
+    def __init__(self, network: Network, process: Process, address: str):
+        self._network = network
+        self._process = process
+        self._address = address
+
+    async def call(
+        self, address: str, method: str, message: Any, timeout_s: float
+    ) -> Result[Any, Failure]:
+        """Call a peer; a cut link loses the request or the answer."""
+        await self._process.gate()
+        await asyncio.sleep(0.01)
+        handler = self._network.handler_by_address.get(address)
+        if handler is None:
+            return Error(not_run("not-connected", address))
+        if (self._address, address) in self._network.cut:
+            await asyncio.sleep(timeout_s)
+            return Error(may_have_run("timeout", address))
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._network.process_by_address[address].gate()
+                handler = self._network.handler_by_address.get(address)
+                reply = handler(method, message) if handler else None
+                await asyncio.sleep(0.01)
+                await self._process.gate()
+        except TimeoutError:
+            return Error(may_have_run("timeout", address))
+        if reply is None:
+            return Error(not_run("not-connected", address))
+        if (address, self._address) in self._network.cut:
+            await asyncio.sleep(timeout_s)
+            return Error(may_have_run("timeout", address))
+        return Ok(reply)
+
+
+def settings_for(host: str = "host", **changes: Any) -> Settings:
+    """Return settings that need no files."""
+    values = {
+        "host": host,
+        "data_centre": "hoan-kiem",
+        "listen_ip": "127.0.0.1",
+        "http_port": 1,
+        "peer_port": 2,
+        "table_url": "http://127.0.0.1:1",
+        "object_store_url": "http://127.0.0.1:1",
+        "host_list_url": "http://127.0.0.1:1",
+        "token_file": "tokens",
+        "peer_secret_file": "secret",
+        "log_level": "quiet",
+    }
+    return Settings(**{**values, **changes})
