--- /dev/null
+++ b/benchmarks/__main__.py
@@ -0,0 +1,28 @@
+"""``make bench``: every decision beside its baselines; exits 1 when a target is missed."""
+
+from __future__ import annotations
+
+import sys
+import time
+
+from benchmarks import packing, routing
+from benchmarks.rows import Report
+
+
+def main() -> int:
+    """Run the named sections, or all."""
+    sections = {"packing": packing.run, "routing": routing.run}
+    wanted = sys.argv[1:] or list(sections)
+    report = Report()
+    for name in wanted:
+        started_s = time.monotonic()
+        sections[name](report)
+        print(f"{name}: {time.monotonic() - started_s:.0f} s")
+    report.show()
+    for name in report.missed():
+        print(f"MISSED {name}")
+    return 1 if report.missed() else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/lab/cell.py
+++ b/lab/cell.py
@@ -17,6 +17,7 @@
 
 from attrs import define, field
 
+from lab.relay import Relay
 from redwingrun.httpclient import Call, HttpClient
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -64,6 +65,7 @@
     norte: bool = True
     settings: dict[str, Any] = field(factory=lambda: dict(FAST_LEASES))
     stragglers: float = 0.0
+    relays: bool = False
 
 
 def free_ports(count: int) -> list[int]:
@@ -87,6 +89,7 @@
     http_port: int
     settings_by_daemon: dict[str, Path]
     process_by_daemon: dict[str, subprocess.Popen] = field(factory=dict)
+    relay_by_daemon: dict[str, tuple[Relay, int]] = field(factory=dict)
 
     @property
     def url(self) -> str:
@@ -130,13 +133,18 @@
         self._start_standins()
         await self.until(self._standins_up, 20, "the stand-ins listen")
         for index, weight in enumerate(self.layout.weights):
-            self.add_host(f"entry-{index}", weight)
+            host = self.add_host(f"entry-{index}", weight)
+            for relay, port in host.relay_by_daemon.values():
+                await relay.start(port)
         await self.publish()
         await self.until(self.all_ready, 30, "all hosts are ready and all shards owned")
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
         self.client.close()
+        for host in self.hosts:
+            for relay, _ in host.relay_by_daemon.values():
+                relay.stop()
         processes = [item for host in self.hosts for item in host.process_by_daemon.values()]
         processes += list(self._standins.values())
         for process in processes:
@@ -231,13 +239,15 @@
         token_file.write_text(json.dumps(TOKENS))
         secret_file = self.folder / "secret"
         secret_file.write_text("peer-secret-for-the-lab")
-        ports = free_ports(4)
-        places = HANOI
-        place = places[len(self.hosts) % len(places)]
+        ports = free_ports(6)
+        place = HANOI[len(self.hosts) % len(HANOI)]
         paths = {}
-        for daemon, (http_port, peer_port) in zip(
-            ("entry", "placer"), (ports[:2], ports[2:]), strict=True
+        relays = {}
+        for daemon, (http_port, peer_port, relay_port) in zip(
+            ("entry", "placer"), (ports[:3], ports[3:]), strict=True
         ):
+            if self.layout.relays:
+                relays[daemon] = (Relay(peer_port), relay_port)
             settings = {
                 "host": name,
                 "data_centre": place,
@@ -250,11 +260,12 @@
                 "token_file": str(token_file),
                 "peer_secret_file": str(secret_file),
                 "weight": weight,
+                "peer_advertise_port": relay_port if self.layout.relays else 0,
                 **self.layout.settings,
             }
             paths[daemon] = self.folder / f"{name}-{daemon}.jsonc"
             paths[daemon].write_text(json.dumps(settings))
-        host = Host(name, place, ports[0], paths)
+        host = Host(name, place, ports[0], paths, relay_by_daemon=relays)
         self.hosts.append(host)
         self.start_host(host)
         return host
--- a/redwingrun/config.py
+++ b/redwingrun/config.py
@@ -46,6 +46,9 @@
     listen_ip: str = checked("IP number to listen on and to be reached at", _ip)
     http_port: int = checked("port for callers, operators and metrics", whole(1, MAX_PORT))
     peer_port: int = checked("port for the other daemons", whole(1, MAX_PORT))
+    peer_advertise_port: int = checked(
+        "port at which peers reach this daemon, 0 for peer_port", whole(0, MAX_PORT), 0
+    )
     table_url: str = checked("address of the platform's table", _url)
     object_store_url: str = checked("address of the platform's object store", _url)
     host_list_url: str = checked("address of the platform's list of hosts", _url)
@@ -59,7 +62,7 @@
     lease_renew_s: float = checked("time between renewals", number(0.1, 60), 1.5)
     promise_s: float = checked("how long a peer's promise lasts", number(0.5, 600), 4.0)
     max_extension_s: float = checked(
-        "longest time without the table before a lease ends", number(1, 86400), 600.0
+        "longest time without the table before a lease ends", number(1, 86400), 300.0
     )
     table_timeout_s: float = checked("longest wait for the table", number(0.05, 60), 1.0)
     table_writes_per_s: float = checked(
--- a/redwingrun/coordination/follower.py
+++ b/redwingrun/coordination/follower.py
@@ -5,7 +5,7 @@
 import hashlib
 from abc import ABC, abstractmethod
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from redwingrun.coordination.codec import decode, encode
 from redwingrun.coordination.table import (
@@ -22,6 +22,7 @@
 VERSION_KEY = "config/version"
 AUDIT_PREFIX = "audit/"
 AUDIT_DIGITS = 12
+COMMIT_TRIES = 3
 
 
 class ObjectStoreUnavailable(Exception):
@@ -67,6 +68,8 @@
     """One change or operator action.
 
     :param at: wall clock of the operator's side, ISO 8601; for people only.
+    :param token: unique to one publication: two operators may do the same thing
+        for the same reason in the same millisecond.
     """
 
     action: str
@@ -77,6 +80,7 @@
     to_version: int = 0
     digest: str = ""
     reason: str = ""
+    token: str = ""
 
 
 @frozen
@@ -127,6 +131,7 @@
         if before.number != based_on:
             return LostRace(before)
         row = VersionRow(based_on + 1, digest, audit.operator, audit.reason, token)
+        audit = evolve(audit, to_version=row.number, digest=digest, token=token)
         result = await self._commit(row, stored, audit)
         if result:
             return Published(row)
@@ -141,13 +146,23 @@
             Write(VERSION_KEY, encode(row)),
             Write(audit_key(row.number), encode(audit)),
         )
-        try:
-            result = await self.table.transact(Transaction((condition,), writes))
-        except TableUnknown:
-            # The trail has our row for ever, also after a later publication.
-            found = await settle(self.table, audit_key(row.number), encode(audit))
-            return found is not None
-        return isinstance(result, Committed)
+        change = Transaction((condition,), writes)
+        for _ in range(COMMIT_TRIES):
+            try:
+                result = await self.table.transact(change)
+            except TableUnknown:
+                # Not found says nothing: it may still take effect. Only a further
+                # try of the same change tells.
+                if await self._is_ours(row, audit):
+                    return True
+                continue
+            return isinstance(result, Committed) or await self._is_ours(row, audit)
+        raise TableUnknown("the table gave no answer about the publication")
+
+    async def _is_ours(self, row: VersionRow, audit: AuditRow) -> bool:
+        # The trail has our row for ever, also after a later publication.
+        key = audit_key(row.number)
+        return await settle(self.table, key, encode(audit)) is not None
 
 
 def audit_key(number: int) -> str:
--- a/redwingrun/coordination/members.py
+++ b/redwingrun/coordination/members.py
@@ -31,7 +31,7 @@
     margin_s: float = 1.0
     renew_s: float = 1.5
     promise_s: float = 4.0
-    max_extension_s: float = 600.0
+    max_extension_s: float = 300.0
 
 
 @frozen
@@ -238,14 +238,16 @@
                 found.append(Suspect(seen.row, seen.version, unchanged_s))
         return found
 
-    def witnesses(self, suspect: Suspect, own_id: str) -> frozenset[str]:
+    def witnesses(self, suspect: Suspect, own_ids: set[str]) -> frozenset[str]:
         """Return the members of whom one must be asked before an expulsion.
 
-        Empty when this member itself stands in the roster (its own promise book
+        Empty when this process itself stands in the roster (its own promise book
         answers) or when the roster can't have extended anything.
+
+        :param own_ids: all ids that this run of the process has had.
         """
         others = frozenset(suspect.row.roster) - {suspect.row.member_id}
-        if own_id in others or not others:
+        if own_ids & others or not others:
             return frozenset()
         return others
 
--- a/redwingrun/dispatcher.py
+++ b/redwingrun/dispatcher.py
@@ -186,11 +186,24 @@
         refusal = self._refusal(request, now_s)
         if refusal is not None:
             return [Reject(request, refusal)]
+        return self._enqueue(request)
+
+    def _enqueue(self, request: Request) -> list[Action]:
         queue = self._queue(request.long)
-        first = not self.waiting()
+        actions: list[Action] = []
+        if self.waiting() >= self.queue_limit:
+            evicted = queue.evict_for(request.team)
+            if evicted is None:
+                return [Reject(request, self._full())]
+            actions.append(Reject(evicted, self._full()))
+        if not self.waiting():
+            # Owners learn on the edge that somebody waits here.
+            actions.extend(Tell(peer) for peer in self._peer_by_id)
         queue.push(request)
-        # Owners learn on the edge that somebody waits here.
-        return [Tell(peer) for peer in self._peer_by_id] if first else []
+        return actions
+
+    def _full(self) -> Failure:
+        return not_run("queue-full", f"{self.queue_limit} requests wait already")
 
     def admit(self, request: Request, now_s: float) -> Send | None:
         """Take a peer's request if a slot is free now; it never waits here."""
@@ -400,18 +413,18 @@
     def _refusal(self, request: Request, now_s: float) -> Failure | None:
         if request.hopeless(now_s):
             return _too_late()
-        if self.waiting() >= self.queue_limit:
-            return not_run("queue-full", f"{self.queue_limit} requests wait already")
-        wait_s = self.expected_wait_s()
+        wait_s = self.expected_wait_s(request)
         if now_s + wait_s + request.slow_estimate_s > request.deadline_s:
             return not_run("too-busy", f"would wait about {wait_s:.3f} s")
         return None
 
-    def expected_wait_s(self) -> float:
-        """Return the waiting time of a request that would join the queue now."""
+    def expected_wait_s(self, request: Request) -> float:
+        """Return how long a request would wait that joined its team's lane now."""
         if self._starts < MIN_RATE_SAMPLES:
             return 0.0
-        return self.waiting() * self._drain_s
+        queue = self._queue(request.long)
+        ahead = queue.waiting(request.team) / queue.share_of(request.team)
+        return min(ahead, self.waiting()) * self._drain_s
 
     def _started(self, now_s: float) -> None:
         # Time between starts, averaged only while somebody waits: an idle
--- a/redwingrun/httpclient.py
+++ b/redwingrun/httpclient.py
@@ -26,7 +26,6 @@
         pycurl.E_COULDNT_RESOLVE_HOST,
         pycurl.E_COULDNT_RESOLVE_PROXY,
         pycurl.E_URL_MALFORMAT,
-        pycurl.E_UNSUPPORTED_PROTOCOL,
     }
 )
 TIMEOUT_STATUS = 599
@@ -90,6 +89,7 @@
             allow_nonstandard_methods=True,
             follow_redirects=False,
             decompress_response=False,
+            prepare_curl_callback=_never_resend,
         )
         try:
             response = await self._curl.fetch(request, raise_error=False)
@@ -104,6 +104,16 @@
         self._curl.close()
 
 
+def _never_resend(curl: pycurl.Curl) -> None:
+    """Keep libcurl from sending a request again by itself.
+
+    When a reused connection dies before the first byte of an answer, libcurl
+    rewinds the body and sends it on a new one: the first may have run. It gives
+    up with an error when the body can't be rewound.
+    """
+    curl.setopt(pycurl.SEEKFUNCTION, lambda offset, origin: pycurl.SEEKFUNC_FAIL)
+
+
 def failure_of(error: BaseException | None) -> Failure:
     """Return the verdict of a call that ended without a whole answer."""
     if isinstance(error, CurlError) and error.errno in NOT_SENT:
--- a/redwingrun/membership.py
+++ b/redwingrun/membership.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import secrets
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from attrs import evolve
 
@@ -32,12 +32,13 @@
 )
 from redwingrun.logs import Log
 from redwingrun.metrics import Metrics
-from redwingrun.peer_pb2 import PromiseRequest
+from redwingrun.peer_pb2 import PromiseReply, PromiseRequest
 from redwingrun.peers import PeerClient
 
 ENTRY = "entry"
 PLACER = "placer"
 ID_BYTES = 6
+EXPELLED_AT_ONCE = 16
 
 
 class Membership:
@@ -74,22 +75,29 @@
         self._other_members: dict[str, MemberRow] = {}
         self._owners: dict[str, ShardBook] = {}
         self._wake = asyncio.Event()
+        self._own_ids: set[str] = set()
+        self._lapsed_keys: list[str] = []
         self._start_over()
 
     def _start_over(self) -> None:
         row = MemberRow(
-            member_id=f"{self._settings.host}-{secrets.token_hex(ID_BYTES)}",
+            member_id=f"{self._settings.host}-{self._new_token()}",
             kind=self._kind,
             host=self._settings.host,
             data_centre=self._settings.data_centre,
-            peer_address=f"{self._settings.listen_ip}:{self._settings.peer_port}",
+            peer_address=_peer_address(self._settings),
             http_address=f"http://{self._settings.listen_ip}:{self._settings.http_port}",
             weight=self._settings.weight,
         )
+        self._own_ids.add(row.member_id)
         self._lease = MemberLease(self._lease_settings, row)
         self._watch = MemberWatch(self._lease_settings)
         self._book = ShardBook(self._kind)
 
+    @staticmethod
+    def _new_token() -> str:
+        return secrets.token_hex(ID_BYTES)
+
     # What others ask
 
     @property
@@ -130,18 +138,45 @@
         """Look at the shards at once."""
         self._wake.set()
 
+    # What peers ask
+
+    def promise(self, request: PromiseRequest) -> PromiseReply:
+        """Promise not to expel a peer, if the question is for this run of us."""
+        addressed = request.to_member_id in self._own_ids
+        if addressed:
+            self.promises.promise(request.for_member_id, self._clock.now())
+        return self._promise_reply(addressed)
+
+    def promised(self, request: PromiseRequest) -> PromiseReply:
+        """Tell whether a promise to a member stands."""
+        holds = self.promises.holds(request.for_member_id, self._clock.now())
+        return self._promise_reply(holds)
+
+    def _promise_reply(self, promised: bool) -> PromiseReply:
+        # The promise book outlives a lapse, but not a restart: this run speaks
+        # for all ids it has had, and for nobody else's.
+        return PromiseReply(
+            member_id=self.member_id, promised=promised, speaks_for=sorted(self._own_ids)
+        )
+
     # The life of a member
 
     async def run(self) -> None:
         """Stay a member until cancelled."""
-        extender = asyncio.create_task(self._keep_extended())
+        # The renewal has a task of its own: nothing that this process does for
+        # others may hold it up.
+        tasks = [
+            asyncio.create_task(self._keep_renewed()),
+            asyncio.create_task(self._keep_extended()),
+        ]
         try:
             while True:
                 await self._step()
                 self._on_change()
                 await self._pause()
         finally:
-            extender.cancel()
+            for task in tasks:
+                task.cancel()
 
     async def _pause(self) -> None:
         self._wake.clear()
@@ -150,23 +185,42 @@
         except TimeoutError:
             return
 
-    async def _step(self) -> None:
+    async def _keep_renewed(self) -> None:
+        while True:
+            first = self._lease.version is None
+            await self._try(self._renew)
+            self._rejoin_if_lapsed()
+            if first and self.valid():
+                # The shards can be claimed at once.
+                self.wake()
+            await asyncio.sleep(self._settings.lease_renew_s)
+
+    async def _try(self, work: Callable[[], Awaitable[None]]) -> None:
         try:
-            await self._renew()
-            await self._look()
-            await self._expel()
-            await self._move_shards()
+            await work()
             self._metrics.gauge("table_reachable", 1)
         except (TableUnavailable, TableUnknown) as error:
             self._metrics.gauge("table_reachable", 0)
             self._log.detail("table-unreachable", error=str(error))
-        self._rejoin_if_lapsed()
+
+    async def _clear_lapsed(self) -> None:
+        """Delete the rows of our own lapsed ids: nobody needs to wait for them."""
+        while self._lapsed_keys:
+            await self._table.transact(Transaction((), (Write(self._lapsed_keys[0], None),)))
+            self._lapsed_keys.pop(0)
+
+    async def _step(self) -> None:
+        await self._try(self._clear_lapsed)
+        await self._try(self._look)
+        await self._try(self._expel)
+        await self._try(self._move_shards)
 
     def _rejoin_if_lapsed(self) -> None:
         if self._lease.version is None or self.valid():
             return
         self._log.event("lease-lapsed", member=self.member_id)
         self._metrics.count("lease_lapses_total")
+        self._lapsed_keys.append(self._lease.row.key)
         self._start_over()
 
     async def _renew(self) -> None:
@@ -221,10 +275,15 @@
     # Expulsion
 
     async def _expel(self) -> None:
-        for suspect in self._watch.suspects(self._clock.now()):
-            if suspect.row.member_id == self.member_id or not self.valid():
-                continue
-            if await self._may_expel(suspect):
+        suspects = self._watch.suspects(self._clock.now())
+        others = [item for item in suspects if item.row.member_id != self.member_id]
+        if not others or not self.valid():
+            return
+        # All at once, and a bounded number: each may wait for a witness.
+        others = others[:EXPELLED_AT_ONCE]
+        allowed = await asyncio.gather(*[self._may_expel(item) for item in others])
+        for suspect, may in zip(others, allowed, strict=True):
+            if may and self.valid():
                 result = await self._table.transact(self._watch.expulsion(suspect))
                 expelled = isinstance(result, Committed)
                 self._log.event("expel", member=suspect.row.member_id, done=expelled)
@@ -233,19 +292,23 @@
         member_id = suspect.row.member_id
         if self.promises.holds(member_id, self._clock.now()):
             return False
-        witnesses = self._watch.witnesses(suspect, self.member_id)
+        witnesses = self._watch.witnesses(suspect, self._own_ids)
         if not witnesses or self._watch.past_any_extension(suspect):
             return True
-        members = self._watch.members()
-        for witness_id in witnesses:
-            witness = members.get(witness_id)
-            if witness is None:
+        return await self._a_witness_allows(suspect, witnesses)
+
+    async def _a_witness_allows(self, suspect: Suspect, witnesses: frozenset[str]) -> bool:
+        """Ask the live members until one speaks for a witness."""
+        suspects = {item.row.member_id for item in self._watch.suspects(self._clock.now())}
+        request = PromiseRequest(for_member_id=suspect.row.member_id)
+        for member_id, row in sorted(self._watch.members().items()):
+            if member_id in suspects or member_id in self._own_ids:
                 continue
-            request = PromiseRequest(for_member_id=member_id, to_member_id=witness_id)
-            timeout_s = self._settings.table_timeout_s
-            result = await self._peers.call(witness.peer_address, "Promised", request, timeout_s)
+            result = await self._peers.call(
+                row.peer_address, "Promised", request, self._settings.table_timeout_s
+            )
             # An answer of another run of that process says nothing.
-            if result.is_ok() and result.ok.member_id == witness_id:
+            if result.is_ok() and witnesses & set(result.ok.speaks_for):
                 return not result.ok.promised
         return False
 
@@ -275,7 +338,8 @@
         request = PromiseRequest(for_member_id=self.member_id, to_member_id=peer.member_id)
         timeout_s = self._lease_settings.margin_s
         result = await self._peers.call(peer.peer_address, "Promise", request, timeout_s)
-        return result.is_ok() and result.ok.promised and result.ok.member_id == peer.member_id
+        speaks = result.is_ok() and peer.member_id in result.ok.speaks_for
+        return speaks and result.ok.promised
 
     # Shards
 
@@ -299,20 +363,26 @@
         return {**members, own.member_id: own}
 
     async def leave(self) -> None:
-        """Give up all shards and the lease, as far as the table allows."""
+        """Give up all shards and the lease, as far as the table allows.
+
+        Call it after :meth:`run` was cancelled.
+        """
         self.leaving = True
-        await self._step()
+        for work in (self._renew, self._look, self._move_shards):
+            await self._try(work)
         self._on_change()
         if self._lease.version is None or not self.valid() or self.owned():
             return
-        key = self._lease.row.key
-        try:
-            await self._table.transact(Transaction((), (Write(key, None),)))
-        except (TableUnavailable, TableUnknown) as error:
-            self._log.event("leave-unsettled", error=str(error))
+        row_gone = Transaction((), (Write(self._lease.row.key, None),))
+        await self._try(lambda: self._table.transact(row_gone))
 
     def rows(self) -> list[MemberRow]:
         """Return all members of both kinds seen last."""
         return [
             evolve(row) for row in [*self._watch.members().values(), *self._other_members.values()]
         ]
+
+
+def _peer_address(settings: Settings) -> str:
+    port = settings.peer_advertise_port or settings.peer_port
+    return f"{settings.listen_ip}:{port}"
--- a/redwingrun/operators.py
+++ b/redwingrun/operators.py
@@ -78,7 +78,6 @@
             operator=operator.name,
             at=timestamp(),
             from_version=plain["based_on"],
-            to_version=plain["based_on"] + 1,
             reason=str(plain.get("reason", ""))[:MAX_REASON_CHARACTERS],
         )
         try:
--- a/redwingrun/packing.py
+++ b/redwingrun/packing.py
@@ -14,7 +14,11 @@
 
 @define
 class Room:
-    """A worker's capacity and what of it is not reserved."""
+    """A worker's capacity and what of it is not reserved.
+
+    :param per_core: share of the capacity that one core is, 0 without any; the
+        others alike.
+    """
 
     name: str
     rack: str
@@ -25,14 +29,31 @@
     free_cores: float
     free_memory_gb: float
     free_accelerators: float
+    per_core: float = 0.0
+    per_gb: float = 0.0
+    per_accelerator: float = 0.0
+
+    def __attrs_post_init__(self) -> None:
+        self._set_shares()
+
+    def _set_shares(self) -> None:
+        self.per_core = 1 / self.cores if self.cores else 0.0
+        self.per_gb = 1 / self.memory_gb if self.memory_gb else 0.0
+        self.per_accelerator = 1 / self.accelerators if self.accelerators else 0.0
 
     def holds(self, size: Size) -> bool:
         """Tell whether a task of this size fits now."""
-        return (
-            size.cores <= self.free_cores + EPSILON
-            and size.memory_gb <= self.free_memory_gb + EPSILON
-            and size.accelerators <= self.free_accelerators + EPSILON
-        )
+        return bool(fitting(size, [self]))
+
+    def resize(self, capacity: Size) -> None:
+        """Take another capacity; what is reserved stays reserved."""
+        self.free_cores += capacity.cores - self.cores
+        self.free_memory_gb += capacity.memory_gb - self.memory_gb
+        self.free_accelerators += capacity.accelerators - self.accelerators
+        self.cores = capacity.cores
+        self.memory_gb = capacity.memory_gb
+        self.accelerators = capacity.accelerators
+        self._set_shares()
 
     def take(self, size: Size, times: int = 1) -> None:
         """Reserve, or with a negative count give back, a task's size."""
@@ -41,6 +62,23 @@
         self.free_accelerators -= times * size.accelerators
 
 
+def fitting(size: Size, rooms: list[Room]) -> list[Room]:
+    """Return the rooms that a task of this size fits into now.
+
+    One loop without calls: it runs over all workers in each decision.
+    """
+    cores = size.cores - EPSILON
+    memory_gb = size.memory_gb - EPSILON
+    accelerators = size.accelerators - EPSILON
+    return [
+        room
+        for room in rooms
+        if cores <= room.free_cores
+        and memory_gb <= room.free_memory_gb
+        and accelerators <= room.free_accelerators
+    ]
+
+
 class Packer(ABC):
     """Rates the workers that a task fits on; the highest is taken."""
 
@@ -62,6 +100,21 @@
 class BestFit(Packer):
     """Least room left, over all dimensions; accelerators are kept for who needs them."""
 
+    def choose(self, size: Size, rooms: list[Room]) -> Room:
+        """Return the room with the least left; one loop without calls."""
+        cores, memory_gb, accelerators = size.cores, size.memory_gb, size.accelerators
+        best = rooms[0]
+        least = float("inf")
+        for room in rooms:
+            left = (
+                (room.free_cores - cores) * room.per_core
+                + (room.free_memory_gb - memory_gb) * room.per_gb
+                + (room.free_accelerators - accelerators) * room.per_accelerator
+            )
+            if left < least:
+                best, least = room, left
+        return best
+
     def score(self, size: Size, room: Room) -> float:
         """Rate by what would be left, as shares of the capacity."""
         return -_left(size, room)
--- a/redwingrun/peerservice.py
+++ b/redwingrun/peerservice.py
@@ -10,7 +10,7 @@
 
 from redwingrun.coordination.follower import digest_of
 from redwingrun.peer_grpc import PeerBase
-from redwingrun.peer_pb2 import ConfigReply, PromiseReply
+from redwingrun.peer_pb2 import ConfigReply
 
 if TYPE_CHECKING:
     from redwingrun.node import Node
@@ -28,18 +28,12 @@
     async def Promise(self, stream: Stream) -> None:  # noqa: N802
         """Promise not to expel a peer, if the question is for this run of us."""
         request = await stream.recv_message()
-        membership = self._node.membership
-        addressed = request.to_member_id == membership.member_id
-        if addressed:
-            membership.promises.promise(request.for_member_id, self._node.clock.now())
-        await stream.send_message(PromiseReply(member_id=membership.member_id, promised=addressed))
+        await stream.send_message(self._node.membership.promise(request))
 
     async def Promised(self, stream: Stream) -> None:  # noqa: N802
         """Tell whether a promise to a member stands."""
         request = await stream.recv_message()
-        membership = self._node.membership
-        holds = membership.promises.holds(request.for_member_id, self._node.clock.now())
-        await stream.send_message(PromiseReply(member_id=membership.member_id, promised=holds))
+        await stream.send_message(self._node.membership.promised(request))
 
     async def Tell(self, stream: Stream) -> None:  # noqa: N802
         """Take news, and answer with ours."""
--- a/redwingrun/poolkeeper.py
+++ b/redwingrun/poolkeeper.py
@@ -19,7 +19,7 @@
     settle,
 )
 from redwingrun.coordination.tasklease import WorkerLease
-from redwingrun.coordination.verdict import Failure, Verdict, not_run
+from redwingrun.coordination.verdict import Failure, Verdict, may_have_run, not_run
 from redwingrun.node import Node
 from redwingrun.objects import Pool, Size, Workload, never_runs
 from redwingrun.peer_pb2 import SubmitTask
@@ -92,9 +92,9 @@
         self._link_by_worker: dict[str, _Link] = {}
         self._place_now = asyncio.Event()
         self._order = 0
+        self._submissions: dict[str, asyncio.Task] = {}
         self._claimed_s = node.clock.now()
         self._fence = node.membership.fence(pool)
-        self.writes = 0
 
     # Life
 
@@ -130,7 +130,7 @@
         self._set_objects()
         now_s = self._node.clock.now()
         for stored in rows:
-            task = Task(decode(TaskRow, stored.value))
+            task = Task(decode(TaskRow, stored.value), stored.version)
             self.task_by_id[task.task_id] = task
             self._order = max(self._order, task.row.order)
             if task.state == QUEUED:
@@ -171,20 +171,37 @@
 
     async def submit(self, message: SubmitTask, workload: Workload) -> Task | Failure:
         """Keep a new task, or return the one that its id means already."""
+        under_way = self._submissions.get(message.task_id)
+        if under_way is not None:
+            # The same task was sent again: both must be told the same.
+            await asyncio.wait([under_way])
         known = self.task_by_id.get(message.task_id)
         if known is not None:
             return self._same(known, message.digest)
         refusal = self._refusal(message, workload)
         if refusal is not None:
             return refusal
+        work = self._node.spawn(self._keep_new(message, workload), "submit")
+        self._submissions[message.task_id] = work
+        # Goes on when the entry gives up waiting: its outcome decides for later ones.
+        return await asyncio.shield(work)
+
+    async def _keep_new(self, message: SubmitTask, workload: Workload) -> Task | Failure:
         self._order += 1
-        row = self._row(message, workload)
-        done = await self._commit(row, Condition.absent(row.key))
+        task = Task(self._row(message, workload))
+        try:
+            done = await self._commit(task)
+        finally:
+            self._submissions.pop(message.task_id, None)
         if done is Commit.DONE:
-            return self._accepted(row)
+            self.task_by_id[task.task_id] = task
+            self.scheduler.enqueue(task, self._node.clock.now())
+            self._place_now.set()
+            return task
         if done is Commit.REFUSED:
             return not_run("table-unavailable", "the task could not be kept; send it again")
-        return not_run("not-owner", "this host no longer owns the pool")
+        # Ownership ended with a write under way: the next owner may find the row.
+        return may_have_run("not-owner", "this host no longer owns the pool")
 
     def _same(self, known: Task, digest: str) -> Task | Failure:
         if known.row.digest != digest:
@@ -227,24 +244,13 @@
             body=base64.b64encode(message.body).decode(),
         )
 
-    def _accepted(self, row: TaskRow) -> Task:
-        known = self.task_by_id.get(row.task_id)
-        if known is not None:
-            # The same task was sent twice at once; both writes were ours.
-            return known
-        task = Task(row)
-        self.task_by_id[row.task_id] = task
-        self.scheduler.enqueue(task, self._node.clock.now())
-        self._place_now.set()
-        return task
-
     async def cancel(self, task: Task) -> Failure | None:
         """Cancel a task; its row says so before the caller is told."""
         if task.ended or task.state == STOPPING:
             return None
         before = task.row
         task.happen("cancel", "cancelled")
-        if await self._commit(task.row) is not Commit.DONE:
+        if await self._commit(task) is not Commit.DONE:
             if task.state == STOPPING or task.state == "cancelled":
                 task.row = evolve(task.row, state=before.state, detail=before.detail)
                 self._requeue_if_queued(task)
@@ -258,40 +264,50 @@
 
     # Writing
 
-    async def _commit(self, row: TaskRow, extra: Condition | None = None) -> Commit:
-        """Write a row under the fence, until the outcome is certain."""
-        conditions = (self._fence,) if extra is None else (self._fence, extra)
-        change = Transaction(conditions, (Write(row.key, encode(row)),))
-        while self.owns():
-            try:
-                result = await self._node.writer.transact(change)
-            except TableUnavailable:
-                return Commit.REFUSED
-            except TableUnknown:
-                if await self._took_effect(row):
+    async def _commit(self, task: Task) -> Commit:
+        """Write a task's row under the fence, until the outcome is certain.
+
+        One write of a task at a time: each expects the version of the last.
+        """
+        async with task.writing:
+            row = task.row
+            written = Write(row.key, encode(row))
+            while self.owns():
+                change = Transaction((self._fence, _expected(task)), (written,))
+                try:
+                    result = await self._node.writer.transact(change)
+                except TableUnavailable:
+                    return Commit.REFUSED
+                except TableUnknown:
+                    result = await self._found(row)
+                    if result is None:
+                        continue
+                if isinstance(result, Committed):
+                    task.version = result.version
                     return Commit.DONE
-                continue
-            if isinstance(result, Committed):
-                return Commit.DONE
-            if self._fence.key in result.keys:
-                self.closed = True
-                return Commit.NOT_OWNER
-            # The row stands already: an earlier try of ours took effect late.
-            return Commit.DONE if await self._took_effect(row) else Commit.REFUSED
-        return Commit.NOT_OWNER
-
-    async def _took_effect(self, row: TaskRow) -> bool:
+                if self._fence.key in result.keys:
+                    self.closed = True
+                    return Commit.NOT_OWNER
+                # An earlier try took effect late, between our look and this try.
+                result = await self._found(row)
+                if result is not None:
+                    task.version = result.version
+                    return Commit.DONE
+            return Commit.NOT_OWNER
+
+    async def _found(self, row: TaskRow) -> Committed | None:
+        """Return the commit if the stored row is this one, however long it takes."""
         while self.owns():
             try:
-                return await settle(self._node.table, row.key, encode(row)) is not None
+                return await settle(self._node.table, row.key, encode(row))
             except (TableUnavailable, TableUnknown):
                 await asyncio.sleep(RETRY_INTERVAL_S)
-        return False
+        return None
 
     async def _commit_for_sure(self, task: Task) -> bool:
         """Write a task's row, however long the table is down."""
         while self.owns():
-            if await self._commit(task.row) is Commit.DONE:
+            if await self._commit(task) is Commit.DONE:
                 return True
             await asyncio.sleep(RETRY_INTERVAL_S)
         return False
@@ -319,7 +335,7 @@
         self._node.spawn(self._start(task, task.row), "start")
 
     async def _start(self, task: Task, row: TaskRow) -> None:
-        done = await self._commit(row)
+        done = await self._commit(task)
         if done is Commit.NOT_OWNER:
             return
         if done is Commit.REFUSED or task.state == STOPPING:
@@ -350,7 +366,8 @@
             checkpoint=row.checkpoints[index] if row.checkpoints else "",
         )
         result = await self._workers.start(call, self._node.settings.worker_timeout_s)
-        if index not in task.starting or task.row.attempt != row.attempt:
+        # The next owner takes over from the rows; what we heard is no longer ours to use.
+        if not self.owns() or index not in task.starting or task.row.attempt != row.attempt:
             return
         task.starting.discard(index)
         if result.is_ok():
@@ -447,9 +464,12 @@
         link.stray = []
         was_reachable = worker.reachable
         worker.reachable = True
-        worker.leaving = worker.leaving or report.leaving
+        if report.leaving and not worker.leaving:
+            worker.leaving = True
+            self.scheduler.workers_changed()
         self._take_members(name, link, report, call)
         if not was_reachable:
+            self.scheduler.workers_changed()
             self._place_now.set()
 
     def _take_members(self, name: str, link: _Link, report: WorkerReport, call: SyncCall) -> None:
@@ -520,6 +540,7 @@
         silent_s = link.lease.silent_s(now_s)
         if silent_s > SILENT_RENEWALS * self._lease_settings.renew_s:
             worker.reachable = False
+            self.scheduler.workers_changed()
         if not link.lease.certainly_over(now_s):
             return
         for task, index in self._members_on(name).values():
@@ -574,6 +595,12 @@
                 link.wake.set()
 
 
+def _expected(task: Task) -> Condition:
+    if not task.version:
+        return Condition.absent(task.row.key)
+    return Condition.at(task.row.key, task.version)
+
+
 def _detail(task: Task) -> str:
     ends = ", ".join(
         f"{end.value} on {task.row.workers[index]}" for index, end in sorted(task.ends.items())
--- a/redwingrun/queues.py
+++ b/redwingrun/queues.py
@@ -106,6 +106,29 @@
                 self._leave(team)
         return late
 
+    def share_of(self, team: str) -> float:
+        """Return a team's part of the service among those that wait, itself included."""
+        teams = {name for name, lane in self._lane_by_team.items() if lane.requests} | {team}
+        total = sum(self.share_by_team.get(name, 1.0) for name in teams)
+        return self.share_by_team.get(team, 1.0) / total
+
+    def evict_for(self, team: str) -> Request | None:
+        """Make room for a team: take out the newest request of the team that is
+        farthest above its share, ``None`` when that is the team itself."""
+        longest = max(
+            (name for name, lane in self._lane_by_team.items() if lane.requests),
+            key=self._over_share,
+            default=team,
+        )
+        if longest == team or self._over_share(longest) <= self._over_share(team, 1):
+            return None
+        request = self._lane_by_team[longest].requests[-1]
+        self.remove(request)
+        return request
+
+    def _over_share(self, team: str, more: int = 0) -> float:
+        return (self.waiting(team) + more) / self.share_by_team.get(team, 1.0)
+
     def waiting(self, team: str) -> int:
         """Return how many requests of a team wait."""
         lane = self._lane_by_team.get(team)
--- a/redwingrun/requests.py
+++ b/redwingrun/requests.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from attrs import define
+import asyncio
+
+from attrs import define, evolve
 
 
 @define(eq=False)
@@ -16,6 +18,10 @@
     :param slow_estimate_s: a run time that few exceed, to refuse in time.
     :param once: not idempotent: may be sent again only when it did not run.
     :param peer_id: the member that forwarded it, empty when it arrived here.
+    :param attempts: tries before this one; each try has an id of its own, so
+        that a slot still held by an earlier one is not taken for its slot.
+    :param may_have_run: whether an earlier try may have run.
+    :param waiter: takes the outcome, for requests that arrived here.
     """
 
     request_id: str
@@ -32,7 +38,23 @@
     digest: str = ""
     peer_id: str = ""
     attempts: int = 0
+    may_have_run: bool = False
+    waiter: asyncio.Future | None = None
 
     def hopeless(self, now_s: float) -> bool:
         """Tell whether even a start at once would miss the deadline."""
         return now_s + self.slow_estimate_s > self.deadline_s
+
+    def next_attempt(self, may_have_run: bool) -> Request:
+        """Return the same request for another try, under an id of its own.
+
+        :param may_have_run: whether the try that failed may have run.
+        """
+        attempts = self.attempts + 1
+        base = self.request_id.partition("~")[0]
+        return evolve(
+            self,
+            request_id=f"{base}~{attempts}",
+            attempts=attempts,
+            may_have_run=self.may_have_run or may_have_run,
+        )
--- a/redwingrun/router.py
+++ b/redwingrun/router.py
@@ -59,7 +59,6 @@
         self._run_times = run_times
         self._budget = budget
         self._route_by_pool: dict[str, _Route] = {}
-        self._waiter_by_request: dict[Request, asyncio.Future] = {}
         self._tell_by_peer: dict[str, asyncio.Task] = {}
         self._sequence_by_peer: dict[str, int] = {}
         self.in_flight = 0
@@ -124,16 +123,14 @@
         route = self._route_by_pool.get(request.pool)
         if route is None:
             return not_run("no-pool", f"pool {request.pool} is not known here yet")
-        waiter = asyncio.get_running_loop().create_future()
-        self._waiter_by_request[request] = waiter
+        request.waiter = asyncio.get_running_loop().create_future()
         self._budget.earned()
         self.in_flight += 1
         try:
             self._act(route, route.dispatcher.submit(request, self._node.clock.now()))
-            return await waiter
+            return await request.waiter
         finally:
             self._left()
-            self._waiter_by_request.pop(request, None)
 
     def _left(self) -> None:
         self.in_flight -= 1
@@ -361,8 +358,8 @@
         """Answer the caller, or try again when that is safe and affordable."""
         if isinstance(outcome, Failure) and self._may_retry(request, outcome):
             self._node.metrics.count("retries_total")
-            request.attempts += 1
-            self._act(route, route.dispatcher.returned(request, self._node.clock.now()))
+            again = request.next_attempt(outcome.verdict is Verdict.MAY_HAVE_RUN)
+            self._act(route, route.dispatcher.returned(again, self._node.clock.now()))
             return
         self._resolve(request, outcome)
 
@@ -375,9 +372,11 @@
         return self._budget.spend()
 
     def _resolve(self, request: Request, outcome: Outcome) -> None:
-        waiter = self._waiter_by_request.get(request)
-        if waiter is not None and not waiter.done():
-            waiter.set_result(outcome)
+        if request.may_have_run and outcome.verdict is Verdict.NOT_RUN:
+            # The last try did not run, but an earlier one may have.
+            outcome = may_have_run(outcome.reason, f"an earlier try is unknown; {outcome.detail}")
+        if request.waiter is not None and not request.waiter.done():
+            request.waiter.set_result(outcome)
 
     # Slots whose holder is unknown
 
--- a/redwingrun/scheduler.py
+++ b/redwingrun/scheduler.py
@@ -12,15 +12,18 @@
 from attrs import asdict, define, field, frozen
 
 from redwingrun.objects import ObjectSet, Size, Team, Upstream
-from redwingrun.packing import BestFit, Packer, Room
-from redwingrun.tasks import CHECKPOINTING, RUNNING, Task
+from redwingrun.packing import BestFit, Packer, Room, fitting
+from redwingrun.tasks import CHECKPOINTING, QUEUED, RUNNING, Task
 
-GANG_PATIENCE_S = 10.0
+GANG_PATIENCE_S = 30.0
 GANG_HOLD_S = 30.0
 QUARANTINE_FAILURES = 3
 FIRST_QUARANTINE_S = 10.0
 LONGEST_QUARANTINE_S = 600.0
 DEFAULT_PRIORITY = 50
+REFRESH_INTERVAL_S = 0.5
+# In place of no capacity at all, to divide by.
+TINY_CORES = 1e-9
 
 
 @frozen
@@ -76,11 +79,65 @@
     return Worker(upstream, room)
 
 
+@frozen
+class _Hold:
+    """Workers that are kept for a gang until a moment."""
+
+    task_id: str
+    until_s: float
+    workers: frozenset[str]
+
+
+Shape = tuple[object, ...]
+
+
 @define
 class _Lane:
-    """One team's queued tasks of one priority."""
+    """One team's queued tasks of one priority, in order, by shape.
+
+    Tasks of one shape fit or do not fit together, so a decision looks at shapes,
+    of which there are few, and not at tasks.
+    """
+
+    _by_shape: dict[Shape, deque[Task]] = field(factory=dict)
+
+    def add(self, task: Task) -> None:
+        """Add a task; one that was queued before comes back to its place."""
+        tasks = self._by_shape.setdefault(_shape(task), deque())
+        if tasks and tasks[-1].row.order > task.row.order:
+            tasks.append(task)
+            ordered = sorted(tasks, key=lambda item: item.row.order)
+            tasks.clear()
+            tasks.extend(ordered)
+        else:
+            tasks.append(task)
+
+    def heads(self, without: set[Shape]) -> list[tuple[int, Shape]]:
+        """Return order and shape of the first task of each shape, first come first."""
+        found = []
+        for shape, tasks in list(self._by_shape.items()):
+            while tasks and tasks[0].state != QUEUED:
+                # Cancelled while it waited: it costs no placement time.
+                tasks.popleft()
+            if not tasks:
+                del self._by_shape[shape]
+            elif shape not in without:
+                found.append((tasks[0].row.order, shape))
+        found.sort(key=lambda item: item[0])
+        return found
+
+    def head(self, shape: Shape) -> Task:
+        """Return the first task of a shape."""
+        return self._by_shape[shape][0]
+
+    def take(self, shape: Shape) -> None:
+        """Remove the first task of a shape."""
+        self._by_shape[shape].popleft()
 
-    tasks: deque[Task] = field(factory=deque)
+    def tasks(self) -> list[Task]:
+        """Return all that wait."""
+        found = [task for tasks in self._by_shape.values() for task in tasks]
+        return [task for task in found if task.state == QUEUED]
 
 
 @define
@@ -97,6 +154,11 @@
     _lane_by_level: dict[tuple[bool, int], dict[str, _Lane]] = field(factory=dict)
     _used_by_team: dict[str, Size] = field(factory=dict)
     _gang_since: dict[str, float] = field(factory=dict)
+    _hold: _Hold | None = None
+    _rooms: list[Room] = field(factory=list)
+    _misfits: set[Shape] = field(factory=set)
+    _refresh_s: float = float("-inf")
+    _total: Size = field(factory=lambda: Size(cores=TINY_CORES))
     _placed_by_domain: dict[tuple[str, str], int] = field(factory=dict)
 
     # Workers
@@ -107,22 +169,21 @@
             if name not in self.worker_by_name:
                 self.worker_by_name[name] = worker_of(upstream)
             else:
-                self._resize(self.worker_by_name[name], upstream)
+                worker = self.worker_by_name[name]
+                worker.room.resize(upstream.capacity)
+                worker.upstream = upstream
         for name, worker in list(self.worker_by_name.items()):
             worker.leaving = name not in upstreams or name in leaving
             if name not in upstreams and not worker.tasks:
                 del self.worker_by_name[name]
+        self._total = Size(cores=TINY_CORES)
+        for worker in self.worker_by_name.values():
+            self._total = self._total.plus(worker.upstream.capacity)
+        self.workers_changed()
 
-    def _resize(self, worker: Worker, upstream: Upstream) -> None:
-        old = worker.upstream
-        room = worker.room
-        room.free_cores += upstream.cores - old.cores
-        room.free_memory_gb += upstream.memory_gb - old.memory_gb
-        room.free_accelerators += upstream.accelerators - old.accelerators
-        room.cores = upstream.cores
-        room.memory_gb = upstream.memory_gb
-        room.accelerators = upstream.accelerators
-        worker.upstream = upstream
+    def refresh(self) -> None:
+        """Try again what did not fit: room or quota may have become free."""
+        self._misfits.clear()
 
     def worker_failed(self, name: str, now_s: float) -> bool:
         """Note a failure; tell whether the worker is quarantined now."""
@@ -136,6 +197,7 @@
         worker.quarantine_s = min(2 * worker.quarantine_s, LONGEST_QUARANTINE_S)
         # One more failure after the pause is enough for the next one.
         worker.failures = QUARANTINE_FAILURES - 1
+        self.workers_changed()
         return True
 
     def worker_succeeded(self, name: str) -> None:
@@ -151,10 +213,7 @@
         """Queue a task in the order of submission within its team."""
         task.queued_s = now_s
         lanes = self._lane_by_level.setdefault(self._level(task), {})
-        lane = lanes.setdefault(task.row.team, _Lane())
-        lane.tasks.append(task)
-        if len(lane.tasks) > 1 and lane.tasks[-2].row.order > task.row.order:
-            lane.tasks = deque(sorted(lane.tasks, key=lambda item: item.row.order))
+        lanes.setdefault(task.row.team, _Lane()).add(task)
 
     def _level(self, task: Task) -> tuple[bool, int]:
         return task.row.urgent, self._priority(task)
@@ -180,6 +239,7 @@
         if worker is None or task.task_id not in worker.tasks:
             return
         worker.room.take(task.row.size, -1)
+        self.refresh()
         worker.tasks[task.task_id] -= 1
         self._count_domain(task, worker, -1)
         if not worker.tasks[task.task_id]:
@@ -188,6 +248,7 @@
     def release_quota(self, task: Task) -> None:
         """Give back the quota of a task none of whose members runs."""
         self._use(task, -1)
+        self.refresh()
 
     def _use(self, task: Task, sign: int) -> None:
         for team in self.objects.lineage(task.row.team) or [task.row.team]:
@@ -208,71 +269,57 @@
     def place(self, now_s: float) -> list[Placement]:
         """Return what to start now, with its room already reserved."""
         placements: list[Placement] = []
-        rooms = [item.room for item in self.worker_by_name.values() if item.usable(now_s)]
+        if now_s >= self._refresh_s:
+            # Holds and quarantines end by time alone.
+            self._refresh_s = now_s + REFRESH_INTERVAL_S
+            self.refresh()
+            self._rooms = self._usable_rooms(now_s)
+            self._update_hold(self._rooms, now_s)
+        rooms = self._rooms
         if not rooms:
             return placements
-        hold_until_s = self._hold(now_s)
-        # A size that did not fit once will not fit later in the same pass.
-        misfits: set[tuple] = set()
         for level in sorted(self._lane_by_level, reverse=True):
-            lanes = self._lane_by_level[level]
-            self._place_level(lanes, rooms, misfits, hold_until_s, now_s, placements)
+            self._place_level(self._lane_by_level[level], rooms, now_s, placements)
         return placements
 
+    def _usable_rooms(self, now_s: float) -> list[Room]:
+        return [item.room for item in self.worker_by_name.values() if item.usable(now_s)]
+
+    def workers_changed(self) -> None:
+        """Look again at which workers take work; call it when one's state changed."""
+        self._refresh_s = float("-inf")
+
     def _place_level(
         self,
         lanes: dict[str, _Lane],
         rooms: list[Room],
-        misfits: set[tuple],
-        hold_until_s: float,
         now_s: float,
         placements: list[Placement],
     ) -> None:
-        turns = [(self._team_load(team), team) for team, lane in lanes.items() if lane.tasks]
+        turns = [(self._team_load(team), team) for team in lanes]
         heapq.heapify(turns)
         while turns:
             _, team = heapq.heappop(turns)
-            placement = self._place_one(lanes[team], rooms, misfits, hold_until_s, now_s)
-            if placement is None:
-                continue
-            placements.append(placement)
-            if lanes[team].tasks:
+            placement = self._place_one(lanes[team], rooms, now_s)
+            if placement is not None:
+                placements.append(placement)
                 heapq.heappush(turns, (self._team_load(team), team))
 
-    def _place_one(
-        self,
-        lane: _Lane,
-        rooms: list[Room],
-        misfits: set[tuple],
-        hold_until_s: float,
-        now_s: float,
-    ) -> Placement | None:
-        kept: list[Task] = []
-        found: Placement | None = None
-        while lane.tasks and found is None:
-            task = lane.tasks.popleft()
-            if task.state != "queued":
-                # Cancelled while it waited: it costs no placement time.
-                continue
-            shape = _shape(task)
-            if shape not in misfits:
-                found = self._try(task, rooms, hold_until_s, now_s)
-                if found is None and not task.avoid:
-                    misfits.add(shape)
-            if found is None:
-                kept.append(task)
-        lane.tasks.extendleft(reversed(kept))
-        return found
-
-    def _try(
-        self, task: Task, rooms: list[Room], hold_until_s: float, now_s: float
-    ) -> Placement | None:
+    def _place_one(self, lane: _Lane, rooms: list[Room], now_s: float) -> Placement | None:
+        for _, shape in lane.heads(self._misfits):
+            found = self._try(lane.head(shape), rooms, now_s)
+            if found is not None:
+                lane.take(shape)
+                return found
+            # It will not fit either until something is released.
+            self._misfits.add(shape)
+        return None
+
+    def _try(self, task: Task, rooms: list[Room], now_s: float) -> Placement | None:
         self.examined += 1
-        if not task.row.urgent and now_s + task.row.run_s > hold_until_s and task.row.count == 1:
-            return None
         if self._over_quota(task):
             return None
-        workers = self._choose(task, rooms)
+        workers = self._choose(task, self._open_rooms(task, rooms, now_s))
         if workers is None:
             if task.row.count > 1:
                 self._gang_since.setdefault(task.task_id, now_s)
@@ -281,14 +328,25 @@
         self.reserve(task, workers)
         return Placement(task, workers)
 
+    def _open_rooms(self, task: Task, rooms: list[Room], now_s: float) -> list[Room]:
+        """Return the rooms that are not kept for a gang while this task would run."""
+        hold = self._hold
+        if hold is None or task.row.urgent or task.task_id == hold.task_id:
+            return rooms
+        if now_s + task.row.run_s <= hold.until_s:
+            return rooms
+        return [room for room in rooms if room.name not in hold.workers]
+
     def _choose(self, task: Task, rooms: list[Room]) -> tuple[str, ...] | None:
         size = task.row.size
         chosen: list[Room] = []
         for _ in range(task.row.count):
-            fitting = [room for room in rooms if room.holds(size) and room.name not in task.avoid]
-            if not fitting:
+            found = fitting(size, rooms)
+            if task.avoid:
+                found = [room for room in found if room.name not in task.avoid]
+            if not found:
                 break
-            room = self.packer.choose(size, self._spread(task, fitting, chosen))
+            room = self.packer.choose(size, self._spread(task, found, chosen))
             room.take(size)
             chosen.append(room)
         for room in chosen:
@@ -315,19 +373,13 @@
     def _team_load(self, team: str) -> float:
         """Return a team's dominant use against its share."""
         used = asdict(self.used(team))
-        total = self._capacity()
+        total = self._total
         dominant = max(
             used[name] / getattr(total, name) for name in used if getattr(total, name) > 0
         )
         known = self.objects.teams.get(team)
         return dominant / (known.share if known else 1.0)
 
-    def _capacity(self) -> Size:
-        total = Size(cores=1e-9)
-        for worker in self.worker_by_name.values():
-            total = total.plus(worker.upstream.capacity)
-        return total
-
     def _over_quota(self, task: Task) -> str:
         for name in self.objects.lineage(task.row.team):
             team: Team = self.objects.teams[name]
@@ -337,24 +389,49 @@
                 return f"quota of team {name}: {excess}"
         return ""
 
-    def _hold(self, now_s: float) -> float:
-        """Return until when workers are kept for a gang that has waited long.
+    # Gangs
 
-        During the hold only tasks that end before it does are placed; after it
-        the gang waits its patience again, so that it can't stop the pool.
-        """
-        for task_id, since_s in self._gang_since.items():
-            waited_s = (now_s - since_s) % (GANG_PATIENCE_S + GANG_HOLD_S)
-            if waited_s >= GANG_PATIENCE_S and self._still_queued(task_id):
-                return now_s + GANG_PATIENCE_S + GANG_HOLD_S - waited_s
-        return float("inf")
+    def _update_hold(self, rooms: list[Room], now_s: float) -> None:
+        """Keep some workers for a gang that has waited long, for a limited time.
 
-    def _still_queued(self, task_id: str) -> bool:
+        When the hold ends in vain the gang waits its patience again, so that it
+        can't stop the pool.
+        """
+        hold = self._hold
+        if hold is not None:
+            if hold.task_id in self._gang_since and now_s < hold.until_s:
+                return
+            if hold.task_id in self._gang_since:
+                self._gang_since[hold.task_id] = now_s
+            self._hold = None
+        queued = self._queued_gangs()
+        self._gang_since = {key: at for key, at in self._gang_since.items() if key in queued}
+        waited = [key for key, at in self._gang_since.items() if now_s - at >= GANG_PATIENCE_S]
+        if waited:
+            task = queued[min(waited, key=lambda key: self._gang_since[key])]
+            names = self._workers_to_hold(task, rooms)
+            self._hold = _Hold(task.task_id, now_s + GANG_HOLD_S, names)
+
+    def _workers_to_hold(self, task: Task, rooms: list[Room]) -> frozenset[str]:
+        """Return the emptiest workers that together could take the gang."""
+        size = task.row.size
+        large = [
+            room for room in rooms if size.fits(self.worker_by_name[room.name].upstream.capacity)
+        ]
+        large.sort(key=lambda room: (-room.free_cores / (room.cores or 1), room.name))
+        return frozenset(room.name for room in large[: task.row.count])
+
+    def _queued_gangs(self) -> dict[str, Task]:
+        if not self._gang_since:
+            return {}
+        return {task.task_id: task for task in self._waiting() if task.task_id in self._gang_since}
+
+    def _waiting(self) -> list[Task]:
+        found = []
         for lanes in self._lane_by_level.values():
             for lane in lanes.values():
-                if any(task.task_id == task_id and task.state == "queued" for task in lane.tasks):
-                    return True
-        return False
+                found.extend(lane.tasks())
+        return found
 
     # Urgent work
 
@@ -362,12 +439,10 @@
         """Return batch tasks to checkpoint so that waiting urgent work fits."""
         victims: list[Task] = []
         for (urgent, _), lanes in self._lane_by_level.items():
-            if not urgent:
-                continue
-            for lane in lanes.values():
-                for task in lane.tasks:
-                    if task.state == "queued" and not self._over_quota(task):
-                        victims.extend(self._victims(task, tasks, now_s))
+            waiting = [task for lane in lanes.values() for task in lane.tasks()] if urgent else []
+            for task in waiting:
+                if not self._over_quota(task):
+                    victims.extend(self._victims(task, tasks, now_s))
         return victims
 
     def _victims(self, urgent: Task, tasks: dict[str, Task], now_s: float) -> list[Task]:
@@ -419,9 +494,12 @@
         notes.insert(0, f"{fitting} of {len(usable)} workers have room for one member now")
         if task.row.count > 1:
             notes.append(f"all {task.row.count} members must start together")
-        hold_until_s = self._hold(now_s)
-        if hold_until_s != float("inf") and task.row.count == 1:
-            notes.append(f"workers are kept for a gang for {hold_until_s - now_s:.0f} s more")
+        hold = self._hold
+        if hold is not None and hold.task_id != task.task_id:
+            left_s = hold.until_s - now_s
+            notes.append(
+                f"{len(hold.workers)} workers are kept for a gang for {left_s:.0f} s more"
+            )
         return notes
 
     def _worker_notes(self, now_s: float) -> list[str]:
@@ -438,24 +516,10 @@
 
     def queued(self) -> int:
         """Return how many tasks wait."""
-        return sum(
-            1
-            for lanes in self._lane_by_level.values()
-            for lane in lanes.values()
-            for task in lane.tasks
-            if task.state == "queued"
-        )
+        return len(self._waiting())
 
 
-def _shape(task: Task) -> tuple:
+def _shape(task: Task) -> Shape:
     row = task.row
-    return (
-        row.cores,
-        row.memory_gb,
-        row.accelerators,
-        row.count,
-        row.team,
-        row.workload,
-        row.run_s,
-        row.urgent,
-    )
+    size = (row.cores, row.memory_gb, row.accelerators)
+    return (*size, row.count, row.team, row.workload, row.run_s, *sorted(task.avoid))
--- a/redwingrun/tasks.py
+++ b/redwingrun/tasks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from enum import Enum
 
 from attrs import define, evolve, field, frozen
@@ -93,6 +94,8 @@
 class Task:
     """A task in the memory of its pool's owner.
 
+    :param version: of its row as last written; each write expects it, so that a
+        write that takes effect late can't bring an older state back.
     :param live: members that may be running, by index.
     :param starting: members whose start call is under way.
     :param confirmed: members that their worker said to be running.
@@ -101,6 +104,7 @@
     """
 
     row: TaskRow
+    version: int = 0
     live: set[int] = field(factory=set)
     starting: set[int] = field(factory=set)
     confirmed: set[int] = field(factory=set)
@@ -108,6 +112,7 @@
     results: dict[int, str] = field(factory=dict)
     excess: dict[int, int] = field(factory=dict)
     avoid: set[str] = field(factory=set)
+    writing: asyncio.Lock = field(factory=asyncio.Lock)
     queued_s: float = 0.0
     stop_all: bool = False
 
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -17,7 +17,7 @@
 FREEZE = "freeze"
 STALE = "stale"
 FAIL = "fail"
-MODES = (DOWN, SLOW, NO_ANSWER, CUT, FREEZE, STALE, FAIL)
+REFUSE = "refuse"
 FREEZE_STEP_S = 0.02
 CUT_HOLD_S = 3600.0
 
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -7,18 +7,21 @@
 import secrets
 import time
 from collections import Counter
+from collections.abc import Callable
 from typing import Any
 
 import orjson
 from attrs import define, field
 from tornado.web import Application
 
-from standins.faults import FAIL, FREEZE, Faults, FaultyHandler
+from standins.faults import FAIL, FREEZE, REFUSE, Faults, FaultyHandler
 
 LAPSE_STEP_S = 0.05
 USAGE_LAG_S = 1.0
 DIMENSIONS = ("cores", "memory_gb", "accelerators")
 TINY = 1e-6
+CONFLICT = 409
+GONE = 410
 
 Key = tuple[str, int, int]
 
@@ -49,8 +52,9 @@
 
     name: str
     capacity: dict[str, float]
+    now: Callable[[], float] = time.monotonic
     incarnation: str = field(factory=lambda: secrets.token_hex(4))
-    born_s: float = field(factory=time.monotonic)
+    born_s: float = 0.0
     epoch: int = 0
     members: dict[Key, Member] = field(factory=dict)
     refused: set[Key] = field(factory=set)
@@ -61,16 +65,35 @@
 
     def clock_s(self) -> float:
         """Return this worker's clock; it starts anew with each run."""
-        return time.monotonic() - self.born_s
+        return self.now() - self.born_s
 
     def live(self) -> list[Member]:
         """Return the members that run."""
         return [member for member in self.members.values() if not member.ended]
 
+    def end(self, key: Key, how: str) -> None:
+        """End a member that runs."""
+        member = self.members.get(key)
+        if member is not None and not member.ended:
+            member.ended = how
+
+    def take_checkpoint(self, key: Key) -> None:
+        """Keep how far a member came, and stop it."""
+        member = self.members.get(key)
+        if member is not None and not member.ended:
+            member.checkpoint = str(self.clock_s() - member.started_s)
+            member.ended = "stopped"
+
+    def reported_usage(self, member: Member) -> dict[str, float]:
+        """Return what a member uses, as late as usage is reported."""
+        if self.clock_s() - member.started_s < USAGE_LAG_S:
+            return {}
+        return dict(member.size) if member.throttled else member.usage
+
     def restart(self) -> None:
         """Lose everything, as a host does that is replaced."""
         self.incarnation = secrets.token_hex(4)
-        self.born_s = time.monotonic()
+        self.born_s = self.now()
         self.members = {}
         self.refused = set()
         self.epoch = 0
@@ -112,7 +135,7 @@
             self.doubled += sum(1 for item in same if item is not member)
         self.starts_by_task[task] += 1
         worker.started += 1
-        if worker.left_s and time.monotonic() - worker.left_s > 5.0:
+        if worker.left_s and worker.now() - worker.left_s > 5.0:
             worker.after_leaving += 1
         for name in DIMENSIONS:
             total = sum(item.size.get(name, 0) for item in worker.live())
@@ -144,117 +167,53 @@
             result = {"nonce": member.body.get("nonce", ""), "by": worker.name}
             member.result = base64.b64encode(orjson.dumps(result)).decode()
 
+    # Calls
 
-class WorkerHandler(FaultyHandler):
-    """What the handlers of one worker share."""
-
-    def initialize(self, owner: WorkerGroup, worker: Worker) -> None:
-        """Take the group and the worker."""
-        super().initialize(owner)
-        self.worker = worker
-
-    async def admitted(self) -> dict[str, Any] | None:
-        """Return the call, if this worker takes it."""
-        if not await self.before(self.worker.name):
-            return None
-        plain = orjson.loads(self.request.body)
-        grant = plain["grant"]
+    def refusal(self, worker: Worker, plain: dict[str, Any]) -> int:
+        """Return the status that refuses a call, 0 when it is admitted."""
         # Whatever lapsed during a freeze is over before anything else happens.
-        self.owner.step(self.worker)
-        if grant["incarnation"] and grant["incarnation"] != self.worker.incarnation:
-            self._refuse(410, "another incarnation")
-            return None
-        if grant["epoch"] < self.worker.epoch:
-            self._refuse(409, "an older epoch")
-            return None
-        self.worker.epoch = grant["epoch"]
-        return plain
-
-    def _refuse(self, status: int, text: str) -> None:
-        self.set_header("X-Verdict", "not run")
-        self.set_status(status)
-        self.finish(text.encode())
-
-    async def report(self) -> None:
-        """Answer with all members."""
-        worker = self.worker
-        members = [
-            {
-                "member": {"task_id": item.key[0], "attempt": item.key[1], "index": item.key[2]},
-                "ended": item.ended,
-                "result": item.result,
-                "checkpoint": item.checkpoint,
-                "usage": self._usage(item),
-            }
-            for item in worker.members.values()
-        ]
-        plain = {
-            "incarnation": worker.incarnation,
-            "clock_s": worker.clock_s(),
-            "members": members,
-            "leaving": False,
-        }
-        await self.answer(plain, 200, worker.name)
-
-    def _usage(self, member: Member) -> dict[str, float]:
-        if self.worker.clock_s() - member.started_s < USAGE_LAG_S:
-            return {}
-        return dict(member.size) if member.throttled else member.usage
-
-
-class StartHandler(WorkerHandler):
-    """Starts members."""
-
-    async def post(self) -> None:
-        """Start one, unless it is refused, too late or known."""
-        plain = await self.admitted()
-        if plain is None:
-            return
-        member = plain["member"]
-        key = (member["task_id"], member["attempt"], member["index"])
-        worker = self.worker
+        self.step(worker)
+        grant = plain["grant"]
+        if grant["incarnation"] and grant["incarnation"] != worker.incarnation:
+            return GONE
+        if grant["epoch"] < worker.epoch:
+            return CONFLICT
+        worker.epoch = grant["epoch"]
+        return 0
+
+    def start(self, worker: Worker, plain: dict[str, Any]) -> int:
+        """Start a member; return the status that refuses it, 0 when it runs."""
+        status = self.refusal(worker, plain)
+        key = _key(plain["member"])
         not_after_s = plain["grant"]["not_after_s"]
+        if status or key in worker.members:
+            return status
         if key in worker.refused or worker.clock_s() >= not_after_s:
-            self._refuse(409, "too late")
-            return
-        if self.faults.find("refuse", self.sender, worker.name):
-            self._refuse(503, "refuses everything")
-            return
-        if key not in worker.members:
-            self._start(key, plain, not_after_s)
-        await self.report()
-
-    def _start(self, key: Key, plain: dict[str, Any], not_after_s: float) -> None:
-        worker = self.worker
+            return CONFLICT
         body = orjson.loads(base64.b64decode(plain["body"]) or b"{}")
         now_s = worker.clock_s()
         run_s = float("inf") if plain["service"] else body.get("work_s", plain["run_s"])
         if self.faults.find(FAIL, name=worker.name):
             run_s = 0.0
-        started = float(plain["checkpoint"] or 0)
+        done_s = float(plain["checkpoint"] or 0)
         size = plain["size"]
-        member = Member(
+        worker.members[key] = Member(
             key=key,
             size=size,
             not_after_s=not_after_s,
-            ends_s=now_s + run_s - started,
+            ends_s=now_s + run_s - done_s,
             body=body,
             usage={name: value * body.get("usage", 1.0) for name, value in size.items()},
-            started_s=now_s - started,
+            started_s=now_s - done_s,
         )
-        worker.members[key] = member
-        self.owner.note_start(worker, member)
-
-
-class SyncHandler(WorkerHandler):
-    """Renews, stops and reports members."""
-
-    async def post(self) -> None:
-        """Take one call."""
-        plain = await self.admitted()
-        if plain is None:
-            return
-        worker = self.worker
+        self.note_start(worker, worker.members[key])
+        return 0
+
+    def sync(self, worker: Worker, plain: dict[str, Any]) -> int:
+        """Renew, stop and forget members; return the status that refuses it."""
+        status = self.refusal(worker, plain)
+        if status:
+            return status
         renews = bool(plain["grant"]["incarnation"])
         for key in map(_key, plain["keep"]):
             member = worker.members.get(key)
@@ -263,9 +222,9 @@
             elif renews and not member.ended:
                 member.not_after_s = max(member.not_after_s, plain["grant"]["not_after_s"])
         for key in map(_key, plain["stop"]):
-            self._end(key, "stopped")
+            worker.end(key, "stopped")
         for key in map(_key, plain["checkpoint"]):
-            self._checkpoint(key)
+            worker.take_checkpoint(key)
         for key in map(_key, plain["throttle"]):
             if key in worker.members:
                 worker.members[key].throttled = True
@@ -274,18 +233,70 @@
             if member is not None and member.ended:
                 del worker.members[key]
                 worker.refused.add(key)
-        await self.report()
+        return 0
+
+
+def report(worker: Worker) -> dict[str, Any]:
+    """Return what a worker answers: its clock and all its members."""
+    members = [
+        {
+            "member": {"task_id": item.key[0], "attempt": item.key[1], "index": item.key[2]},
+            "ended": item.ended,
+            "result": item.result,
+            "checkpoint": item.checkpoint,
+            "usage": worker.reported_usage(item),
+        }
+        for item in worker.members.values()
+    ]
+    return {
+        "incarnation": worker.incarnation,
+        "clock_s": worker.clock_s(),
+        "members": members,
+        "leaving": False,
+    }
 
-    def _end(self, key: Key, how: str) -> None:
-        member = self.worker.members.get(key)
-        if member is not None and not member.ended:
-            member.ended = how
 
-    def _checkpoint(self, key: Key) -> None:
-        member = self.worker.members.get(key)
-        if member is not None and not member.ended:
-            member.checkpoint = str(self.worker.clock_s() - member.started_s)
-            member.ended = "stopped"
+class WorkerHandler(FaultyHandler):
+    """Takes one kind of call."""
+
+    def initialize(self, owner: WorkerGroup, worker: Worker) -> None:
+        """Take the group and the worker."""
+        super().initialize(owner)
+        self.worker = worker
+
+    async def take(self, act: Callable[[Worker, dict[str, Any]], int]) -> None:
+        """Act on a call and answer with a report, or refuse it."""
+        worker = self.worker
+        if not await self.before(worker.name):
+            return
+        status = act(worker, orjson.loads(self.request.body))
+        if status:
+            self.set_header("X-Verdict", "not run")
+            self.set_status(status)
+            self.finish(b"refused")
+            return
+        await self.answer(report(worker), 200, worker.name)
+
+
+class StartHandler(WorkerHandler):
+    """Starts members."""
+
+    async def post(self) -> None:
+        """Start one, unless it is refused, too late or known."""
+        if self.faults.find(REFUSE, self.sender, self.worker.name):
+            self.set_header("X-Verdict", "not run")
+            self.set_status(503)
+            self.finish(b"refuses everything")
+            return
+        await self.take(self.owner.start)
+
+
+class SyncHandler(WorkerHandler):
+    """Renews, stops and reports members."""
+
+    async def post(self) -> None:
+        """Take one call."""
+        await self.take(self.owner.sync)
 
 
 class RestartHandler(WorkerHandler):
@@ -294,7 +305,7 @@
     def post(self) -> None:
         """Lose everything, or start counting work that comes too late."""
         if orjson.loads(self.request.body or b"{}").get("leave"):
-            self.worker.left_s = time.monotonic()
+            self.worker.left_s = self.worker.now()
         else:
             self.worker.restart()
         self.finish(b"{}")
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -59,6 +59,15 @@
         return self.virtual_s
 
 
+def close_loop(loop: VirtualLoop) -> None:
+    """Cancel what still runs on a loop, and close it."""
+    tasks = asyncio.all_tasks(loop)
+    for task in tasks:
+        task.cancel()
+    loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+    loop.close()
+
+
 class LoopClock(Clock):
     """A process's clock over a loop's time, with a rate and offset of its own."""
 
@@ -147,12 +156,9 @@
         await self._process.gate()
         mode = self._process.table_mode
         await self._before(mode)
-        if mode in (LOST_ANSWER, LATE):
-            await asyncio.sleep(CALL_TIMEOUT_S)
-            raise TableUnknown(mode)
         keys = sorted(self._rows.by_key)
         found = tuple(self._rows.by_key[key] for key in keys if key.startswith(prefix))
-        await self._after(mode)
+        await self._after(OK)
         return found
 
     async def _before(self, mode: str) -> None:
@@ -191,7 +197,7 @@
     async def _reach(self) -> None:
         await self._process.gate()
         await asyncio.sleep(0.01)
-        if self._process.table_mode != OK:
+        if self._process.table_mode == DOWN:
             raise ObjectStoreUnavailable(self._process.table_mode)
 
 
--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,238 @@
+"""Bad input as a new user would try it: each row is refused clearly, nothing half-applied."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+
+import pytest
+from typer.testing import CliRunner
+
+from lab.cell import Cell, Layout
+from redwingrun.cmdline import app
+from redwingrun.config import settings_from
+from redwingrun.errors import InvalidInput
+from redwingrun.jsonfile import parse_json
+from redwingrun.objects import load_objects, objects_from_text
+
+POOL = {
+    "type": "workers",
+    "upstreams": {"w0": {"address": "a", "data_centre": "d", "cores": 4, "memory_gb": 8}},
+}
+GOOD = {
+    "teams": {"t": {}},
+    "policies": {"p": {}},
+    "pools": {"w": POOL},
+    "workloads": {
+        "plan": {"kind": "batch", "pool": "w", "policy": "p", "teams": ["t"], "size": {"cores": 1}}
+    },
+}
+
+
+def changed(path: str, value: object) -> str:
+    """Return the good set as text with one value changed."""
+    plain = json.loads(json.dumps(GOOD))
+    *parents, last = path.split("/")
+    target = plain
+    for key in parents:
+        target = target[key]
+    target[last] = value
+    return json.dumps(plain, indent=1)
+
+
+OBJECT_FAULTS = {
+    "empty file": ("", "the file is empty"),
+    "not JSON": ("{", "not JSON"),
+    "not an object": ("[1]", "must hold one JSON object"),
+    "a duplicate name": ('{"teams": {"t": {}, "t": {}}}', "stands twice"),
+    "an unknown section": ('{"team": {}}', "did you mean 'teams'?"),
+    "an unknown key": (changed("teams/t/shares", 1), "did you mean 'share'?"),
+    "an unknown class": (changed("workloads/plan/kind", "quik"), "did you mean 'quick'?"),
+    "a missing key": (changed("workloads/plan", {"kind": "batch"}), "pool: is missing"),
+    "a negative size": (changed("workloads/plan/size", {"cores": -1}), "outside 0 to"),
+    "an absurd size": (changed("workloads/plan/size", {"cores": 1e300}), "outside 0 to"),
+    "not a number": (changed("workloads/plan/size", {"cores": "many"}), "is not a number"),
+    "a broken reference": (changed("workloads/plan/policy", "q"), "there is no policy 'q'"),
+    "a broken team": (changed("workloads/plan/teams", ["u"]), "there is no team 'u'"),
+    "the wrong pool": (changed("workloads/plan/kind", "quick"), "needs a pool of minions"),
+    "a cycle": (changed("teams", {"t": {"parent": "u"}, "u": {"parent": "t"}}), "form a cycle"),
+    "a job that never fits": (
+        changed("workloads/plan/size", {"cores": 5}),
+        "no worker of w is large enough: cores 5 of at most 4",
+    ),
+    "a gang that never fits": (changed("workloads/plan/count", 9), "do not fit into w"),
+}
+
+
+@pytest.mark.parametrize("name", OBJECT_FAULTS)
+def test_a_faulty_set_of_objects_is_refused_with_file_line_and_object(name):
+    text, expected = OBJECT_FAULTS[name]
+    with pytest.raises(InvalidInput, match="set.jsonc") as caught:
+        objects_from_text("set.jsonc", text)
+    assert expected in str(caught.value)
+
+
+def test_all_faults_are_told_at_once_with_their_lines():
+    text = changed("workloads/plan/policy", "q").replace('"kind"', '"kinde"')
+    with pytest.raises(InvalidInput) as caught:
+        objects_from_text("set.jsonc", text)
+    assert len(caught.value.faults) >= 2
+    lines = text.splitlines()
+    assert '"kinde"' in lines[caught.value.faults[0].line - 1]
+
+
+def test_the_same_name_in_two_files_is_refused(tmp_path):
+    for name in ("one.jsonc", "two.jsonc"):
+        (tmp_path / name).write_text('{"teams": {"t": {}}}')
+    with pytest.raises(InvalidInput, match="stands in .*one.jsonc too"):
+        load_objects([tmp_path / "one.jsonc", tmp_path / "two.jsonc"])
+
+
+SETTINGS = {
+    "host": "h",
+    "data_centre": "d",
+    "listen_ip": "127.0.0.1",
+    "http_port": 1,
+    "peer_port": 2,
+    "table_url": "http://127.0.0.1:3",
+    "object_store_url": "http://127.0.0.1:3",
+    "host_list_url": "http://127.0.0.1:3",
+    "token_file": "t",
+    "peer_secret_file": "s",
+}
+SETTING_FAULTS = {
+    "an unknown key": ({"hots": "x"}, "did you mean 'host'?"),
+    "a host name for an IP": ({"listen_ip": "localhost"}, "is not an IP number"),
+    "a port out of range": ({"http_port": 70000}, "outside 1 to 65535"),
+    "the same port twice": ({"peer_port": 1}, "is the same as http_port"),
+    "not a URL": ({"table_url": "table"}, "is not an http:// or https:// address"),
+    "a lease too short": ({"lease_term_s": 1.0}, "must fit into lease_term_s"),
+    "a promise too short": ({"promise_s": 1.0}, "more than twice lease_margin_s"),
+    "true for a number": ({"weight": True}, "is not a number"),
+    "an unknown log level": ({"log_level": "loud"}, "not one of quiet, normal, all"),
+}
+
+
+@pytest.mark.parametrize("name", SETTING_FAULTS)
+def test_faulty_settings_are_refused(name):
+    change, expected = SETTING_FAULTS[name]
+    text = json.dumps({**SETTINGS, **change}, indent=1)
+    with pytest.raises(InvalidInput) as caught:
+        settings_from(parse_json("entry.jsonc", text))
+    assert expected in str(caught.value)
+
+
+@pytest.mark.parametrize("content", [b"", b"\xff\xfe", b"nonsense"])
+def test_check_exits_1_and_names_the_file(tmp_path: Path, content):
+    path = tmp_path / "set.jsonc"
+    path.write_bytes(content)
+    result = CliRunner().invoke(app, ["check", str(path)])
+    assert result.exit_code == 1
+    assert "set.jsonc" in result.output
+
+
+def test_check_of_a_missing_or_huge_file_says_so(tmp_path: Path):
+    path = tmp_path / "huge.jsonc"
+    path.write_bytes(b" " * (9 << 20))
+    result = CliRunner().invoke(app, ["check", str(path), str(tmp_path / "none.jsonc")])
+    assert result.exit_code == 1
+    assert "split the file" in result.output
+
+
+CHECK = "/v1/run/grade-check"
+ORDER = "/v1/run/hold-order"
+PLAN = "/v1/tasks/re-plan"
+KEY = {"Idempotency-Key": "k"}
+# team, method, path, headers, status, part of the detail
+CALLS = {
+    "an unknown workload": ("setters", "POST", "/v1/run/none", {}, 404, "no workload"),
+    "another team's workload": ("setters", "POST", PLAN, {}, 403, "may not ask"),
+    "no key for an order": ("setters", "POST", ORDER, {}, 400, "Idempotency-Key"),
+    "a bad key": ("setters", "POST", ORDER, {"Idempotency-Key": "a b"}, 400, "must be 1 to"),
+    "a task as a request": ("head-setter", "POST", "/v1/run/re-plan", {}, 400, "/v1/tasks/"),
+    "a request as a task": ("setters", "POST", "/v1/tasks/grade-check", {}, 400, "/v1/run/"),
+    "a bad deadline": ("setters", "POST", CHECK, {"X-Deadline-S": "soon"}, 400, "not a number"),
+    "an endless deadline": ("setters", "POST", CHECK, {"X-Deadline-S": "inf"}, 400, "outside"),
+    "urgent without leave": ("head-setter", "POST", PLAN, {"X-Urgent": "1"}, 403, "not allow"),
+    "an unknown task": ("setters", "GET", "/v1/task/walls:setters:x", {}, 404, "no task"),
+    "an unknown request": ("setters", "GET", "/v1/requests/none", {}, 404, "no request"),
+    "an unknown page": ("setters", "GET", "/v2", {}, 404, "there is no /v2"),
+    "the wrong method": ("setters", "PUT", CHECK, {}, 405, ""),
+    "an operator's page": ("setters", "GET", "/v1/audit", {}, 403, "only operators"),
+}
+
+
+async def _calls(cell: Cell) -> None:
+    for name, (team, method, path, headers, status, detail) in CALLS.items():
+        body = None if method == "GET" else {"nonce": name}
+        reply = await cell.as_team(team, method, path, body, headers=headers)
+        assert reply.status == status, (name, reply)
+        assert reply.json()["verdict"] == "not run", (name, reply)
+        assert detail in reply.json()["detail"], (name, reply)
+
+
+async def _keys_and_tokens(cell: Cell) -> None:
+    first = await cell.as_team("setters", "POST", ORDER, {"nonce": "first"}, headers=KEY)
+    other = await cell.as_team("setters", "POST", ORDER, {"nonce": "other"}, headers=KEY)
+    again = await cell.as_team("setters", "POST", ORDER, {"nonce": "first"}, headers=KEY)
+    assert (first.status, other.status, again.status) == (200, 409, 200)
+    assert first.body == again.body
+    kept = await cell.as_team("setters", "GET", "/v1/results/k")
+    stranger = await cell.as_team("head-setter", "GET", "/v1/results/k")
+    assert (kept.body, stranger.status) == (first.body, 404)
+    for headers in ({}, {"Authorization": "Bearer wrong"}, {"Authorization": "Basic eDp5"}):
+        reply = await cell.call("POST", cell.hosts[0].url + CHECK, {}, headers)
+        assert (reply.status, reply.json()["verdict"]) == (401, "not run")
+
+
+async def _publishing(cell: Cell) -> None:
+    before = (await cell.as_operator("GET", "/v1/config")).json()
+    for plain in (
+        {},
+        {"based_on": "1", "sources": {}},
+        {"based_on": 1, "sources": {"x": "{"}},
+        {"based_on": 1, "sources": {"x": '{"workloads": {"w": {}}}'}},
+        {"based_on": 99, "sources": cell.sources()},
+    ):
+        reply = await cell.as_operator("POST", "/v1/config", plain)
+        assert reply.status in (400, 409), (plain, reply)
+        assert reply.json()["verdict"] == "not run"
+    reply = await cell.as_operator("PUT", "/v1/drains/nobody")
+    assert reply.status == 404
+    after = (await cell.as_operator("GET", "/v1/config")).json()
+    assert after == before
+
+
+async def _bytes(cell: Cell) -> None:
+    port = cell.hosts[0].http_port
+    for raw in (
+        b"nonsense\r\n\r\n",
+        b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+        b"GET / HTTP/1.1\r\n" + b"A: " + b"b" * 70000 + b"\r\n\r\n",
+        b"POST /v1/run/x HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n",
+    ):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(raw)
+        try:
+            reply = await asyncio.wait_for(reader.read(200), 10)
+        except ConnectionError:
+            # Closed with bytes of ours unread: the kernel drops the answer too.
+            reply = b""
+        assert reply == b"" or b" 4" in reply.split(b"\r\n")[0], (raw[:40], reply)
+        writer.close()
+    alive = await cell.call("GET", cell.hosts[0].url + "/healthz")
+    assert alive.status == 200
+
+
+def test_bad_calls_are_refused_as_not_run_and_change_nothing():
+    async def scenario():
+        async with Cell(Layout(weights=(1.0,), norte=False)) as cell:
+            await _calls(cell)
+            await _keys_and_tokens(cell)
+            await _publishing(cell)
+            await _bytes(cell)
+            runs = (await cell.counters("minions"))["runs_by_nonce"]
+            assert runs == {"first": 1}
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/tests/test_httpclient.py
@@ -0,0 +1,118 @@
+"""The verdict of each way in which a call can fail, against a small server of bytes."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+
+import pytest
+
+from lab.cell import free_ports
+from redwingrun.coordination.verdict import Verdict
+from redwingrun.httpclient import Call, HttpClient
+
+BODY = b"answer"
+GOOD = (
+    b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\nX-Digest: "
+    + hashlib.sha256(BODY).hexdigest().encode()
+    + b"\r\n\r\n"
+    + BODY
+)
+
+
+class Server:
+    """Reads whole requests and answers each with the next of its scripts."""
+
+    def __init__(self, *scripts: bytes | None):
+        self._scripts = list(scripts)
+        self.requests = 0
+        self.port = free_ports(1)[0]
+
+    async def __aenter__(self) -> Server:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        self._server.close()
+
+    async def _serve(self, reader, writer) -> None:
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = int(head.lower().split(b"content-length:")[1].split(b"\r\n")[0])
+                await reader.readexactly(length)
+                self.requests += 1
+                script = self._scripts.pop(0) if self._scripts else b""
+                if script is None:
+                    await asyncio.sleep(30)
+                if not script.startswith(b"HTTP/1.1 200") or b"Short" in script:
+                    writer.write(script)
+                    break
+                writer.write(script)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        writer.close()
+
+
+async def outcome(server: Server, calls: int = 1):
+    client = HttpClient("test")
+    result = None
+    for _ in range(calls):
+        url = f"http://127.0.0.1:{server.port}/run"
+        result = await client.send(Call("POST", url, 0.6, b"body"))
+    client.close()
+    return result
+
+
+def test_a_call_on_a_kept_connection_that_dies_is_never_sent_twice():
+    """libcurl sends again by itself on a reused connection; a hold order ran twice."""
+
+    async def scenario():
+        async with Server(GOOD, b"", GOOD) as server:
+            result = await outcome(server, calls=2)
+            assert server.requests == 2
+            assert result.error.verdict is Verdict.MAY_HAVE_RUN
+
+    asyncio.run(scenario())
+
+
+CASES = {
+    "nothing comes back": ([b""], Verdict.MAY_HAVE_RUN),
+    "half an answer": ([GOOD[:-3]], Verdict.MAY_HAVE_RUN),
+    "half a head": ([b"HTTP/1.1 20"], Verdict.MAY_HAVE_RUN),
+    "not HTTP": ([b"nonsense\r\n\r\n"], Verdict.MAY_HAVE_RUN),
+    "too late": ([None], Verdict.MAY_HAVE_RUN),
+    "wrong digest": ([GOOD[:-6] + b"damage"], Verdict.MAY_HAVE_RUN),
+}
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_a_call_that_was_sent_and_has_no_whole_answer_may_have_run(name):
+    scripts, verdict = CASES[name]
+
+    async def scenario():
+        async with Server(*scripts) as server:
+            result = await outcome(server)
+            assert result.is_error()
+            assert result.error.verdict is verdict
+            assert server.requests == 1
+
+    asyncio.run(scenario())
+
+
+def test_a_refused_connection_did_not_run():
+    async def scenario():
+        server = Server()
+        result = await outcome(server)
+        assert result.error.verdict is Verdict.NOT_RUN
+
+    asyncio.run(scenario())
+
+
+def test_a_whole_answer_is_an_answer():
+    async def scenario():
+        async with Server(GOOD) as server:
+            result = await outcome(server)
+            assert result.ok.body == BODY
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/tests/test_invariants.py
@@ -0,0 +1,258 @@
+"""What must always hold, under each fault: real processes, judged by the stand-ins."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import time
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from lab.cell import Cell, Layout
+from lab.load import IN_FORCE_S, Load, broken_promises, wait_for_tasks
+
+SETTLE_S = 1.5
+FROZEN_S = 5.0
+OUTAGE_S = 12.0
+
+
+async def _version(cell: Cell) -> int:
+    return (await cell.as_operator("GET", "/v1/config")).json()["version"]
+
+
+async def _in_force_everywhere(cell: Cell, version: int) -> bool:
+    for host in cell.hosts:
+        if host.process_by_daemon["entry"].poll() is not None:
+            continue
+        reply = await cell.call("GET", host.url + "/readyz", timeout_s=2.0)
+        if reply.status == 0 or reply.json()["config_version"] < version:
+            return False
+    return True
+
+
+async def no_fault(cell: Cell, load: Load) -> None:
+    await asyncio.sleep(2.0)
+
+
+async def process_killed(cell: Cell, load: Load) -> None:
+    cell.kill(cell.hosts[2])
+    await asyncio.sleep(5.0)
+
+
+async def process_frozen_past_its_lease(cell: Cell, load: Load) -> None:
+    cell.send_signal(cell.hosts[2], signal.SIGSTOP)
+    await asyncio.sleep(FROZEN_S)
+    cell.send_signal(cell.hosts[2], signal.SIGCONT)
+    await asyncio.sleep(3.0)
+
+
+async def cut_from_the_table(cell: Cell, load: Load) -> None:
+    await cell.faults("platform", {"mode": "cut", "sender": "entry-2/"})
+    await asyncio.sleep(5.0)
+    await cell.faults("platform")
+    await asyncio.sleep(2.0)
+
+
+async def cut_from_upstreams(cell: Cell, load: Load) -> None:
+    for kind in ("minions", "workers"):
+        await cell.faults(kind, {"mode": "cut", "sender": "entry-2/"})
+    await asyncio.sleep(5.0)
+    for kind in ("minions", "workers"):
+        await cell.faults(kind)
+    await asyncio.sleep(2.0)
+
+
+async def cut_from_peers(cell: Cell, load: Load) -> None:
+    for relay, _ in cell.hosts[2].relay_by_daemon.values():
+        relay.drop_requests = relay.drop_answers = True
+    await asyncio.sleep(5.0)
+    for relay, _ in cell.hosts[2].relay_by_daemon.values():
+        relay.drop_requests = relay.drop_answers = False
+    await asyncio.sleep(2.0)
+
+
+async def cut_one_way(cell: Cell, load: Load) -> None:
+    for relay, _ in cell.hosts[2].relay_by_daemon.values():
+        relay.drop_answers = True
+    await asyncio.sleep(5.0)
+    for relay, _ in cell.hosts[2].relay_by_daemon.values():
+        relay.drop_answers = False
+    await asyncio.sleep(2.0)
+
+
+async def table_down(cell: Cell, load: Load) -> None:
+    await cell.faults("platform", {"mode": "down", "name": "table"})
+    before = len([sent for sent in load.checks if sent.status == 200])
+    await asyncio.sleep(OUTAGE_S)
+    answered = len([sent for sent in load.checks if sent.status == 200]) - before
+    # Quick work goes on through an outage of six lease terms.
+    assert answered > 0.8 * OUTAGE_S / 0.012
+    await cell.faults("platform")
+    await asyncio.sleep(3.0)
+
+
+async def table_slow(cell: Cell, load: Load) -> None:
+    await cell.faults("platform", {"mode": "slow", "seconds": 0.4, "name": "table"})
+    await asyncio.sleep(6.0)
+    await cell.faults("platform")
+
+
+async def table_effect_without_answer(cell: Cell, load: Load) -> None:
+    fault = {"mode": "effect_without_answer", "name": "table", "share": 0.3}
+    await cell.faults("platform", fault)
+    await asyncio.sleep(6.0)
+    await cell.faults("platform")
+
+
+async def minion_effect_without_answer(cell: Cell, load: Load) -> None:
+    await cell.faults("minions", {"mode": "effect_without_answer", "share": 0.2})
+    await asyncio.sleep(4.0)
+    await cell.faults("minions")
+
+
+async def worker_effect_without_answer(cell: Cell, load: Load) -> None:
+    await cell.faults("workers", {"mode": "effect_without_answer", "share": 0.3})
+    await asyncio.sleep(5.0)
+    await cell.faults("workers")
+
+
+async def operators_racing(cell: Cell, load: Load) -> None:
+    version = await _version(cell)
+    for _ in range(3):
+        plain = {"based_on": version, "sources": cell.sources(), "reason": "a race"}
+        plains = [json.loads(json.dumps(plain)) for _ in range(4)]
+        for index, item in enumerate(plains):
+            extra = {"teams": {f"visitors-{version}-{index}": {}}}
+            item["sources"]["extra.jsonc"] = json.dumps(extra)
+        replies = await asyncio.gather(
+            *[
+                cell.as_operator("POST", "/v1/config", item, host=cell.hosts[index % 3])
+                for index, item in enumerate(plains)
+            ]
+        )
+        assert sorted(reply.status for reply in replies) == [200, 409, 409, 409]
+        version = next(reply.json()["version"] for reply in replies if reply.status == 200)
+        losers = [reply.json()["detail"] for reply in replies if reply.status == 409]
+        assert all("was published by lan" in detail for detail in losers)
+    drains = [cell.as_operator(method, "/v1/drains/routeboard-m0") for method in ("PUT", "DELETE")]
+    await asyncio.gather(*drains)
+
+
+async def everything_fails_on_some(cell: Cell, load: Load) -> None:
+    await cell.faults("workers", {"mode": "fail", "name": "walls-w0"})
+    await cell.faults("minions", {"mode": "fail", "name": "routeboard-m2"})
+    await asyncio.sleep(5.0)
+    await cell.faults("workers")
+    await cell.faults("minions")
+
+
+async def cancellation_wave(cell: Cell, load: Load) -> None:
+    async def submit(index: int) -> str:
+        reply = await cell.as_team(
+            "head-setter",
+            "POST",
+            "/v1/tasks/city-re-plan",
+            {"nonce": "wave", "work_s": 2.0},
+            host=cell.hosts[index % 3],
+            headers={"Idempotency-Key": f"wave-{index}"},
+        )
+        return reply.json()["task_id"]
+
+    names = await asyncio.gather(*[submit(index) for index in range(40)])
+    replies = await asyncio.gather(
+        *[cell.as_team("head-setter", "DELETE", f"/v1/task/{name}") for name in names]
+    )
+    assert all(reply.status == 200 for reply in replies)
+    await asyncio.sleep(3.0)
+
+
+async def planned_stop_and_replacement(cell: Cell, load: Load) -> None:
+    host = cell.hosts[2]
+    # The balancer sees the host leave its ready state a moment before.
+    load.avoid.add(host.name)
+    cell.send_signal(host, signal.SIGTERM)
+    codes = [await asyncio.to_thread(item.wait, 20) for item in host.process_by_daemon.values()]
+    assert codes == [0, 0]
+    cell.add_host("entry-3", 2.0)
+    await asyncio.sleep(4.0)
+
+
+async def upstreams_leave(cell: Cell, load: Load) -> None:
+    states = {"routeboard-m2": "leaving", "walls-w1": "leaving"}
+    await cell.set_hosts(states)
+    await cell.upstream_call("routeboard-m2", "leave", {})
+    await cell.upstream_call("walls-w1", "restart", {"leave": True})
+    await asyncio.sleep(7.0)
+
+
+async def table_down_and_kill(cell: Cell, load: Load) -> None:
+    await cell.faults("platform", {"mode": "down", "name": "table"})
+    await asyncio.sleep(1.5)
+    cell.kill(cell.hosts[2])
+    await asyncio.sleep(5.0)
+    await cell.faults("platform")
+    await asyncio.sleep(5.0)
+
+
+async def freeze_and_upstreams_cut(cell: Cell, load: Load) -> None:
+    await cell.faults("minions", {"mode": "cut", "sender": "entry-1/"})
+    await process_frozen_past_its_lease(cell, load)
+    await cell.faults("minions")
+
+
+Fault = Callable[[Cell, Load], Awaitable[None]]
+FAULTS: list[Fault] = [
+    no_fault,
+    process_killed,
+    process_frozen_past_its_lease,
+    cut_from_the_table,
+    cut_from_upstreams,
+    cut_from_peers,
+    cut_one_way,
+    table_down,
+    table_slow,
+    table_effect_without_answer,
+    minion_effect_without_answer,
+    worker_effect_without_answer,
+    operators_racing,
+    everything_fails_on_some,
+    cancellation_wave,
+    planned_stop_and_replacement,
+    upstreams_leave,
+    table_down_and_kill,
+    freeze_and_upstreams_cut,
+]
+
+
+async def run_scenario(fault: Fault) -> tuple[list[str], list[str]]:
+    """Run a fault under load; return what broke, and tasks that did not end."""
+    relays = fault in (cut_from_peers, cut_one_way)
+    async with Cell(Layout(norte=False, relays=relays)) as cell:
+        load = Load(cell, seed=FAULTS.index(fault) if fault in FAULTS else 0)
+        load.start()
+        await asyncio.sleep(SETTLE_S)
+        await fault(cell, load)
+        await load.stop()
+        version = await _version(cell)
+        extra = {"based_on": version, "sources": cell.sources(), "reason": "after the fault"}
+        started_s = time.monotonic()
+        accepted = await cell.as_operator("POST", "/v1/config", extra)
+        assert accepted.status == 200, accepted
+        wanted = accepted.json()["version"]
+        while not await _in_force_everywhere(cell, wanted):
+            assert time.monotonic() - started_s < IN_FORCE_S, "8 not in force in time"
+            await asyncio.sleep(0.1)
+        unfinished = await wait_for_tasks(load)
+        broken = await broken_promises(load)
+        answered = sum(1 for sent in load.checks if sent.status == 200)
+        assert answered > len(load.checks) / 3, f"only {answered} of {len(load.checks)} answered"
+        return broken, unfinished
+
+
+@pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
+def test_what_must_always_hold(fault):
+    broken, unfinished = asyncio.run(run_scenario(fault))
+    assert broken == []
+    assert unfinished == []
--- /dev/null
+++ b/tests/test_ledger_model.py
@@ -0,0 +1,180 @@
+"""A search of the at-most-once ledger: lost answers, late effects, racing attempts."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
+
+from redwingrun.coordination import ledger as ledger_module
+from redwingrun.coordination.ledger import Attempt, Ledger, LedgerRow, Mismatch
+from redwingrun.coordination.verdict import Answer, Failure, Verdict, may_have_run, not_run
+from tests.helpers import OK, TABLE_MODES, FakeTable, Process, Rows, VirtualLoop, close_loop
+
+TEAM = "setters"
+KEY = "order-1"
+HOSTS = st.integers(0, 2)
+SEARCH = settings(
+    max_examples=300,
+    stateful_step_count=25,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+    phases=[Phase.generate],
+)
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    """Three hosts that take the same key, at once and one after the other."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop = VirtualLoop()
+        asyncio.set_event_loop(self.loop)
+        self.rows = Rows()
+        self.processes = [Process(f"host-{index}") for index in range(3)]
+        self.ledgers = []
+        for process in self.processes:
+            table = FakeTable(self.rows, process)
+            self.ledgers.append(Ledger(table, table))
+        self.ran = 0
+        self.first_answer: bytes | None = None
+        self.ran_digest = ""
+        self.tokens = 0
+        self.tasks: list[asyncio.Task] = []
+
+    def teardown(self):
+        close_loop(self.loop)
+
+    async def _attempt(self, host: int, ending: str, work_s: float, digest: str) -> None:
+        self.tokens += 1
+        ledger = self.ledgers[host]
+        found = await ledger.begin(TEAM, KEY, digest, f"token-{self.tokens}")
+        if isinstance(found, Answer):
+            assert digest == self.ran_digest, "another body got the first one's answer"
+            assert found.body == self.first_answer, "not the first one's answer"
+        if isinstance(found, Failure) and found.verdict is Verdict.NOT_RUN:
+            return
+        if isinstance(found, Attempt):
+            await self._send(host, found, ending, work_s, digest)
+
+    async def _send(self, host, attempt, ending, work_s, digest) -> None:
+        # The check before the send, as the router does it after every wait.
+        await self.processes[host].gate()
+        outcome: Answer | Failure = not_run("busy")
+        if ending != "not run":
+            self.ran += 1
+            self.ran_digest = digest
+            assert self.ran <= 1, "the request ran twice"
+            await asyncio.sleep(work_s)
+            body = f"answer {self.ran}".encode()
+            self.first_answer = self.first_answer or body
+            outcome = Answer(body) if ending == "answered" else may_have_run("timeout")
+        await self.ledgers[host].finish(attempt, outcome)
+
+    @rule(
+        host=HOSTS,
+        ending=st.sampled_from(["answered", "not run", "may have run"]),
+        work_s=st.sampled_from([0.1, 2.0]),
+        digest=st.sampled_from(["body", "body", "body", "other"]),
+        wait=st.booleans(),
+    )
+    def attempt(self, host, ending, work_s, digest, wait):
+        task = self.loop.create_task(self._attempt(host, ending, work_s, digest))
+        if wait:
+            self.loop.run_until_complete(asyncio.wait([task], timeout=5))
+        else:
+            self.loop.run_until_complete(asyncio.sleep(0.05))
+        self.tasks.append(task)
+        self._raise(task)
+
+    def _raise(self, task) -> None:
+        if task.done() and not task.cancelled() and task.exception():
+            raise task.exception()
+
+    @rule(host=HOSTS, mode=st.sampled_from((OK, *TABLE_MODES)))
+    def table(self, host, mode):
+        self.processes[host].table_mode = mode
+
+    @rule(host=HOSTS)
+    def pause_or_resume(self, host):
+        paused = self.processes[host].paused
+        if paused.is_set():
+            paused.clear()
+        else:
+            paused.set()
+
+    @rule(seconds=st.sampled_from([0.02, 0.6, 4.0]))
+    def advance(self, seconds):
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+        for task in self.tasks:
+            self._raise(task)
+
+
+def test_a_key_runs_at_most_once_and_answers_alike():
+    run_state_machine_as_test(LedgerMachine, settings=SEARCH)
+
+
+async def _unknown_is_ours(self, row):
+    from redwingrun.coordination.table import Committed
+
+    return Committed(0)
+
+
+def _reopen_unknown(row, outcome):
+    from attrs import evolve
+
+    if isinstance(outcome, Answer):
+        return ORIGINAL_FINISHED(row, outcome)
+    return evolve(row, state="open")
+
+
+async def _found_without_digest(self, wanted, stored):
+    from attrs import evolve
+
+    row = ledger_module.decode(LedgerRow, stored.value)
+    return await ORIGINAL_FOUND(self, evolve(wanted, digest=row.digest), stored)
+
+
+async def _started_is_free(self, wanted, stored):
+    from attrs import evolve
+
+    from redwingrun.coordination.codec import encode
+
+    row = ledger_module.decode(LedgerRow, stored.value)
+    if row.state == "started":
+        stored = evolve(stored, value=encode(evolve(row, state="open")))
+    return await ORIGINAL_FOUND(self, wanted, stored)
+
+
+ORIGINAL_FINISHED = ledger_module._finished
+ORIGINAL_FOUND = Ledger._found
+MUTANTS = {
+    "an unknown outcome counts as ours": (Ledger, "_settle", _unknown_is_ours),
+    "may have run opens the key again": (ledger_module, "_finished", _reopen_unknown),
+    "the digest is not compared": (Ledger, "_found", _found_without_digest),
+    "a started key is given out again": (Ledger, "_found", _started_is_free),
+}
+
+
+@pytest.mark.parametrize("name", MUTANTS)
+def test_the_search_finds_the_fault_when_a_rule_is_taken_out(name, monkeypatch):
+    monkeypatch.setattr(*MUTANTS[name])
+    search = settings(SEARCH, max_examples=2000, print_blob=False)
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(LedgerMachine, settings=search)
+
+
+def test_another_body_under_the_same_key_is_a_mismatch():
+    async def scenario():
+        table = FakeTable(Rows(), Process("host"))
+        ledger = Ledger(table, table)
+        attempt = await ledger.begin(TEAM, KEY, "body", "token-1")
+        await ledger.finish(attempt, Answer(b"done"))
+        assert isinstance(await ledger.begin(TEAM, KEY, "other", "token-2"), Mismatch)
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/tests/test_poolkeeper.py
@@ -0,0 +1,46 @@
+"""A pool's keeper, in virtual time: cases that a search or a review found."""
+
+from __future__ import annotations
+
+import asyncio
+
+from redwingrun.coordination.codec import decode
+from redwingrun.coordination.verdict import Failure
+from redwingrun.tasks import TASKS_PREFIX, TaskRow
+from tests.helpers import LATE, LOST_ANSWER, OK
+from tests.test_tasklease_model import POOL, TaskLeaseMachine, submission
+
+
+def test_a_write_that_takes_effect_late_never_brings_an_older_state_back():
+    """A placement's write was answered late, written again, and then overwrote the end."""
+    machine = TaskLeaseMachine()
+    message = submission("guide", "late", work_s=0.2)
+    machine.submitted[message.task_id] = "guide"
+    workload = machine.objects.workloads["guide"]
+    work = machine.loop.create_task(machine.keeper.submit(message, workload))
+    machine.loop.run_until_complete(asyncio.sleep(0.015))
+    machine.process.table_mode = LATE
+    machine.loop.run_until_complete(asyncio.sleep(0.1))
+    machine.process.table_mode = OK
+    machine.loop.run_until_complete(work)
+    machine._advance(10.0)
+    stored = machine.rows.by_key[f"{TASKS_PREFIX}{POOL}/{message.task_id}"]
+    assert decode(TaskRow, stored.value).state == "succeeded"
+    machine.teardown()
+
+
+def test_a_task_sent_twice_at_once_is_never_refused_as_not_run():
+    """The second sending met the first one's row and was told *not run*."""
+    machine = TaskLeaseMachine()
+    message = submission("guide", "twice", work_s=0.2)
+    machine.submitted[message.task_id] = "guide"
+    workload = machine.objects.workloads["guide"]
+    machine.process.table_mode = LOST_ANSWER
+    first = machine.loop.create_task(machine.keeper.submit(message, workload))
+    machine.loop.run_until_complete(asyncio.sleep(0.1))
+    second = machine.loop.create_task(machine.keeper.submit(message, workload))
+    machine.loop.run_until_complete(asyncio.sleep(0.1))
+    machine.process.table_mode = OK
+    outcomes = machine.loop.run_until_complete(asyncio.gather(first, second))
+    assert not any(isinstance(outcome, Failure) for outcome in outcomes), outcomes
+    machine.teardown()
--- /dev/null
+++ b/tests/test_tasklease_model.py
@@ -0,0 +1,385 @@
+"""A search of task leases and re-placement: freezes, late calls, restarts, new owners."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+import orjson
+import pytest
+from attrs import asdict
+from expression import Error, Ok
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
+
+from redwingrun import poolkeeper as poolkeeper_module
+from redwingrun.coordination.codec import encode
+from redwingrun.coordination.shards import ShardRow
+from redwingrun.coordination.table import Condition, Transaction, Write
+from redwingrun.coordination.tasklease import WorkerLease
+from redwingrun.coordination.verdict import Failure, Verdict, may_have_run, not_run
+from redwingrun.httpclient import digest
+from redwingrun.logs import Log
+from redwingrun.metrics import Metrics
+from redwingrun.objects import ObjectSet, objects_from_text
+from redwingrun.peer_pb2 import SubmitTask
+from redwingrun.poolkeeper import PoolKeeper
+from redwingrun.tasks import Task
+from redwingrun.workers import WorkerClient, _report
+from standins.workers import Worker, WorkerGroup, report
+from tests.helpers import (
+    OK,
+    TABLE_MODES,
+    FakeTable,
+    LoopClock,
+    Process,
+    Rows,
+    VirtualLoop,
+    close_loop,
+    settings_for,
+)
+
+POOL = "walls"
+WORKERS = ("w0", "w1", "w2")
+CHECK_S = 0.1
+NAMES = st.sampled_from(WORKERS)
+SEARCH = settings(
+    max_examples=60,
+    stateful_step_count=25,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+    phases=[Phase.generate],
+)
+OBJECTS = {
+    "teams": {"head": {}},
+    "policies": {"again": {"restart": "checkpoint"}, "once": {"restart": "never"}},
+    "pools": {
+        POOL: {
+            "type": "workers",
+            "upstreams": {
+                name: {"address": name, "data_centre": "hoan-kiem", "cores": 4, "memory_gb": 8}
+                for name in WORKERS
+            },
+        }
+    },
+    "workloads": {
+        "plan": {"policy": "again", "count": 1},
+        "guide": {"policy": "once", "count": 1},
+        "gang": {"policy": "again", "count": 3},
+        "watch": {"policy": "again", "count": 1, "kind": "service"},
+    },
+}
+for item in OBJECTS["workloads"].values():
+    base = {"kind": "batch", "pool": POOL, "teams": ["head"], "size": {"cores": 2}}
+    item.update({**base, **item})
+
+
+class FakeWorkers(WorkerClient):
+    """Calls to stand-in workers, which may be lost, late or doubled."""
+
+    def __init__(self, machine: TaskLeaseMachine, process: Process):
+        self._machine = machine
+        self._process = process
+
+    async def start(self, call, timeout_s):
+        return await self._send(self._machine.group.start, call, timeout_s)
+
+    async def sync(self, call, timeout_s):
+        return await self._send(self._machine.group.sync, call, timeout_s)
+
+    async def _send(self, act: Any, call: Any, timeout_s: float):
+        await self._process.gate()
+        plain = orjson.loads(orjson.dumps(asdict(call)))
+        worker = self._machine.group.workers[call.address]
+        mode = self._machine.mode_by_worker.get(call.address, OK)
+        if mode == "cut":
+            await asyncio.sleep(timeout_s)
+            return Error(may_have_run("timeout", ""))
+        if mode == "late":
+            loop = asyncio.get_running_loop()
+            loop.call_later(self._machine.late_s, act, worker, plain)
+            await asyncio.sleep(timeout_s)
+            return Error(may_have_run("timeout", ""))
+        await asyncio.sleep(0.01)
+        status = act(worker, plain)
+        if mode == "lost answer":
+            await asyncio.sleep(timeout_s)
+            return Error(may_have_run("timeout", ""))
+        await asyncio.sleep(0.01)
+        await self._process.gate()
+        if status:
+            return Error(not_run(f"status-{status}", ""))
+        return Ok(_report(orjson.loads(orjson.dumps(report(worker)))))
+
+
+class FakeMembership:
+    """Ownership of the one shard, as the table has it and as the lease allows."""
+
+    def __init__(self, machine: TaskLeaseMachine, epoch: int):
+        self._machine = machine
+        self._epoch = epoch
+
+    def fence(self, shard: str) -> Condition:
+        key = ShardRow(POOL, "placer").key
+        return Condition.at(key, self._machine.rows.by_key[key].version)
+
+    def owns(self, shard: str, epoch: int) -> bool:
+        return epoch == self._machine.epoch
+
+
+class FakeNode:
+    """What a pool's keeper needs of its daemon."""
+
+    def __init__(self, machine: TaskLeaseMachine, process: Process, epoch: int):
+        self.settings = settings_for(
+            task_term_s=4.0, task_margin_s=0.5, task_renew_s=1.0, worker_timeout_s=0.5
+        )
+        self.clock = LoopClock(machine.loop, 1.0 + 0.02 * (epoch % 3 - 1))
+        self.log = Log("test", "quiet")
+        self.metrics = Metrics()
+        self.table = FakeTable(machine.rows, process)
+        self.writer = self.table
+        self.membership = FakeMembership(machine, epoch)
+        self.objects: ObjectSet = machine.objects
+        self._machine = machine
+
+    def unwelcome(self, name: str) -> bool:
+        return False
+
+    def spawn(self, work: Any, name: str) -> asyncio.Task:
+        task = self._machine.loop.create_task(work)
+        task.add_done_callback(self._machine.ended)
+        return task
+
+
+def submission(workload: str, key: str, work_s: float) -> SubmitTask:
+    """Return what an entry sends to submit a task."""
+    body = json.dumps({"work_s": work_s}).encode()
+    return SubmitTask(
+        task_id=f"{POOL}:head:{key}",
+        workload=workload,
+        team="head",
+        body=body,
+        digest=digest(body),
+        run_s=work_s,
+    )
+
+
+class TaskLeaseMachine(RuleBasedStateMachine):
+    """One pool of three workers, whose owner changes now and then."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop = VirtualLoop()
+        asyncio.set_event_loop(self.loop)
+        self.rows = Rows()
+        self.objects = objects_from_text("objects", json.dumps(OBJECTS))
+        rates = dict(zip(WORKERS, (1.0, 1.03, 0.97), strict=True))
+        self.group = WorkerGroup(
+            {
+                name: Worker(
+                    name, {"cores": 4, "memory_gb": 8}, now=LoopClock(self.loop, rates[name]).now
+                )
+                for name in WORKERS
+            }
+        )
+        self.stopper = self.loop.create_task(self.group.run())
+        self.mode_by_worker: dict[str, str] = {}
+        self.late_s = 3.0
+        self.epoch = 0
+        self.submitted: dict[str, str] = {}
+        self.refused: set[str] = set()
+        self.unsure: set[str] = set()
+        self.errors: list[BaseException] = []
+        self.sound = True
+        self._take_over()
+
+    def teardown(self):
+        if self.sound and not self.errors:
+            self._heal_and_finish()
+        close_loop(self.loop)
+
+    def ended(self, task: asyncio.Task) -> None:
+        if not task.cancelled() and task.exception():
+            self.errors.append(task.exception())
+
+    def _take_over(self) -> None:
+        self.epoch += 1
+        self.process = Process(f"owner-{self.epoch}")
+        row = ShardRow(POOL, "placer", f"owner-{self.epoch}", self.epoch)
+        self.rows.apply(Transaction((), (Write(row.key, encode(row)),)))
+        node = FakeNode(self, self.process, self.epoch)
+        self.keeper = PoolKeeper(node, POOL, self.epoch, FakeWorkers(self, self.process))
+        node.spawn(self.keeper.run(), "keeper")
+        self._advance(0.5)
+
+    def _advance(self, seconds: float) -> None:
+        async def advance():
+            for _ in range(max(1, int(seconds / CHECK_S))):
+                await asyncio.sleep(CHECK_S)
+                self._check()
+
+        self.loop.run_until_complete(advance())
+
+    def _check(self) -> None:
+        if self.errors:
+            raise self.errors[0]
+        over = sum(worker.overcommitted for worker in self.group.workers.values())
+        twice = [
+            task
+            for task, starts in self.group.starts_by_task.items()
+            if self.submitted[task] == "guide" and starts > 1
+        ]
+        ran = self.refused & set(self.group.starts_by_task)
+        self.sound = not (self.group.doubled or over or twice or ran)
+        assert not ran, f"{ran} ran although refused as not run"
+        assert not self.group.doubled, "a member runs in two places"
+        assert not over, "a worker is overcommitted"
+        assert not twice, f"{twice} started twice"
+
+    @rule(
+        workload=st.sampled_from(["plan", "guide", "gang", "watch"]),
+        work_s=st.sampled_from([0.5, 3.0, 12.0]),
+    )
+    def submit(self, workload, work_s):
+        if not self.keeper.loaded or len(self.submitted) > 8:
+            return
+        task_id = f"{POOL}:head:{len(self.submitted)}"
+        self.submitted[task_id] = workload
+        message = submission(workload, str(len(self.submitted) - 1), work_s)
+        found = self._wait_for(self.keeper.submit(message, self.objects.workloads[workload]))
+        if found is None:
+            # No answer: the task may have been kept, or may be kept later.
+            self.unsure.add(task_id)
+        elif isinstance(found, Failure):
+            assert found.verdict is Verdict.NOT_RUN
+            self.refused.add(task_id)
+
+    def _wait_for(self, work):
+        """Return the outcome, ``None`` when the caller gave up waiting."""
+        task = self.loop.create_task(work)
+        self.loop.run_until_complete(asyncio.wait([task], timeout=3.0))
+        return task.result() if task.done() else None
+
+    @rule(seconds=st.sampled_from([0.3, 2.0, 7.0]))
+    def advance(self, seconds):
+        self._advance(seconds)
+
+    @rule(name=NAMES, mode=st.sampled_from([OK, "cut", "late", "lost answer"]))
+    def worker_link(self, name, mode):
+        self.mode_by_worker[name] = mode
+        self._advance(0.3)
+
+    @rule(
+        name=NAMES, late_s=st.sampled_from([1.0, 6.0, 12.0]), seconds=st.sampled_from([1.0, 8.0])
+    )
+    def calls_come_late(self, name, late_s, seconds):
+        self.late_s = late_s
+        self.mode_by_worker[name] = "late"
+        self._advance(seconds)
+        self.mode_by_worker[name] = "cut"
+        self._advance(seconds)
+
+    @rule(name=NAMES)
+    def restart_worker(self, name):
+        self.group.workers[name].restart()
+
+    @rule(mode=st.sampled_from([OK, *TABLE_MODES]))
+    def table(self, mode):
+        self.process.table_mode = mode
+
+    @rule(seconds=st.sampled_from([1.0, 6.0]))
+    def pause_owner(self, seconds):
+        self.process.paused.clear()
+        self._advance(seconds)
+        self.process.paused.set()
+
+    @rule(paused=st.booleans())
+    def new_owner(self, paused):
+        if paused:
+            # The old one holds whatever it was about to send, and sends it late.
+            process = self.process
+            process.paused.clear()
+            self.loop.call_later(2.0, process.paused.set)
+        self._take_over()
+
+    @rule(index=st.integers(0, 8))
+    def cancel(self, index):
+        task = self.keeper.task_by_id.get(f"{POOL}:head:{index}")
+        if task is not None:
+            self._wait_for(self.keeper.cancel(task))
+
+    def _heal_and_finish(self) -> None:
+        """Once all is well every task ends, and a service runs."""
+        self.mode_by_worker.clear()
+        self.process.table_mode = OK
+        self.process.paused.set()
+        self._advance(90.0)
+        for task_id, workload in self.submitted.items():
+            task = self.keeper.task_by_id.get(task_id)
+            if task is None:
+                assert task_id in self.refused | self.unsure, f"{task_id} is lost"
+                continue
+            assert task_id not in self.refused, f"{task_id} was refused as not run"
+            settled = task.state == "running" if workload == "watch" else task.ended
+            settled = settled or task.state == "cancelled" or task.state == "queued"
+            assert settled, f"{task_id} ({workload}) is {task.state}: {task}"
+            if task.state == "queued":
+                free = [w.room.free_cores for w in self.keeper.scheduler.worker_by_name.values()]
+                running = [t.task_id for t in self.keeper.task_by_id.values() if t.live]
+                assert running, f"{task_id} waits on idle workers: {free}"
+
+
+def test_a_member_never_runs_in_two_places_and_no_task_is_lost():
+    run_state_machine_as_test(TaskLeaseMachine, settings=SEARCH)
+
+
+def _over_at_once(self, now_s):
+    return self.silent_s(now_s) > 1.0
+
+
+def _lease_from_receipt(self):
+    ORIGINAL_NOT_AFTER(self)
+    # As if the worker counted the whole term from whenever the call arrives.
+    return 1e9
+
+
+def _missing_is_not_run(self, index):
+    from redwingrun.tasks import End
+
+    return End.NOT_RUN
+
+
+ORIGINAL_NOT_AFTER = WorkerLease.not_after
+MUTANTS = {
+    "a silent worker's tasks are moved at once": (WorkerLease, "certainly_over", _over_at_once),
+    "the grant has no end": (WorkerLease, "not_after", _lease_from_receipt),
+    "a first owner's grants are not waited for": (
+        PoolKeeper,
+        "_first_lease",
+        lambda self: WorkerLease(self._lease_settings, ""),
+    ),
+    "what a worker lost counts as not run": (Task, "missing", _missing_is_not_run),
+    "another run of a worker counts as the same": (
+        poolkeeper_module,
+        "END_BY_NAME",
+        {
+            "ok": poolkeeper_module.End.OK,
+            "failed": poolkeeper_module.End.NOT_RUN,
+            "stopped": poolkeeper_module.End.STOPPED,
+            "lapsed": poolkeeper_module.End.NOT_RUN,
+        },
+    ),
+}
+
+
+@pytest.mark.parametrize("name", MUTANTS)
+def test_the_search_finds_the_fault_when_a_rule_is_taken_out(name, monkeypatch):
+    monkeypatch.setattr(*MUTANTS[name])
+    search = settings(SEARCH, max_examples=600, print_blob=False)
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(TaskLeaseMachine, settings=search)
