Split the large modules by their nouns

Change: rows under the fence (taskrows), what is taken (admission), lanes by shape (lanes), gangs and their holds (gangs), news between entries (news). An evolve without changes, an alias and an unused import went.

--- /dev/null
+++ b/redwingrun/admission.py
@@ -0,0 +1,51 @@
+"""Which tasks are taken: what can never run is refused with the reason."""
+
+from __future__ import annotations
+
+import base64
+
+from redwingrun.coordination.verdict import Failure, not_run
+from redwingrun.objects import SERVICE, ObjectSet, Policy, Size, Workload, never_runs
+from redwingrun.peer_pb2 import SubmitTask
+from redwingrun.tasks import TaskRow
+
+MAX_TASKS = 50_000
+
+
+def refusal_of(
+    objects: ObjectSet, message: SubmitTask, workload: Workload, known_tasks: int
+) -> Failure | None:
+    """Return why a new task is refused, ``None`` when it is taken."""
+    reason = never_runs(workload, objects.pools[workload.pool])
+    if reason:
+        return not_run("never-fits", reason)
+    whole = Size().plus(workload.task_size, workload.count)
+    for name in objects.lineage(message.team):
+        excess = whole.excess(objects.teams[name].quota_size)
+        if excess:
+            return not_run("over-quota", f"can never start: quota of team {name}: {excess}")
+    if known_tasks >= MAX_TASKS:
+        return not_run("queue-full", f"pool {workload.pool} has {MAX_TASKS} tasks")
+    return None
+
+
+def row_of(message: SubmitTask, workload: Workload, policy: Policy, order: int) -> TaskRow:
+    """Return the first row of a task."""
+    size = workload.task_size
+    return TaskRow(
+        task_id=message.task_id,
+        pool=workload.pool,
+        workload=workload.name,
+        team=message.team,
+        digest=message.digest,
+        order=order,
+        run_s=message.run_s,
+        cores=size.cores,
+        memory_gb=size.memory_gb,
+        accelerators=size.accelerators,
+        count=workload.count,
+        urgent=message.urgent,
+        restartable=policy.restart == "checkpoint",
+        service=workload.kind == SERVICE,
+        body=base64.b64encode(message.body).decode(),
+    )
--- a/redwingrun/callers.py
+++ b/redwingrun/callers.py
@@ -14,7 +14,7 @@
 from redwingrun.httpclient import DIGEST_HEADER, REQUEST_ID_HEADER, VERDICT_HEADER, digest
 from redwingrun.objects import QUICK, Workload
 from redwingrun.requests import Request
-from redwingrun.web import Handler, refused
+from redwingrun.web import Handler
 
 if TYPE_CHECKING:
     from redwingrun.entry import Entry
@@ -119,7 +119,7 @@
 
     def _send_outcome(self, outcome: Answer | Failure | Mismatch, request_id: str) -> None:
         if isinstance(outcome, Mismatch):
-            outcome = refused("key-reused", f"this {KEY_HEADER} came with another body before")
+            outcome = not_run("key-reused", f"this {KEY_HEADER} came with another body before")
         if isinstance(outcome, Answer):
             self.send_answer(outcome, request_id)
         else:
--- a/redwingrun/membership.py
+++ b/redwingrun/membership.py
@@ -6,8 +6,6 @@
 import secrets
 from collections.abc import Awaitable, Callable
 
-from attrs import evolve
-
 from redwingrun.config import Settings
 from redwingrun.coordination.clock import Clock
 from redwingrun.coordination.codec import decode
@@ -378,9 +376,7 @@
 
     def rows(self) -> list[MemberRow]:
         """Return all members of both kinds seen last."""
-        return [
-            evolve(row) for row in [*self._watch.members().values(), *self._other_members.values()]
-        ]
+        return [*self._watch.members().values(), *self._other_members.values()]
 
 
 def _peer_address(settings: Settings) -> str:
--- a/redwingrun/packing.py
+++ b/redwingrun/packing.py
@@ -45,6 +45,11 @@
         """Tell whether a task of this size fits now."""
         return bool(fitting(size, [self]))
 
+    def could_hold(self, size: Size) -> bool:
+        """Tell whether a task of this size fits when nothing else is here."""
+        capacity = Size(cores=self.cores, memory_gb=self.memory_gb, accelerators=self.accelerators)
+        return size.fits(capacity)
+
     def resize(self, capacity: Size) -> None:
         """Take another capacity; what is reserved stays reserved."""
         self.free_cores += capacity.cores - self.cores
--- a/redwingrun/poolkeeper.py
+++ b/redwingrun/poolkeeper.py
@@ -3,32 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-import base64
-from enum import Enum
 
 from attrs import define, evolve, field
 
-from redwingrun.coordination.codec import decode, encode
-from redwingrun.coordination.table import (
-    Committed,
-    Condition,
-    TableUnavailable,
-    TableUnknown,
-    Transaction,
-    Write,
-    settle,
-)
+from redwingrun.admission import refusal_of, row_of
 from redwingrun.coordination.tasklease import WorkerLease
 from redwingrun.coordination.verdict import Failure, Verdict, may_have_run, not_run
 from redwingrun.node import Node
-from redwingrun.objects import Pool, Size, Workload, never_runs
+from redwingrun.objects import Workload
 from redwingrun.peer_pb2 import SubmitTask
 from redwingrun.scheduler import Placement, Scheduler
+from redwingrun.taskrows import RETRY_INTERVAL_S, Commit, TaskRows
 from redwingrun.tasks import (
     CHECKPOINTING,
     QUEUED,
     STOPPING,
-    TASKS_PREFIX,
     End,
     MemberKey,
     Task,
@@ -44,8 +33,6 @@
 )
 
 PLACE_INTERVAL_S = 0.5
-RETRY_INTERVAL_S = 0.25
-MAX_TASKS = 50_000
 MAX_ENDED_KEPT = 5_000
 SILENT_RENEWALS = 2
 END_BY_NAME = {"ok": End.OK, "failed": End.FAILED, "stopped": End.STOPPED, "lapsed": End.LOST}
@@ -54,14 +41,6 @@
 STOP_AT_EXCESS = 3
 
 
-class Commit(Enum):
-    """How a fenced write ended, for certain."""
-
-    DONE = "done"
-    REFUSED = "refused"
-    NOT_OWNER = "not owner"
-
-
 @define
 class _Link:
     """One worker's lease and what to tell it next."""
@@ -94,13 +73,15 @@
         self._order = 0
         self._submissions: dict[str, asyncio.Task] = {}
         self._claimed_s = node.clock.now()
-        self._fence = node.membership.fence(pool)
+        fence = node.membership.fence(pool)
+        self._rows = TaskRows(node.table, node.writer, pool, fence, self.owns)
 
     # Life
 
     def owns(self) -> bool:
         """Tell whether this keeper may act right now."""
-        return not self.closed and self._node.membership.owns(self._pool, self._epoch)
+        stopped = self.closed or self._rows.fenced
+        return not stopped and self._node.membership.owns(self._pool, self._epoch)
 
     async def run(self) -> None:
         """Load the pool's tasks and keep them going until ownership ends."""
@@ -123,14 +104,12 @@
         self._place_now.clear()
 
     async def _load(self) -> bool:
-        try:
-            rows = await self._node.table.scan(f"{TASKS_PREFIX}{self._pool}/")
-        except (TableUnavailable, TableUnknown):
+        tasks = await self._rows.load()
+        if tasks is None:
             return False
         self._set_objects()
         now_s = self._node.clock.now()
-        for stored in rows:
-            task = Task(decode(TaskRow, stored.value), stored.version)
+        for task in tasks:
             self.task_by_id[task.task_id] = task
             self._order = max(self._order, task.row.order)
             if task.state == QUEUED:
@@ -138,7 +117,7 @@
             elif not task.ended:
                 task.adopt()
                 self.scheduler.reserve(task, tuple(task.row.workers))
-        self._node.log.event("pool-loaded", pool=self._pool, tasks=len(rows))
+        self._node.log.event("pool-loaded", pool=self._pool, tasks=len(tasks))
         return True
 
     def update(self) -> None:
@@ -178,7 +157,7 @@
         known = self.task_by_id.get(message.task_id)
         if known is not None:
             return self._same(known, message.digest)
-        refusal = self._refusal(message, workload)
+        refusal = refusal_of(self._node.objects, message, workload, len(self.task_by_id))
         if refusal is not None:
             return refusal
         work = self._node.spawn(self._keep_new(message, workload), "submit")
@@ -188,9 +167,10 @@
 
     async def _keep_new(self, message: SubmitTask, workload: Workload) -> Task | Failure:
         self._order += 1
-        task = Task(self._row(message, workload))
+        policy = self._node.objects.policies[workload.policy]
+        task = Task(row_of(message, workload, policy, self._order))
         try:
-            done = await self._commit(task)
+            done = await self._rows.commit(task)
         finally:
             self._submissions.pop(message.task_id, None)
         if done is Commit.DONE:
@@ -208,49 +188,13 @@
             return not_run("key-reused", "this key came with another body before")
         return known
 
-    def _refusal(self, message: SubmitTask, workload: Workload) -> Failure | None:
-        objects = self._node.objects
-        pool: Pool = objects.pools[self._pool]
-        reason = never_runs(workload, pool)
-        if reason:
-            return not_run("never-fits", reason)
-        whole = Size().plus(workload.task_size, workload.count)
-        for name in objects.lineage(message.team):
-            excess = whole.excess(objects.teams[name].quota_size)
-            if excess:
-                return not_run("over-quota", f"can never start: quota of team {name}: {excess}")
-        if len(self.task_by_id) >= MAX_TASKS:
-            return not_run("queue-full", f"pool {self._pool} has {MAX_TASKS} tasks")
-        return None
-
-    def _row(self, message: SubmitTask, workload: Workload) -> TaskRow:
-        policy = self._node.objects.policies[workload.policy]
-        size = workload.task_size
-        return TaskRow(
-            task_id=message.task_id,
-            pool=self._pool,
-            workload=workload.name,
-            team=message.team,
-            digest=message.digest,
-            order=self._order,
-            run_s=message.run_s,
-            cores=size.cores,
-            memory_gb=size.memory_gb,
-            accelerators=size.accelerators,
-            count=workload.count,
-            urgent=message.urgent,
-            restartable=policy.restart == "checkpoint",
-            service=workload.kind == "service",
-            body=base64.b64encode(message.body).decode(),
-        )
-
     async def cancel(self, task: Task) -> Failure | None:
         """Cancel a task; its row says so before the caller is told."""
         if task.ended or task.state == STOPPING:
             return None
         before = task.row
         task.happen("cancel", "cancelled")
-        if await self._commit(task) is not Commit.DONE:
+        if await self._rows.commit(task) is not Commit.DONE:
             if task.state == STOPPING or task.state == "cancelled":
                 task.row = evolve(task.row, state=before.state, detail=before.detail)
                 self._requeue_if_queued(task)
@@ -262,56 +206,6 @@
         if task.state == QUEUED:
             self.scheduler.enqueue(task, self._node.clock.now())
 
-    # Writing
-
-    async def _commit(self, task: Task) -> Commit:
-        """Write a task's row under the fence, until the outcome is certain.
-
-        One write of a task at a time: each expects the version of the last.
-        """
-        async with task.writing:
-            row = task.row
-            written = Write(row.key, encode(row))
-            while self.owns():
-                change = Transaction((self._fence, _expected(task)), (written,))
-                try:
-                    result = await self._node.writer.transact(change)
-                except TableUnavailable:
-                    return Commit.REFUSED
-                except TableUnknown:
-                    result = await self._found(row)
-                    if result is None:
-                        continue
-                if isinstance(result, Committed):
-                    task.version = result.version
-                    return Commit.DONE
-                if self._fence.key in result.keys:
-                    self.closed = True
-                    return Commit.NOT_OWNER
-                # An earlier try took effect late, between our look and this try.
-                result = await self._found(row)
-                if result is not None:
-                    task.version = result.version
-                    return Commit.DONE
-            return Commit.NOT_OWNER
-
-    async def _found(self, row: TaskRow) -> Committed | None:
-        """Return the commit if the stored row is this one, however long it takes."""
-        while self.owns():
-            try:
-                return await settle(self._node.table, row.key, encode(row))
-            except (TableUnavailable, TableUnknown):
-                await asyncio.sleep(RETRY_INTERVAL_S)
-        return None
-
-    async def _commit_for_sure(self, task: Task) -> bool:
-        """Write a task's row, however long the table is down."""
-        while self.owns():
-            if await self._commit(task) is Commit.DONE:
-                return True
-            await asyncio.sleep(RETRY_INTERVAL_S)
-        return False
-
     # Placement
 
     def _place(self) -> None:
@@ -335,7 +229,7 @@
         self._node.spawn(self._start(task, task.row), "start")
 
     async def _start(self, task: Task, row: TaskRow) -> None:
-        done = await self._commit(task)
+        done = await self._rows.commit(task)
         if done is Commit.NOT_OWNER:
             return
         if done is Commit.REFUSED or task.state == STOPPING:
@@ -565,7 +459,7 @@
             self.scheduler.enqueue(task, self._node.clock.now())
 
     async def _keep_end(self, task: Task) -> None:
-        if await self._commit_for_sure(task):
+        if await self._rows.commit_for_sure(task):
             self._node.metrics.count("tasks_ended_total", state=task.state)
             self._forget_oldest()
             for index, name in enumerate(task.row.workers):
@@ -579,14 +473,7 @@
             return
         oldest = min(ended, key=lambda task: task.row.order)
         del self.task_by_id[oldest.task_id]
-        self._node.spawn(self._delete(oldest.row), "delete")
-
-    async def _delete(self, row: TaskRow) -> None:
-        try:
-            await self._node.writer.transact(Transaction((self._fence,), (Write(row.key, None),)))
-        except (TableUnavailable, TableUnknown):
-            # Found again, and dropped again, when the pool is next loaded.
-            return
+        self._node.spawn(self._rows.delete(oldest.row), "delete")
 
     def _wake_workers(self, task: Task) -> None:
         for name in task.row.workers:
@@ -595,12 +482,6 @@
                 link.wake.set()
 
 
-def _expected(task: Task) -> Condition:
-    if not task.version:
-        return Condition.absent(task.row.key)
-    return Condition.at(task.row.key, task.version)
-
-
 def _detail(task: Task) -> str:
     ends = ", ".join(
         f"{end.value} on {task.row.workers[index]}" for index, end in sorted(task.ends.items())
--- a/redwingrun/router.py
+++ b/redwingrun/router.py
@@ -15,17 +15,16 @@
     Dispatcher,
     Forward,
     Minion,
-    PoolNews,
     Reject,
     Send,
     Tell,
 )
 from redwingrun.httpclient import digest
 from redwingrun.minions import MinionAnswer, MinionCall, MinionClient
+from redwingrun.news import NewsExchange, message_of, news_from
 from redwingrun.node import Node
 from redwingrun.objects import MINIONS, Pool
 from redwingrun.peer_pb2 import News, RunReply, RunRequest
-from redwingrun.peer_pb2 import PoolNews as PoolNewsMessage
 from redwingrun.requests import Request
 from redwingrun.runtimes import RunTimes
 
@@ -59,8 +58,7 @@
         self._run_times = run_times
         self._budget = budget
         self._route_by_pool: dict[str, _Route] = {}
-        self._tell_by_peer: dict[str, asyncio.Task] = {}
-        self._sequence_by_peer: dict[str, int] = {}
+        self._exchange = NewsExchange(node, self.heard)
         self.in_flight = 0
         self._ended = asyncio.Event()
         self._waits = asyncio.Event()
@@ -92,8 +90,7 @@
             minion.leaving = self._node.unwelcome(name)
             if before.get(name) != minion.epoch:
                 self._node.spawn(self._settle(route, minion), f"settle-{name}")
-        peers = {row.member_id for row in self._entry_peers()}
-        route.dispatcher.keep_peers(peers)
+        route.dispatcher.keep_peers(self._exchange.peer_ids())
         self._act(route, route.dispatcher.fill(self._node.clock.now()))
 
     def _owned_minions(
@@ -250,7 +247,7 @@
             elif isinstance(action, Reject):
                 self._resolve(action.request, action.failure)
             elif isinstance(action, Tell):
-                self._tell_soon(action.member_id)
+                self._exchange.tell_soon(action.member_id)
 
     async def _send_own(self, route: _Route, action: Send) -> None:
         outcome = await self._send(route, action)
@@ -416,69 +413,27 @@
 
     # News
 
-    def _entry_peers(self) -> list:
-        members = self._node.membership.members("entry").values()
-        return [row for row in members if row.member_id != self._node.membership.member_id]
-
-    def _tell_soon(self, member_id: str) -> None:
-        running = self._tell_by_peer.get(member_id)
-        if running is None or running.done():
-            task = self._node.spawn(self._tell(member_id), "tell")
-            self._tell_by_peer[member_id] = task
-
-    async def _tell(self, member_id: str) -> None:
-        peer = self._node.membership.members("entry").get(member_id)
-        if peer is None:
-            return
-        result = await self._node.peers.call(
-            peer.peer_address, "Tell", self._node.news(), self._settings.table_timeout_s
-        )
-        if result.is_ok():
-            self.heard(result.ok)
-        # The rate limit: nothing more to this peer until then.
-        await asyncio.sleep(self._settings.news_interval_s)
-
-    async def tell_all(self) -> None:
-        """Tell every peer now and then, until cancelled."""
-        while True:
-            for peer in self._entry_peers():
-                self._tell_soon(peer.member_id)
-            await asyncio.sleep(self._settings.news_max_age_s / 2)
-
     def heard(self, news: News) -> None:
         """Take a peer's news; older ones than the last are void."""
-        if news.sequence <= self._sequence_by_peer.get(news.member_id, 0):
+        if not self._exchange.is_new(news):
             return
-        self._sequence_by_peer[news.member_id] = news.sequence
         now_s = self._node.clock.now()
         for item in news.pools:
             route = self._route_by_pool.get(item.pool)
             if route is not None:
-                told = PoolNews(
-                    item.free_short,
-                    item.free_long,
-                    item.waiting_short,
-                    item.waiting_long,
-                    item.speed,
-                )
+                told = news_from(item)
                 self._act(route, route.dispatcher.heard(news.member_id, told, now_s))
         if news.config_number > self._node.follower.in_force.number:
             self._node.spawn(self._node.config.hear_news(news), "config")
 
+    async def tell_all(self) -> None:
+        """Tell every peer now and then, until cancelled."""
+        await self._exchange.tell_all()
+
     def add_news(self, news: News) -> None:
         """Add what we tell of each pool."""
         for name, route in self._route_by_pool.items():
-            told = route.dispatcher.news()
-            news.pools.append(
-                PoolNewsMessage(
-                    pool=name,
-                    free_short=told.free_short,
-                    free_long=told.free_long,
-                    waiting_short=told.waiting_short,
-                    waiting_long=told.waiting_long,
-                    speed=told.speed,
-                )
-            )
+            news.pools.append(message_of(name, route.dispatcher.news()))
 
 
 def _outcome_of(reply: RunReply, request: Request, waited_s: float) -> Outcome:
--- a/redwingrun/scheduler.py
+++ b/redwingrun/scheduler.py
@@ -7,18 +7,15 @@
 from __future__ import annotations
 
 import heapq
-from collections import deque
 
 from attrs import asdict, define, field, frozen
 
+from redwingrun.gangs import GangBook
+from redwingrun.lanes import Lane, Shape
 from redwingrun.objects import ObjectSet, Size, Team, Upstream
 from redwingrun.packing import BestFit, Packer, Room, fitting
-from redwingrun.tasks import CHECKPOINTING, QUEUED, RUNNING, Task
+from redwingrun.tasks import CHECKPOINTING, RUNNING, Task
 
-# Chosen by the packing rows of the benchmarks: longer holds strand more than they help.
-GANG_PATIENCE_S = 60.0
-FIRST_GANG_HOLD_S = 10.0
-LONGEST_GANG_HOLD_S = 160.0
 QUARANTINE_FAILURES = 3
 FIRST_QUARANTINE_S = 10.0
 LONGEST_QUARANTINE_S = 600.0
@@ -81,67 +78,6 @@
     return Worker(upstream, room)
 
 
-@frozen
-class _Hold:
-    """Workers that are kept for a gang until a moment."""
-
-    task_id: str
-    until_s: float
-    workers: frozenset[str]
-
-
-Shape = tuple[object, ...]
-
-
-@define
-class _Lane:
-    """One team's queued tasks of one priority, in order, by shape.
-
-    Tasks of one shape fit or do not fit together, so a decision looks at shapes,
-    of which there are few, and not at tasks.
-    """
-
-    _by_shape: dict[Shape, deque[Task]] = field(factory=dict)
-
-    def add(self, task: Task) -> None:
-        """Add a task; one that was queued before comes back to its place."""
-        tasks = self._by_shape.setdefault(_shape(task), deque())
-        if tasks and tasks[-1].row.order > task.row.order:
-            tasks.append(task)
-            ordered = sorted(tasks, key=lambda item: item.row.order)
-            tasks.clear()
-            tasks.extend(ordered)
-        else:
-            tasks.append(task)
-
-    def heads(self, without: set[Shape]) -> list[tuple[int, Shape]]:
-        """Return order and shape of the first task of each shape, first come first."""
-        found = []
-        for shape, tasks in list(self._by_shape.items()):
-            while tasks and tasks[0].state != QUEUED:
-                # Cancelled while it waited: it costs no placement time.
-                tasks.popleft()
-            if not tasks:
-                del self._by_shape[shape]
-            elif shape not in without:
-                found.append((tasks[0].row.order, shape))
-        found.sort(key=lambda item: item[0])
-        return found
-
-    def head(self, shape: Shape) -> Task:
-        """Return the first task of a shape."""
-        return self._by_shape[shape][0]
-
-    def take(self, shape: Shape) -> None:
-        """Remove the first task of a shape."""
-        self._by_shape[shape].popleft()
-
-    def tasks(self) -> list[Task]:
-        """Return all that wait."""
-        found = [task for tasks in self._by_shape.values() for task in tasks]
-        return [task for task in found if task.state == QUEUED]
-
-
 @define
 class Scheduler:
     """Decides which queued task starts where.
@@ -153,11 +89,9 @@
     worker_by_name: dict[str, Worker] = field(factory=dict)
     objects: ObjectSet = field(factory=ObjectSet)
     examined: int = 0
-    _lane_by_level: dict[tuple[bool, int], dict[str, _Lane]] = field(factory=dict)
+    _lane_by_level: dict[tuple[bool, int], dict[str, Lane]] = field(factory=dict)
     _used_by_team: dict[str, Size] = field(factory=dict)
-    _gang_since: dict[str, float] = field(factory=dict)
-    _hold: _Hold | None = None
-    _hold_s_by_gang: dict[str, float] = field(factory=dict)
+    _gangs: GangBook = field(factory=GangBook)
     _rooms: list[Room] = field(factory=list)
     _misfits: set[Shape] = field(factory=set)
     _refresh_s: float = float("-inf")
@@ -216,7 +150,7 @@
         """Queue a task in the order of submission within its team."""
         task.queued_s = now_s
         lanes = self._lane_by_level.setdefault(self._level(task), {})
-        lanes.setdefault(task.row.team, _Lane()).add(task)
+        lanes.setdefault(task.row.team, Lane()).add(task)
 
     def _level(self, task: Task) -> tuple[bool, int]:
         return task.row.urgent, self._priority(task)
@@ -277,7 +211,8 @@
             self._refresh_s = now_s + REFRESH_INTERVAL_S
             self.refresh()
             self._rooms = self._usable_rooms(now_s)
-            self._update_hold(self._rooms, now_s)
+            if self._gangs.any_waits():
+                self._gangs.update(self._waiting(), self._rooms, now_s)
         rooms = self._rooms
         if not rooms:
             return placements
@@ -294,7 +229,7 @@
 
     def _place_level(
         self,
-        lanes: dict[str, _Lane],
+        lanes: dict[str, Lane],
         rooms: list[Room],
         now_s: float,
         placements: list[Placement],
@@ -308,7 +243,7 @@
                 placements.append(placement)
                 heapq.heappush(turns, (self._team_load(team), team))
 
-    def _place_one(self, lane: _Lane, rooms: list[Room], now_s: float) -> Placement | None:
+    def _place_one(self, lane: Lane, rooms: list[Room], now_s: float) -> Placement | None:
         for _, shape in lane.heads(self._misfits):
             found = self._try(lane.head(shape), rooms, now_s)
             if found is not None:
@@ -322,25 +257,15 @@
         self.examined += 1
         if self._over_quota(task):
             return None
-        workers = self._choose(task, self._open_rooms(task, rooms, now_s))
+        workers = self._choose(task, self._gangs.open_rooms(task, rooms, now_s))
         if workers is None:
             if task.row.count > 1:
-                self._gang_since.setdefault(task.task_id, now_s)
+                self._gangs.waits(task, now_s)
             return None
-        self._gang_since.pop(task.task_id, None)
-        self._hold_s_by_gang.pop(task.task_id, None)
+        self._gangs.started(task)
         self.reserve(task, workers)
         return Placement(task, workers)
 
-    def _open_rooms(self, task: Task, rooms: list[Room], now_s: float) -> list[Room]:
-        """Return the rooms that are not kept for a gang while this task would run."""
-        hold = self._hold
-        if hold is None or task.row.urgent or task.task_id == hold.task_id:
-            return rooms
-        if now_s + task.row.run_s <= hold.until_s:
-            return rooms
-        return [room for room in rooms if room.name not in hold.workers]
-
     def _choose(self, task: Task, rooms: list[Room]) -> tuple[str, ...] | None:
         size = task.row.size
         chosen: list[Room] = []
@@ -393,46 +318,6 @@
                 return f"quota of team {name}: {excess}"
         return ""
 
-    # Gangs
-
-    def _update_hold(self, rooms: list[Room], now_s: float) -> None:
-        """Keep some workers for a gang that has waited long, for a limited time.
-
-        When the hold ends in vain the gang waits its patience again, so that it
-        can't stop the pool; its next hold is twice as long, up to a limit.
-        """
-        hold = self._hold
-        if hold is not None:
-            if hold.task_id in self._gang_since and now_s < hold.until_s:
-                return
-            if hold.task_id in self._gang_since:
-                self._gang_since[hold.task_id] = now_s
-                longer_s = 2 * self._hold_s_by_gang.get(hold.task_id, FIRST_GANG_HOLD_S)
-                self._hold_s_by_gang[hold.task_id] = min(longer_s, LONGEST_GANG_HOLD_S)
-            self._hold = None
-        queued = self._queued_gangs()
-        self._gang_since = {key: at for key, at in self._gang_since.items() if key in queued}
-        waited = [key for key, at in self._gang_since.items() if now_s - at >= GANG_PATIENCE_S]
-        if waited:
-            task = queued[min(waited, key=lambda key: self._gang_since[key])]
-            names = self._workers_to_hold(task, rooms)
-            hold_s = self._hold_s_by_gang.get(task.task_id, FIRST_GANG_HOLD_S)
-            self._hold = _Hold(task.task_id, now_s + hold_s, names)
-
-    def _workers_to_hold(self, task: Task, rooms: list[Room]) -> frozenset[str]:
-        """Return the emptiest workers that together could take the gang."""
-        size = task.row.size
-        large = [
-            room for room in rooms if size.fits(self.worker_by_name[room.name].upstream.capacity)
-        ]
-        large.sort(key=lambda room: (-room.free_cores / (room.cores or 1), room.name))
-        return frozenset(room.name for room in large[: task.row.count])
-
-    def _queued_gangs(self) -> dict[str, Task]:
-        if not self._gang_since:
-            return {}
-        return {task.task_id: task for task in self._waiting() if task.task_id in self._gang_since}
-
     def _waiting(self) -> list[Task]:
         found = []
         for lanes in self._lane_by_level.values():
@@ -501,12 +386,7 @@
         notes.insert(0, f"{fitting} of {len(usable)} workers have room for one member now")
         if task.row.count > 1:
             notes.append(f"all {task.row.count} members must start together")
-        hold = self._hold
-        if hold is not None and hold.task_id != task.task_id:
-            left_s = hold.until_s - now_s
-            notes.append(
-                f"{len(hold.workers)} workers are kept for a gang for {left_s:.0f} s more"
-            )
+        notes.extend(self._gangs.notes(task, now_s))
         return notes
 
     def _worker_notes(self, now_s: float) -> list[str]:
@@ -524,9 +404,3 @@
     def queued(self) -> int:
         """Return how many tasks wait."""
         return len(self._waiting())
-
-
-def _shape(task: Task) -> Shape:
-    row = task.row
-    size = (row.cores, row.memory_gb, row.accelerators)
-    return (*size, row.count, row.team, row.workload, row.run_s, *sorted(task.avoid))
--- a/redwingrun/web.py
+++ b/redwingrun/web.py
@@ -10,7 +10,7 @@
 
 from redwingrun import __version__
 from redwingrun.auth import Identity
-from redwingrun.coordination.verdict import Failure, Verdict, not_run
+from redwingrun.coordination.verdict import Failure, Verdict
 from redwingrun.httpclient import VERDICT_HEADER
 
 if TYPE_CHECKING:
@@ -221,8 +221,3 @@
         (r"/metrics", MetricsHandler, {"node": node}),
         (r"/v1/debug", DebugHandler, {"node": node}),
     ]
-
-
-def refused(reason: str, detail: str) -> Failure:
-    """Return a refusal before anything was sent."""
-    return not_run(reason, detail)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -4,8 +4,9 @@
 
 from attrs import evolve
 
+from redwingrun.gangs import GANG_PATIENCE_S
 from redwingrun.objects import ObjectSet, Policy, Pool, Team, Upstream, Workload
-from redwingrun.scheduler import GANG_PATIENCE_S, QUARANTINE_FAILURES, Scheduler
+from redwingrun.scheduler import QUARANTINE_FAILURES, Scheduler
 from redwingrun.tasks import End, Task, TaskRow
 
 
