Bound the calls served at once, drop settings without use, prove urgent work

Cause: reading the settings beside the code showed three that nothing read: the limit of connections was announced and not kept.

Change: max_calls is kept (503, not run); table_writes_per_s and default_deadline_s are gone; a test finds settings without use. Decision time and the owner's hop are measured and logged. A cancellation whose write was under way when ownership ended is told as "may have run", not "not run". An end-to-end test holds urgent work to 4.8 s on a full worker.

--- a/redwingrun/config.py
+++ b/redwingrun/config.py
@@ -65,16 +65,12 @@
         "longest time without the table before a lease ends", number(1, 86400), 300.0
     )
     table_timeout_s: float = checked("longest wait for the table", number(0.05, 60), 1.0)
-    table_writes_per_s: float = checked(
-        "writes a second that this process may send", number(1, 10000), 60.0
-    )
     group_delay_s: float = checked("how long writes gather", number(0, 1), 0.005)
     group_max_writes: int = checked("rows in one group of writes", whole(1, 10000), 200)
 
     max_body_bytes: int = checked("largest body of a request", whole(1, 64 << 20), 1 << 20)
-    max_connections: int = checked("callers connected at once", whole(1, 100000), 2000)
+    max_calls: int = checked("calls of callers served at once", whole(1, 100000), 2000)
     queue_limit: int = checked("requests that may wait here", whole(1, 100000), 500)
-    default_deadline_s: float = checked("deadline when none is given", number(0.01, 3600), 5.0)
     connect_timeout_s: float = checked("longest wait to connect", number(0.01, 60), 0.5)
     retry_share: float = checked("retries as a share of requests", number(0, 1), 0.1)
     news_interval_s: float = checked("shortest time between news to a peer", number(0, 10), 0.02)
--- a/redwingrun/node.py
+++ b/redwingrun/node.py
@@ -50,9 +50,10 @@
         self._active = 0
         self._changed = asyncio.Event()
 
-    def enter(self) -> None:
-        """Note a call that begins."""
+    def enter(self) -> int:
+        """Note a call that begins; return how many are being served with it."""
         self._active += 1
+        return self._active
 
     def leave(self) -> None:
         """Note a call that was answered."""
--- a/redwingrun/poolkeeper.py
+++ b/redwingrun/poolkeeper.py
@@ -15,6 +15,7 @@
 from redwingrun.scheduler import Placement, Scheduler
 from redwingrun.taskrows import RETRY_INTERVAL_S, Commit, TaskRows
 from redwingrun.tasks import (
+    CANCELLED,
     CHECKPOINTING,
     QUEUED,
     STOPPING,
@@ -72,7 +73,6 @@
         self._place_now = asyncio.Event()
         self._order = 0
         self._submissions: dict[str, asyncio.Task] = {}
-        self._claimed_s = node.clock.now()
         fence = node.membership.fence(pool)
         self._rows = TaskRows(node.table, node.writer, pool, fence, self.owns)
 
@@ -194,15 +194,20 @@
             return None
         before = task.row
         task.happen("cancel", "cancelled")
-        if await self._rows.commit(task) is not Commit.DONE:
-            if task.state == STOPPING or task.state == "cancelled":
-                task.row = evolve(task.row, state=before.state, detail=before.detail)
-                self._requeue_if_queued(task)
-            return not_run("table-unavailable", "the cancellation could not be kept")
-        self._wake_workers(task)
-        return None
-
-    def _requeue_if_queued(self, task: Task) -> None:
+        done = await self._rows.commit(task)
+        if done is Commit.DONE:
+            self._wake_workers(task)
+            return None
+        if done is Commit.NOT_OWNER:
+            return may_have_run("not-owner", "the next owner may find the task cancelled")
+        self._take_back(task, before)
+        return not_run("table-unavailable", "the cancellation could not be kept")
+
+    def _take_back(self, task: Task, before: TaskRow) -> None:
+        """Undo a cancellation that was not kept, unless the task has ended meanwhile."""
+        if task.state not in (STOPPING, CANCELLED):
+            return
+        task.row = evolve(task.row, state=before.state, detail=before.detail)
         if task.state == QUEUED:
             self.scheduler.enqueue(task, self._node.clock.now())
 
--- a/redwingrun/router.py
+++ b/redwingrun/router.py
@@ -125,7 +125,10 @@
         self._budget.earned()
         self.in_flight += 1
         try:
-            self._act(route, route.dispatcher.submit(request, self._node.clock.now()))
+            kind = "long" if request.long else "short"
+            with self._node.metrics.timed("decision_seconds", cls=kind):
+                actions = route.dispatcher.submit(request, self._node.clock.now())
+            self._act(route, actions)
             return await request.waiter
         finally:
             self._left()
@@ -200,6 +203,12 @@
             outcome = await self._send(route, send)
         finally:
             self._left()
+        self._node.log.detail(
+            "peer-request",
+            request=message.request_id,
+            minion=send.minion,
+            verdict=outcome.verdict.value,
+        )
         return self._reply(message.request_id, outcome)
 
     def _request_of(self, message: RunRequest, pool: str, declared_s: float) -> Request:
--- a/redwingrun/tasks.py
+++ b/redwingrun/tasks.py
@@ -18,6 +18,7 @@
 CHECKPOINTING = "checkpointing"
 STOPPING = "stopping"
 SUCCEEDED = "succeeded"
+CANCELLED = "cancelled"
 MAX_ATTEMPTS = 3
 
 
--- a/redwingrun/web.py
+++ b/redwingrun/web.py
@@ -32,6 +32,7 @@
     "never-fits": 422,
     "over-quota": 422,
     "cancelled": 409,
+    "too-many-calls": 503,
     "queue-full": 429,
     "too-busy": 429,
 }
@@ -55,7 +56,8 @@
 
     def prepare(self) -> None:
         """Count the call as being served."""
-        self.node.calls.enter()
+        if self.node.calls.enter() > self.node.settings.max_calls:
+            raise HTTPError(503, f"{self.node.settings.max_calls} calls are served already")
         if not self.node.ready:
             # While it stops or is not ready, no caller should keep a connection.
             self.set_header("Connection", "close")
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -236,3 +236,19 @@
             assert runs == {"first": 1}
 
     asyncio.run(scenario())
+
+
+def test_calls_over_the_limit_are_refused_as_not_run():
+    async def scenario():
+        layout = Layout(weights=(1.0,), norte=False)
+        layout.settings["max_calls"] = 4
+        async with Cell(layout) as cell:
+            body = {"nonce": "slow", "work_s": 0.5}
+            replies = await asyncio.gather(
+                *[cell.as_team("setters", "POST", CHECK, body) for _ in range(8)]
+            )
+            refused = [reply for reply in replies if reply.status == 503]
+            assert len(refused) == 4
+            assert all(reply.verdict == "not run" for reply in refused)
+
+    asyncio.run(scenario())
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -92,3 +92,9 @@
         for line in path.read_text(encoding="utf-8").splitlines():
             if line.startswith(("from redwingrun", "import redwingrun")):
                 assert "redwingrun.coordination" in line, (path, line)
+
+
+def test_every_setting_is_used():
+    texts = [path.read_text(encoding="utf-8") for path in ROOT.glob("redwingrun/**/*.py")]
+    used = set(re.findall(r"(?:settings|self)\.(?=([a-z_]+))", "".join(texts)))
+    assert [name for name, _, _ in reference() if name not in used] == []
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -1,9 +1,13 @@
 """The whole path through real processes, once."""
 
 import asyncio
+import time
+from functools import partial
 
 from lab.cell import Cell, Layout
 
+URGENT_S = 4.8
+
 
 def test_a_check_an_order_and_a_task_are_served_end_to_end():
     async def scenario():
@@ -34,3 +38,41 @@
             assert stranger.status == 404
 
     asyncio.run(scenario())
+
+
+def test_urgent_work_starts_in_time_by_checkpoint_and_the_batch_work_still_ends():
+    """Every worker is full of re-plans; the urgent one takes a place of theirs."""
+
+    async def scenario():
+        async with Cell(Layout(weights=(1.0, 2.0), workers=1, norte=False)) as cell:
+
+            async def submit(workload: str, key: str, work_s: float, **headers: str) -> str:
+                reply = await cell.as_team(
+                    "head-setter",
+                    "POST",
+                    f"/v1/tasks/{workload}",
+                    {"nonce": key, "work_s": work_s},
+                    headers={"Idempotency-Key": key, **headers},
+                )
+                assert reply.status == 202, reply
+                return reply.json()["task_id"]
+
+            async def in_state(task_id: str, state: str) -> bool:
+                reply = await cell.as_team("head-setter", "GET", f"/v1/task/{task_id}")
+                return reply.json()["state"] == state
+
+            batch = [await submit("re-plan", f"plan-{index}", 6.0) for index in range(8)]
+            for task_id in batch:
+                await cell.until(partial(in_state, task_id, "running"), 20, task_id)
+            started_s = time.monotonic()
+            urgent = await submit("storm-re-plan", "storm", 0.5, **{"X-Urgent": "1"})
+            starts = f"{urgent} starts"
+            await cell.until(partial(in_state, urgent, "running"), 20, starts)
+            assert time.monotonic() - started_s <= URGENT_S
+            for task_id in [urgent, *batch]:
+                await cell.until(partial(in_state, task_id, "succeeded"), 40, task_id)
+            workers = await cell.counters("workers")
+            assert workers["overcommitted"] == workers["doubled"] == 0
+            assert max(workers["starts_by_task"].values()) == 2
+
+    asyncio.run(scenario())
