--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import signal
 import sys
 import time
@@ -13,6 +14,7 @@
 
 from benchmarks.control import cpu_s, usage
 from lab.cell import Cell, Layout
+from redwingrun.objects import ObjectSet, objects_from_text
 
 IDLE_S = 10.0
 HOSTS = (2, 4, 8)
@@ -21,6 +23,7 @@
 PLAN_HOSTS = 8
 PLAN_WORKERS = 640
 PLAN_TASKS = 4600
+PLAN_TEAMS = 59
 MB = 2**20
 
 
@@ -139,7 +142,50 @@
     return time.monotonic() - started_s
 
 
-PARTS = {"hosts": _hosts, "workers": _workers, "tasks": _tasks}
+async def _objects() -> list[Line]:
+    checking, applying, sizes = [], [], []
+    for count in WORKERS:
+        text = _large_set(count)
+        started_s = time.perf_counter()
+        objects = objects_from_text("plan.jsonc", text)
+        checking.append((time.perf_counter() - started_s) * 1000)
+        content = objects.content()
+        started_s = time.perf_counter()
+        ObjectSet.from_content(content)
+        applying.append((time.perf_counter() - started_s) * 1000)
+        sizes.append(len(content) / 1024)
+    return [
+        Line("checking a whole set, by workers", "ms", WORKERS, checking, PLAN_WORKERS),
+        Line("applying a set on a daemon, by workers", "ms", WORKERS, applying, PLAN_WORKERS),
+        Line("size of a set, by workers", "KB", WORKERS, sizes, PLAN_WORKERS),
+    ]
+
+
+def _large_set(workers: int) -> str:
+    upstreams = {
+        f"w{index}": {
+            "address": f"http://10.0.{index // 250}.{index % 250}:80",
+            "data_centre": f"d{index % 8}",
+            "rack": f"r{index // 8}",
+            "cores": 32,
+            "memory_gb": 128,
+            "accelerators": 2,
+        }
+        for index in range(workers)
+    }
+    teams = {f"team-{index}": {"quota": {"cores": 100}} for index in range(PLAN_TEAMS)}
+    workload = {"kind": "batch", "pool": "w", "policy": "p", "size": {"cores": 4}}
+    workloads = {f"work-{name}": {**workload, "teams": [name]} for name in teams}
+    plain = {
+        "teams": teams,
+        "policies": {"p": {}},
+        "pools": {"w": {"type": "workers", "upstreams": upstreams}},
+        "workloads": workloads,
+    }
+    return json.dumps(plain, indent=1)
+
+
+PARTS = {"objects": _objects, "hosts": _hosts, "workers": _workers, "tasks": _tasks}
 
 
 def main() -> None:
--- a/redwingrun/objects.py
+++ b/redwingrun/objects.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import cached_property
 from pathlib import Path
 from typing import Any
 
@@ -132,8 +133,9 @@
     shard_size: int = checked("minions under one owner", whole(1, 1000), 3)
     long_share: float = checked("share of slots open to long work", number(0, 1), 0.75)
 
+    @cached_property
     def upstreams_by_name(self) -> dict[str, Upstream]:
-        """Return the minions or workers."""
+        """The minions or workers; made once, since every workload's check reads them."""
         return {name: Upstream(name=name, **plain) for name, plain in self.upstreams.items()}
 
     def shards(self) -> dict[str, list[str]]:
@@ -372,14 +374,17 @@
 def never_runs(workload: Workload, pool: Pool) -> str:
     """Say why no worker of a pool can ever run a workload, empty when one can."""
     size = workload.task_size
-    workers = pool.upstreams_by_name().values()
+    workers = pool.upstreams_by_name.values()
     if not workers:
         return f"pool {pool.name} has no workers"
     if not any(size.fits(worker.capacity) for worker in workers):
         return f"no worker of {pool.name} is large enough: {_closest(size, list(workers))}"
-    if sum(_copies(size, worker.capacity, workload.count) for worker in workers) < workload.count:
-        return f"{workload.count} tasks at once do not fit into {pool.name}"
-    return ""
+    left = workload.count
+    for worker in workers:
+        left -= _copies(size, worker.capacity, left)
+        if left <= 0:
+            return ""
+    return f"{workload.count} tasks at once do not fit into {pool.name}"
 
 
 def _closest(size: Size, workers: list[Upstream]) -> str:
--- a/redwingrun/poolkeeper.py
+++ b/redwingrun/poolkeeper.py
@@ -135,7 +135,7 @@
         objects = self._node.objects
         self.scheduler.objects = objects
         pool = objects.pools.get(self._pool)
-        upstreams = pool.upstreams_by_name() if pool else {}
+        upstreams = pool.upstreams_by_name if pool else {}
         leaving = {name for name in upstreams if self._node.unwelcome(name)}
         self.scheduler.set_workers(upstreams, leaving)
 
--- a/redwingrun/router.py
+++ b/redwingrun/router.py
@@ -96,7 +96,7 @@
     def _owned_minions(
         self, pool: Pool, owned: dict[str, int], route: _Route
     ) -> dict[str, Minion]:
-        upstreams = pool.upstreams_by_name()
+        upstreams = pool.upstreams_by_name
         found = {}
         route.shard_by_minion = {}
         for shard, names in pool.shards().items():
