--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -1,4 +1,4 @@
-"""``make bench``: every decision beside its baselines; exits 1 when a target is missed."""
+"""``make bench``: decisions beside baselines; exits 1 on a missed target."""
 
 from __future__ import annotations
 
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -1,4 +1,4 @@
-"""``make capacity``: slopes over three sizes of each role, and the plan's size from them."""
+"""``make capacity``: slopes over three sizes, and the plan's size by role."""
 
 from __future__ import annotations
 
@@ -57,7 +57,12 @@
 
 
 async def _hosts() -> list[Line]:
-    rows: dict[str, list[float]] = {"writes": [], "reads": [], "entry": [], "placer": []}
+    rows: dict[str, list[float]] = {
+        "writes": [],
+        "reads": [],
+        "entry": [],
+        "placer": [],
+    }
     for count in HOSTS:
         layout = Layout(weights=(1.0,) * count, norte=False, settings={})
         async with Cell(layout) as cell:
@@ -69,12 +74,16 @@
             rows["writes"].append((after["writes"] - before["writes"]) / IDLE_S)
             rows["reads"].append((after["reads"] - before["reads"]) / IDLE_S)
             rows["entry"].append((cpu_s(cell, "entry") - entry) / IDLE_S / count * 100)
-            rows["placer"].append((cpu_s(cell, "placer") - placer) / IDLE_S / count * 100)
+            rows["placer"].append(
+                (cpu_s(cell, "placer") - placer) / IDLE_S / count * 100
+            )
     return [
         Line("table writes, idle, by hosts", "/s", HOSTS, rows["writes"], PLAN_HOSTS),
         Line("table reads, idle, by hosts", "/s", HOSTS, rows["reads"], PLAN_HOSTS),
         Line("entry, idle, by hosts", "% of a core", HOSTS, rows["entry"], PLAN_HOSTS),
-        Line("placer, idle, by hosts", "% of a core", HOSTS, rows["placer"], PLAN_HOSTS),
+        Line(
+            "placer, idle, by hosts", "% of a core", HOSTS, rows["placer"], PLAN_HOSTS
+        ),
     ]
 
 
@@ -89,7 +98,13 @@
             processor.append((cpu_s(cell, "placer") - before) / IDLE_S * 100)
             memory.append(usage(cell.hosts[0], "placer").resident_bytes / MB)
     return [
-        Line("placer, one owner, by workers", "% of a core", WORKERS, processor, PLAN_WORKERS),
+        Line(
+            "placer, one owner, by workers",
+            "% of a core",
+            WORKERS,
+            processor,
+            PLAN_WORKERS,
+        ),
         Line("placer, one owner, by workers", "MB", WORKERS, memory, PLAN_WORKERS),
     ]
 
@@ -107,7 +122,9 @@
     return [
         Line("placer, one owner, by tasks queued", "MB", TASKS, memory, PLAN_TASKS),
         Line("table rows, by tasks", "rows", TASKS, sizes, PLAN_TASKS),
-        Line("planned hand-over of the pool, by tasks", "s", TASKS, loading, PLAN_TASKS),
+        Line(
+            "planned hand-over of the pool, by tasks", "s", TASKS, loading, PLAN_TASKS
+        ),
     ]
 
 
@@ -119,19 +136,23 @@
             headers = {"Idempotency-Key": f"c-{index}"}
             body = {"nonce": "c", "work_s": 3600}
             path = "/v1/tasks/re-plan"
-            reply = await cell.as_team("head-setter", "POST", path, body, headers=headers)
+            reply = await cell.as_team(
+                "head-setter", "POST", path, body, headers=headers
+            )
             assert reply.status == 202, reply
 
     await asyncio.gather(*[one(index) for index in range(count)])
 
 
 async def _handover(cell: Cell, count: int) -> float:
-    """Stop the owner as planned; return the time until the other answers for its tasks."""
+    """Stop the owner as planned; time until the other answers for its tasks."""
     started_s = time.monotonic()
     cell.send_signal(cell.hosts[0], signal.SIGTERM, ("placer",))
 
     async def answered() -> bool:
-        status = (await cell.as_operator("GET", "/v1/status", host=cell.hosts[1])).json()
+        status = (
+            await cell.as_operator("GET", "/v1/status", host=cell.hosts[1])
+        ).json()
         if status["owners"]["walls"] != cell.hosts[1].name:
             return False
         path = f"/v1/task/walls:head-setter:c-{count - 1}"
@@ -156,7 +177,13 @@
         sizes.append(len(content) / 1024)
     return [
         Line("checking a whole set, by workers", "ms", WORKERS, checking, PLAN_WORKERS),
-        Line("applying a set on a daemon, by workers", "ms", WORKERS, applying, PLAN_WORKERS),
+        Line(
+            "applying a set on a daemon, by workers",
+            "ms",
+            WORKERS,
+            applying,
+            PLAN_WORKERS,
+        ),
         Line("size of a set, by workers", "KB", WORKERS, sizes, PLAN_WORKERS),
     ]
 
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -1,4 +1,4 @@
-"""Control cost and recovery of real daemons with stand-ins: writes, processor time, memory."""
+"""Control cost and recovery of real daemons: writes, processor time, memory."""
 
 from __future__ import annotations
 
@@ -53,7 +53,9 @@
         async with gate:
             host = cell.hosts[index % len(cell.hosts)]
             body = {"nonce": f"bench-{index}", "work_s": 0.02}
-            reply = await cell.as_team("setters", "POST", "/v1/run/grade-check", body, host=host)
+            reply = await cell.as_team(
+                "setters", "POST", "/v1/run/grade-check", body, host=host
+            )
             answered += reply.status == 200
             refused += reply.verdict == "not run"
 
@@ -121,7 +123,9 @@
         Row("checks answered", answered / CHECKS, "", 1.0, at_least=True),
         Row("table writes per check", max(0.0, round(extra / CHECKS, 2)), "", 0.0),
         Row(
-            "entry processor time per check", (cpu_s(cell, "entry") - entry) / CHECKS * 1000, "ms"
+            "entry processor time per check",
+            (cpu_s(cell, "entry") - entry) / CHECKS * 1000,
+            "ms",
         ),
     )
     before, placer = await cell.counters("platform"), cpu_s(cell, "placer")
@@ -134,7 +138,9 @@
         "control cost, work",
         Row("table writes per task", extra / TASKS, "", WRITES_PER_TASK_BOUND),
         Row(
-            "placer processor time per task", (cpu_s(cell, "placer") - placer) / TASKS * 1000, "ms"
+            "placer processor time per task",
+            (cpu_s(cell, "placer") - placer) / TASKS * 1000,
+            "ms",
         ),
     )
 
--- a/benchmarks/driver.py
+++ b/benchmarks/driver.py
@@ -1,4 +1,4 @@
-"""Drives the shipping dispatchers in virtual time, beside baselines on the same arrivals."""
+"""Drives the shipping dispatchers in virtual time, beside baselines."""
 
 from __future__ import annotations
 
@@ -11,7 +11,15 @@
 from attrs import define, field, frozen
 
 from redwingrun.choosers import Candidate, Chooser, FastestFree
-from redwingrun.dispatcher import Action, Dispatcher, Forward, Minion, Reject, Send, Tell
+from redwingrun.dispatcher import (
+    Action,
+    Dispatcher,
+    Forward,
+    Minion,
+    Reject,
+    Send,
+    Tell,
+)
 from redwingrun.objects import Upstream
 from redwingrun.requests import Request
 from redwingrun.runtimes import RunTimes
@@ -158,7 +166,9 @@
         self._pending: set[tuple[str, str]] = set()
         self._source = random.Random(5)
         for index in range(user.owners):
-            dispatcher = Dispatcher("pool", queue_limit, news_max_age_s, chooser=chooser())
+            dispatcher = Dispatcher(
+                "pool", queue_limit, news_max_age_s, chooser=chooser()
+            )
             dispatcher.set_shares({}, long_share)
             self.dispatcher_by_id[f"e{index}"] = dispatcher
         self._share_minions()
@@ -167,7 +177,9 @@
             self.timeline.after(0.01, self._expire, name)
 
     def _share_minions(self) -> None:
-        owned: dict[str, dict[str, Minion]] = {name: {} for name in self.dispatcher_by_id}
+        owned: dict[str, dict[str, Minion]] = {
+            name: {} for name in self.dispatcher_by_id
+        }
         names = list(self.dispatcher_by_id)
         for index, speed in enumerate(speeds(self.user)):
             name = f"m{index}"
@@ -211,7 +223,11 @@
             elif isinstance(action, Forward):
                 self.messages += 1
                 self.timeline.after(
-                    self.user.hop_s, self._forwarded, entry, action.member_id, action.request
+                    self.user.hop_s,
+                    self._forwarded,
+                    entry,
+                    action.member_id,
+                    action.request,
                 )
             elif isinstance(action, Reject):
                 action.request.body.refused = True
@@ -250,16 +266,22 @@
             request.body.ended_s = now_s + (0.0 if origin == owner else self.user.hop_s)
             self._run_times.of(request.workload, DECLARED_S).record(run_s)
         dispatcher = self.dispatcher_by_id[owner]
-        done = dispatcher.finished(send.minion, request, run_s if ok else None, ok, now_s)
+        done = dispatcher.finished(
+            send.minion, request, run_s if ok else None, ok, now_s
+        )
         self._act(owner, done)
         if origin != owner:
             # The answer carries the owner's news.
             self.messages += 1
-            self.timeline.after(self.user.hop_s, self._heard, origin, owner, dispatcher.news())
+            self.timeline.after(
+                self.user.hop_s, self._heard, origin, owner, dispatcher.news()
+            )
         if not ok:
             request.attempts += 1
             if request.attempts < 3:
-                self._act(origin, self.dispatcher_by_id[origin].returned(request, now_s))
+                self._act(
+                    origin, self.dispatcher_by_id[origin].returned(request, now_s)
+                )
             else:
                 request.body.refused = True
 
@@ -340,7 +362,11 @@
         long_open = self._long_queue and self._long_running < self._long_cap
         if long_open and not self._queue:
             return self._long_queue.popleft()
-        if self._queue and long_open and self._long_queue[0].arrived_s < self._queue[0].arrived_s:
+        if (
+            self._queue
+            and long_open
+            and self._long_queue[0].arrived_s < self._queue[0].arrived_s
+        ):
             return self._long_queue.popleft()
         return self._queue.popleft() if self._queue else None
 
@@ -370,7 +396,9 @@
 
     def _arrive(self, work: Work) -> None:
         candidates = [
-            Candidate(f"{index:03d}", self._busy[index] + len(self._queues[index]), SLOTS, 1.0)
+            Candidate(
+                f"{index:03d}", self._busy[index] + len(self._queues[index]), SLOTS, 1.0
+            )
             for index in range(len(self._speeds))
         ]
         index = int(self._chooser.choose(candidates).name)
--- a/benchmarks/packing.py
+++ b/benchmarks/packing.py
@@ -11,7 +11,13 @@
 from benchmarks.driver import Timeline, percentile
 from benchmarks.rows import Report, Row
 from redwingrun.objects import ObjectSet, Policy, Pool, Size, Team, Upstream, Workload
-from redwingrun.packing import BestFit, DotProduct, Packer, ReferenceLevelPacker, WorstFit
+from redwingrun.packing import (
+    BestFit,
+    DotProduct,
+    Packer,
+    ReferenceLevelPacker,
+    WorstFit,
+)
 from redwingrun.scheduler import Placement, Scheduler
 from redwingrun.tasks import End, Task, TaskRow
 
@@ -56,7 +62,11 @@
         teams={"t": Team(name="t")},
         policies={"p": Policy(name="p")},
         pools={"w": Pool(name="w", type="workers", upstreams={})},
-        workloads={"plan": Workload(name="plan", kind="batch", pool="w", policy="p", teams=["t"])},
+        workloads={
+            "plan": Workload(
+                name="plan", kind="batch", pool="w", policy="p", teams=["t"]
+            )
+        },
     )
     made.set_workers(workers, set())
     for worker in made.worker_by_name.values():
@@ -79,7 +89,10 @@
         source = self._source
         off = 4 ** source.uniform(-1, 1)
         share = self._cores / 32
-        cores = min(self._cores, max(0.25, round(source.choice([1, 2, 4]) * share * off * 4) / 4))
+        cores = min(
+            self._cores,
+            max(0.25, round(source.choice([1, 2, 4]) * share * off * 4) / 4),
+        )
         per_core = self._memory_gb / self._cores
         memory_gb = min(self._memory_gb, cores * per_core * 2 ** source.uniform(-1, 1))
         accelerators = 1 if source.random() < 0.05 else 0
@@ -230,5 +243,10 @@
         report.add(
             "decision time of a placement",
             Row(f"p50 at {workers} workers", percentile(times_s, 0.5) * 1000, "ms"),
-            Row(f"p99 at {workers} workers", percentile(times_s, 0.99) * 1000, "ms", bound),
+            Row(
+                f"p99 at {workers} workers",
+                percentile(times_s, 0.99) * 1000,
+                "ms",
+                bound,
+            ),
         )
--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -1,4 +1,4 @@
-"""Waiting, head-of-line blocking, crest and retries: the shipping routing on equal arrivals."""
+"""Waiting, head-of-line blocking, crest and retries, on equal arrivals."""
 
 from __future__ import annotations
 
@@ -69,19 +69,28 @@
         report.add(
             section,
             Row(f"{name} waiting p50", percentile(ours.waits_s, 0.5) * MS, "ms"),
-            Row(f"{name} waiting p99", p99 * MS, "ms", note=f"ideal {ideal_p99 * MS:.1f} ms"),
+            Row(
+                f"{name} waiting p99",
+                p99 * MS,
+                "ms",
+                note=f"ideal {ideal_p99 * MS:.1f} ms",
+            ),
             Row(f"{name} p99 over ideal", added, "runs", WAIT_BOUND_BY_LOAD.get(load)),
         )
         ratio = percentile(ours.totals_s, 0.99) / percentile(ideal.totals_s, 0.99)
         bound = TIME_IN_SYSTEM_BOUND if load == 0.8 else None
-        report.add(section, Row(f"{name} p99 time in system / ideal", ratio, "x", bound))
+        report.add(
+            section, Row(f"{name} p99 time in system / ideal", ratio, "x", bound)
+        )
 
 
 def ways(report: Report, user: User) -> None:
     """Compare the ways of choosing a minion, late and bound at once."""
     section = f"ways of choosing at 80%, {user.name}: p99 time in system / ideal"
     mix = Mix(0.8, seconds=8.0)
-    ideal = percentile(summary(CentralQueue(user).run(arrivals(user, mix))).totals_s, 0.99)
+    ideal = percentile(
+        summary(CentralQueue(user).run(arrivals(user, mix))).totals_s, 0.99
+    )
     for name, make in choosers(1).items():
         works = Entries(user, chooser=make).run(arrivals(user, mix))
         late = percentile(summary(works).totals_s, 0.99) / ideal
@@ -120,7 +129,9 @@
 
 
 def _long_work_done(works: list[Work], end_s: float) -> float:
-    return sum(work.work_s for work in works if work.long and 0 <= work.ended_s <= end_s)
+    return sum(
+        work.work_s for work in works if work.long and 0 <= work.ended_s <= end_s
+    )
 
 
 def _crest_rate(now_s: float) -> float:
@@ -141,7 +152,9 @@
     useful = [work for work in inside if work.total_s <= user.deadline_s]
     capacity = capacity_per_s(user, user.mean_s)
     totals = sorted(work.total_s for work in inside)
-    after = [work.waited_s for work in works if work.arrived_s >= CREST_TO_S + 1 + RECOVER_S]
+    after = [
+        work.waited_s for work in works if work.arrived_s >= CREST_TO_S + 1 + RECOVER_S
+    ]
     before = [work.waited_s for work in works if 2 <= work.arrived_s < CREST_FROM_S]
     normal = percentile(sorted(before), 0.99) + 0.2 * user.mean_s
     report.add(
@@ -153,7 +166,12 @@
             CREST_GOODPUT_BOUND,
             at_least=True,
         ),
-        Row("p99 of the admitted / deadline", percentile(totals, 0.99) / user.deadline_s, "x", 1),
+        Row(
+            "p99 of the admitted / deadline",
+            percentile(totals, 0.99) / user.deadline_s,
+            "x",
+            1,
+        ),
         Row(
             "waiting p99 2 s after / before + 0.2 runs",
             percentile(sorted(after), 0.99) / normal,
@@ -162,14 +180,18 @@
         ),
     )
     if len(user.teams) > 1:
-        report.add(section, Row("farthest from a fair share", _unfairness(user, inside), "", 0.05))
+        report.add(
+            section,
+            Row("farthest from a fair share", _unfairness(user, inside), "", 0.05),
+        )
 
 
 def _unfairness(user: User, works: list[Work]) -> float:
     total = sum(work.work_s for work in works)
     fair = 1 / len(user.teams)
     shares = [
-        sum(work.work_s for work in works if work.team == team) / total for team in user.teams
+        sum(work.work_s for work in works if work.team == team) / total
+        for team in user.teams
     ]
     return max(abs(share - fair) / fair for share in shares)
 
@@ -178,7 +200,10 @@
     """One team asks for six times as much as each of the others, in overload."""
     section = f"crest, {user.name}"
     crowded = User(
-        user.name, user.hop_s, (user.teams[0],) * 6 + user.teams[1:], deadline_s=user.deadline_s
+        user.name,
+        user.hop_s,
+        (user.teams[0],) * 6 + user.teams[1:],
+        deadline_s=user.deadline_s,
     )
     works = Entries(crowded).run(arrivals(crowded, Mix(3.0, seconds=10.0)))
     inside = [work for work in works if 3.0 <= work.ended_s <= 10.0]
@@ -201,8 +226,17 @@
     works = entries.run(arrivals(user, Mix(0.5, seconds=10.0)))
     report.add(
         section,
-        Row("attempts / requests", entries.attempts / len(works), "x", AMPLIFICATION_BOUND),
-        Row("refused or failed / requests", sum(w.refused for w in works) / len(works), ""),
+        Row(
+            "attempts / requests",
+            entries.attempts / len(works),
+            "x",
+            AMPLIFICATION_BOUND,
+        ),
+        Row(
+            "refused or failed / requests",
+            sum(w.refused for w in works) / len(works),
+            "",
+        ),
     )
 
 
--- a/examples/ledger_example.py
+++ b/examples/ledger_example.py
@@ -25,7 +25,11 @@
     async def transact(self, transaction: Transaction) -> Committed | Conflict:
         """Apply a transaction."""
         conditions = transaction.conditions
-        failed = [item.key for item in conditions if not item.holds(self._by_key.get(item.key))]
+        failed = [
+            item.key
+            for item in conditions
+            if not item.holds(self._by_key.get(item.key))
+        ]
         if failed:
             return Conflict(tuple(failed))
         self._version += 1
@@ -39,7 +43,9 @@
 
     async def scan(self, prefix: str) -> tuple[Row, ...]:
         """Return the rows under a prefix."""
-        return tuple(row for key, row in sorted(self._by_key.items()) if key.startswith(prefix))
+        return tuple(
+            row for key, row in sorted(self._by_key.items()) if key.startswith(prefix)
+        )
 
 
 async def pay(ledger: Ledger, key: str, token: str) -> bytes:
--- a/lab/cell.py
+++ b/lab/cell.py
@@ -28,13 +28,35 @@
 TOKENS = {
     OPERATOR_TOKEN: {"name": "lan", "role": "operator"},
     "second-operator-token-lab": {"name": "iria", "role": "operator"},
-    "setters-token-for-the-lab": {"name": "setters", "role": "caller", "team": "setters"},
-    "head-setter-token-for-lab": {"name": "head", "role": "caller", "team": "head-setter"},
-    "faro-token-for-the-lab-00": {"name": "faro", "role": "caller", "team": "editorial-faro"},
-    "brena-token-for-the-lab-0": {"name": "brena", "role": "caller", "team": "editorial-brena"},
-    "nordes-token-for-the-lab-": {"name": "nordes", "role": "caller", "team": "editorial-nordes"},
+    "setters-token-for-the-lab": {
+        "name": "setters",
+        "role": "caller",
+        "team": "setters",
+    },
+    "head-setter-token-for-lab": {
+        "name": "head",
+        "role": "caller",
+        "team": "head-setter",
+    },
+    "faro-token-for-the-lab-00": {
+        "name": "faro",
+        "role": "caller",
+        "team": "editorial-faro",
+    },
+    "brena-token-for-the-lab-0": {
+        "name": "brena",
+        "role": "caller",
+        "team": "editorial-brena",
+    },
+    "nordes-token-for-the-lab-": {
+        "name": "nordes",
+        "role": "caller",
+        "team": "editorial-nordes",
+    },
+}
+TOKEN_BY_TEAM = {
+    item.get("team"): token for token, item in TOKENS.items() if "team" in item
 }
-TOKEN_BY_TEAM = {item.get("team"): token for token, item in TOKENS.items() if "team" in item}
 HANOI = ("hoan-kiem", "cau-giay", "long-bien")
 NORTE = ("norte-oviedo", "norte-santander", "norte-bilbao")
 FAST_LEASES = {
@@ -154,7 +176,9 @@
         for host in self.hosts:
             for relay, _ in host.relay_by_daemon.values():
                 relay.stop()
-        processes = [item for host in self.hosts for item in host.process_by_daemon.values()]
+        processes = [
+            item for host in self.hosts for item in host.process_by_daemon.values()
+        ]
         processes += list(self._standins.values())
         for process in processes:
             if process.poll() is None:
@@ -181,9 +205,13 @@
         )
 
     def _start_standins(self) -> None:
-        ports = iter(free_ports(8 + 2 * len(self.layout.speeds) + 2 * self.layout.workers))
+        ports = iter(
+            free_ports(8 + 2 * len(self.layout.speeds) + 2 * self.layout.workers)
+        )
         self._platform_port = next(ports)
-        self._control = {kind: next(ports) for kind in ("platform", "minions", "workers")}
+        self._control = {
+            kind: next(ports) for kind in ("platform", "minions", "workers")
+        }
         minions = self._minions("routeboard", HANOI, ports)
         workers = self._workers("walls", HANOI, ports, cores=32, memory_gb=128)
         if self.layout.norte:
@@ -283,7 +311,9 @@
         self.start_host(host)
         return host
 
-    def start_host(self, host: Host, daemons: tuple[str, ...] = ("entry", "placer")) -> None:
+    def start_host(
+        self, host: Host, daemons: tuple[str, ...] = ("entry", "placer")
+    ) -> None:
         """Start a host's daemons."""
         for daemon in daemons:
             path = str(host.settings_by_daemon[daemon])
@@ -327,7 +357,9 @@
 
     async def upstream_call(self, name: str, path: str, plain: Any) -> Response:
         """Call a stand-in minion or worker."""
-        return await self.call("POST", f"http://{IP}:{self.upstream_port[name]}/{path}", plain)
+        return await self.call(
+            "POST", f"http://{IP}:{self.upstream_port[name]}/{path}", plain
+        )
 
     # Calling
 
@@ -341,11 +373,17 @@
     ) -> Response:
         """Send one call; a status of 0 means no answer, with its verdict."""
         body = None if plain is None else json.dumps(plain).encode()
-        result = await self.client.send(Call(method, url, timeout_s, body, headers or {}))
+        result = await self.client.send(
+            Call(method, url, timeout_s, body, headers or {})
+        )
         if result.is_error():
             failure = result.error
-            return Response(0, failure.reason.encode(), {"X-Verdict": failure.verdict.value})
-        return Response(result.ok.status, result.ok.body, dict(result.ok.headers.get_all()))
+            return Response(
+                0, failure.reason.encode(), {"X-Verdict": failure.verdict.value}
+            )
+        return Response(
+            result.ok.status, result.ok.body, dict(result.ok.headers.get_all())
+        )
 
     async def as_team(
         self,
@@ -390,7 +428,9 @@
 
     # Waiting
 
-    async def until(self, check: Callable[[], Any], timeout_s: float, what: str) -> None:
+    async def until(
+        self, check: Callable[[], Any], timeout_s: float, what: str
+    ) -> None:
         """Wait until an async check holds.
 
         :raises TimeoutError: naming what was waited for.
@@ -398,19 +438,27 @@
         ends_s = time.monotonic() + timeout_s
         while not await check():
             if time.monotonic() > ends_s:
-                raise TimeoutError(f"waited {timeout_s} s until {what}; logs in {self.folder}")
+                raise TimeoutError(
+                    f"waited {timeout_s} s until {what}; logs in {self.folder}"
+                )
             await asyncio.sleep(0.05)
 
     async def _answers(self) -> bool:
         return (await self.call("GET", self.hosts[0].url + "/healthz")).status == 200
 
     async def _standins_up(self) -> bool:
-        replies = [await self._control_call(kind, "GET", "counters") for kind in self._control]
+        replies = [
+            await self._control_call(kind, "GET", "counters") for kind in self._control
+        ]
         return all(reply.status == 200 for reply in replies)
 
     async def all_ready(self) -> bool:
         """Tell whether every live host is ready and every shard has an owner."""
-        live = [host for host in self.hosts if host.process_by_daemon["entry"].poll() is None]
+        live = [
+            host
+            for host in self.hosts
+            if host.process_by_daemon["entry"].poll() is None
+        ]
         for host in live:
             if (await self.call("GET", host.url + "/readyz")).status != 200:
                 return False
--- a/lab/demo.py
+++ b/lab/demo.py
@@ -67,7 +67,9 @@
         """Stand for the balancer: the next host that still runs."""
         self._turn += 1
         hosts = [
-            host for host in self._cell.hosts if host.process_by_daemon["entry"].poll() is None
+            host
+            for host in self._cell.hosts
+            if host.process_by_daemon["entry"].poll() is None
         ]
         return hosts[self._turn % len(hosts)]
 
@@ -118,14 +120,18 @@
         ends_s = time.monotonic() + TASK_TIMEOUT_S
         while time.monotonic() < ends_s:
             path = f"/v1/task/{task_id}"
-            response = await self._cell.as_team("head-setter", "GET", path, host=self._next_host())
+            response = await self._cell.as_team(
+                "head-setter", "GET", path, host=self._next_host()
+            )
             if response.status == 200 and response.json()["state"] == "succeeded":
                 self._results.tasks_done += 1
                 return
             await asyncio.sleep(0.25)
 
     async def _watcher(self) -> None:
-        task_id = await self._submit("setters", "hold-watcher", "watch", {"nonce": "watch"})
+        task_id = await self._submit(
+            "setters", "hold-watcher", "watch", {"nonce": "watch"}
+        )
         ends_s = time.monotonic() + TASK_TIMEOUT_S
         while time.monotonic() < ends_s and self._results.watcher != "running":
             response = await self._cell.as_team(
@@ -174,14 +180,36 @@
         workers = await cell.counters("workers")
         retries = await _retries(cell)
     runs = minions["runs_by_nonce"]
-    doubled_orders = sum(1 for key, n in runs.items() if key.startswith("order") and n > 1)
+    doubled_orders = sum(
+        1 for key, n in runs.items() if key.startswith("order") and n > 1
+    )
     ninth = sum(item["overcommitted"] for item in minions["minions"].values())
-    lost = CHECKS - results.answers + ORDERS - results.orders + RE_PLANS + 1 - results.tasks_done
+    lost = (
+        CHECKS
+        - results.answers
+        + ORDERS
+        - results.orders
+        + RE_PLANS
+        + 1
+        - results.tasks_done
+    )
     watcher_lost = int(results.watcher != "running")
     rows = [
-        ("checks answered", f"{results.answers} of {CHECKS}", results.answers == CHECKS),
-        ("hold orders answered", f"{results.orders} of {ORDERS}", results.orders == ORDERS),
-        ("re-plans and gang done", f"{results.tasks_done} of 7", results.tasks_done == 7),
+        (
+            "checks answered",
+            f"{results.answers} of {CHECKS}",
+            results.answers == CHECKS,
+        ),
+        (
+            "hold orders answered",
+            f"{results.orders} of {ORDERS}",
+            results.orders == ORDERS,
+        ),
+        (
+            "re-plans and gang done",
+            f"{results.tasks_done} of 7",
+            results.tasks_done == 7,
+        ),
         ("watcher", results.watcher, not watcher_lost),
         ("waiting p50", f"{_percentile(results.waits_s, 0.5) * 1000:.1f} ms", True),
         ("waiting p99", f"{_percentile(results.waits_s, 0.99) * 1000:.1f} ms", True),
--- a/lab/fuzz.py
+++ b/lab/fuzz.py
@@ -1,4 +1,4 @@
-"""``make fuzz``: the four searches with fresh seeds; prints the seed that repeats a run."""
+"""``make fuzz``: the four searches with a fresh seed, which it prints."""
 
 from __future__ import annotations
 
@@ -23,7 +23,11 @@
 
 def main() -> int:
     """Search with the seed given, or a fresh one."""
-    chosen = int(sys.argv[1]) if len(sys.argv) > 1 else random.SystemRandom().randrange(2**32)
+    chosen = (
+        int(sys.argv[1])
+        if len(sys.argv) > 1
+        else random.SystemRandom().randrange(2**32)
+    )
     failed = 0
     for name, (machine, examples) in MACHINES.items():
         print(f"{name}: seed {chosen}, {examples} runs", flush=True)
--- a/lab/knownred.py
+++ b/lab/knownred.py
@@ -1,4 +1,4 @@
-"""Runs the tests; passes over just the failures listed in KNOWN-RED.txt, and prints them."""
+"""Runs the tests; passes over the failures in KNOWN-RED.txt, and prints them."""
 
 from __future__ import annotations
 
@@ -45,7 +45,9 @@
     print(f"{plugin.passed} passed, {len(plugin.new)} failed")
     if plugin.new or not plugin.passed:
         return 1
-    return 0 if code in (pytest.ExitCode.OK, pytest.ExitCode.TESTS_FAILED) else int(code)
+    return (
+        0 if code in (pytest.ExitCode.OK, pytest.ExitCode.TESTS_FAILED) else int(code)
+    )
 
 
 if __name__ == "__main__":
--- a/lab/load.py
+++ b/lab/load.py
@@ -79,7 +79,8 @@
         hosts = [
             host
             for host in self.cell.hosts
-            if host.process_by_daemon["entry"].poll() is None and host.name not in self.avoid
+            if host.process_by_daemon["entry"].poll() is None
+            and host.name not in self.avoid
         ]
         return self._source.choice(hosts)
 
@@ -152,7 +153,10 @@
             response = await load.cell.as_team(
                 "head-setter", "GET", f"/v1/task/{task_id}", host=host
             )
-            if response.status == 200 and response.json()["state"] in ("succeeded", "cancelled"):
+            if response.status == 200 and response.json()["state"] in (
+                "succeeded",
+                "cancelled",
+            ):
                 waiting.discard(task_id)
         await asyncio.sleep(0.2)
     return sorted(waiting)
@@ -166,14 +170,20 @@
     found = []
     ninth = {name for name, item in minions["minions"].items() if item["overcommitted"]}
     if ninth or workers["overcommitted"]:
-        found.append(f"1 overcommit: {sorted(ninth)}, workers {workers['overcommitted']}")
+        found.append(
+            f"1 overcommit: {sorted(ninth)}, workers {workers['overcommitted']}"
+        )
     if workers["doubled"]:
         found.append(f"2 two places: {workers['doubled']}")
     for sent in [*load.checks, *load.orders]:
         if sent.status == 200 and f'"nonce":"{sent.nonce}"'.encode() not in sent.body:
             found.append(f"3 not its own answer: {sent}")
     for sent in [*load.checks, *load.orders]:
-        if sent.verdict == "not run" and sent.nonce.startswith("check") and runs.get(sent.nonce):
+        if (
+            sent.verdict == "not run"
+            and sent.nonce.startswith("check")
+            and runs.get(sent.nonce)
+        ):
             found.append(f"4 told not run, but ran: {sent}")
     for sent in load.tasks:
         if (
@@ -186,7 +196,9 @@
             found.append(f"5 ran {runs[sent.nonce]} times: {sent}")
     late = {name for name, item in minions["minions"].items() if item["after_leaving"]}
     if late or workers["after_leaving"]:
-        found.append(f"6 work after leaving: {sorted(late)}, workers {workers['after_leaving']}")
+        found.append(
+            f"6 work after leaving: {sorted(late)}, workers {workers['after_leaving']}"
+        )
     sent_all = [*load.checks, *load.orders]
     # Refused connections are left out: a replacement is tried before it listens.
     unanswered = [sent for sent in sent_all if sent.status == 0]
--- a/lab/relay.py
+++ b/lab/relay.py
@@ -30,9 +30,13 @@
         for pump in self._pumps:
             pump.cancel()
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
         try:
-            far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.target_port)
+            far_reader, far_writer = await asyncio.open_connection(
+                "127.0.0.1", self.target_port
+            )
         except OSError:
             writer.close()
             return
--- a/redwingrun/admission.py
+++ b/redwingrun/admission.py
@@ -23,13 +23,17 @@
     for name in objects.lineage(message.team):
         excess = whole.excess(objects.teams[name].quota_size)
         if excess:
-            return not_run("over-quota", f"can never start: quota of team {name}: {excess}")
+            return not_run(
+                "over-quota", f"can never start: quota of team {name}: {excess}"
+            )
     if known_tasks >= MAX_TASKS:
         return not_run("queue-full", f"pool {workload.pool} has {MAX_TASKS} tasks")
     return None
 
 
-def row_of(message: SubmitTask, workload: Workload, policy: Policy, order: int) -> TaskRow:
+def row_of(
+    message: SubmitTask, workload: Workload, policy: Policy, order: int
+) -> TaskRow:
     """Return the first row of a task."""
     size = workload.task_size
     return TaskRow(
--- a/redwingrun/api.py
+++ b/redwingrun/api.py
@@ -51,7 +51,9 @@
         """Return the version and the objects in force."""
         return self._json("GET", "/v1/config")
 
-    def publish(self, sources: dict[str, str], based_on: int, reason: str) -> dict[str, Any]:
+    def publish(
+        self, sources: dict[str, str], based_on: int, reason: str
+    ) -> dict[str, Any]:
         """Check and publish a whole set of object files, texts by name."""
         plain = {"sources": sources, "based_on": based_on, "reason": reason}
         return self._json("POST", "/v1/config", orjson.dumps(plain))
@@ -60,7 +62,9 @@
         """Return the live daemons that do not have a version in force yet."""
         members = self._json("GET", "/v1/members")
         return [
-            f"{row['host']}/{row['kind']}" for row in members if row["config_version"] < version
+            f"{row['host']}/{row['kind']}"
+            for row in members
+            if row["config_version"] < version
         ]
 
     def until_in_force(self, version: int, timeout_s: float) -> Iterator[list[str]]:
@@ -73,7 +77,9 @@
             yield lagging
             if time.monotonic() > ends_s:
                 names = ", ".join(lagging)
-                raise NotReachable(f"version {version} is published, but not yet in {names}")
+                raise NotReachable(
+                    f"version {version} is published, but not yet in {names}"
+                )
             time.sleep(POLL_S)
 
     def status(self) -> dict[str, Any]:
@@ -98,7 +104,9 @@
         """Run a quick request and return its answer."""
         return self._send("POST", f"/v1/run/{workload}", body, headers)
 
-    def submit(self, workload: str, body: bytes, headers: dict[str, str]) -> dict[str, Any]:
+    def submit(
+        self, workload: str, body: bytes, headers: dict[str, str]
+    ) -> dict[str, Any]:
         """Submit a task and return its id and state."""
         return self._send("POST", f"/v1/tasks/{workload}", body, headers).plain
 
@@ -142,8 +150,9 @@
         if result.is_error():
             failure = result.error
             raise NotReachable(
-                f"{self._server}: {failure.verdict.value}: {failure.detail or failure.reason};"
-                " check --server and that the entry runs"
+                f"{self._server}: {failure.verdict.value}: "
+                f"{failure.detail or failure.reason}; "
+                "check --server and that the entry runs"
             )
         reply = result.ok
         answer = ApiAnswer(
--- a/redwingrun/audit.py
+++ b/redwingrun/audit.py
@@ -30,7 +30,9 @@
     def __init__(self, table: Table):
         self._table = table
 
-    async def action(self, action: str, operator: str, subject: str, reason: str = "") -> None:
+    async def action(
+        self, action: str, operator: str, subject: str, reason: str = ""
+    ) -> None:
         """Add an action that has no other row to go with.
 
         :raises TableUnavailable: it was not kept.
@@ -43,4 +45,6 @@
     async def rows(self) -> list[AuditRow]:
         """Return the whole trail, oldest first."""
         stored = await self._table.scan(AUDIT_PREFIX)
-        return sorted((decode(AuditRow, row.value) for row in stored), key=lambda row: row.at)
+        return sorted(
+            (decode(AuditRow, row.value) for row in stored), key=lambda row: row.at
+        )
--- a/redwingrun/auth.py
+++ b/redwingrun/auth.py
@@ -86,7 +86,9 @@
         problem = f"is shorter than {MIN_SECRET_CHARACTERS} characters"
         faults.append(Fault(source.name, line, subject, problem, "use a longer token"))
     if identity is not None and identity.role == CALLER and not identity.team:
-        faults.append(Fault(source.name, line, subject, "a caller needs a team", "add one"))
+        faults.append(
+            Fault(source.name, line, subject, "a caller needs a team", "add one")
+        )
     return identity
 
 
@@ -99,7 +101,9 @@
         secret = path.read_text(encoding="utf-8").strip()
     except OSError as error:
         reason = error.strerror or str(error)
-        raise InvalidInput([Fault(str(path), 0, "", reason, "check the path")]) from error
+        raise InvalidInput(
+            [Fault(str(path), 0, "", reason, "check the path")]
+        ) from error
     if len(secret) < MIN_SECRET_CHARACTERS:
         problem = f"the secret is shorter than {MIN_SECRET_CHARACTERS} characters"
         raise InvalidInput([Fault(str(path), 1, "", problem, "write a longer one")])
--- a/redwingrun/callers.py
+++ b/redwingrun/callers.py
@@ -11,9 +11,15 @@
 from redwingrun.auth import Identity
 from redwingrun.coordination.ledger import Mismatch
 from redwingrun.coordination.verdict import Answer, Failure, Verdict, not_run
-from redwingrun.httpclient import DIGEST_HEADER, REQUEST_ID_HEADER, VERDICT_HEADER, digest
+from redwingrun.httpclient import (
+    DIGEST_HEADER,
+    REQUEST_ID_HEADER,
+    VERDICT_HEADER,
+    digest,
+)
 from redwingrun.objects import QUICK, Workload
 from redwingrun.requests import Request
+from redwingrun.taskcalls import TaskView
 from redwingrun.web import Handler
 
 if TYPE_CHECKING:
@@ -52,7 +58,9 @@
         """
         found = self.identity()
         if found.is_operator:
-            raise HTTPError(403, "work is asked for with a team's token, not an operator's")
+            raise HTTPError(
+                403, "work is asked for with a team's token, not an operator's"
+            )
         return found
 
     def number_header(self, name: str, default: float, most: float) -> float:
@@ -97,12 +105,18 @@
         caller = self.caller()
         workload = self.workload(name, caller.team)
         if workload.kind != QUICK:
-            raise HTTPError(400, f"{name} is {workload.kind} work: post it to /v1/tasks/{name}")
+            raise HTTPError(
+                400, f"{name} is {workload.kind} work: post it to /v1/tasks/{name}"
+            )
         policy = self.node.objects.policies[workload.policy]
-        deadline_s = self.number_header(DEADLINE_HEADER, policy.deadline_s, LONGEST_DEADLINE_S)
+        deadline_s = self.number_header(
+            DEADLINE_HEADER, policy.deadline_s, LONGEST_DEADLINE_S
+        )
         key = self.idempotency_key()
         if not workload.idempotent and not key:
-            raise HTTPError(400, f"{name} runs at most once: send an {KEY_HEADER} header")
+            raise HTTPError(
+                400, f"{name} runs at most once: send an {KEY_HEADER} header"
+            )
         given_id = self.request.headers.get(REQUEST_ID_HEADER, "")
         request_id = self.checked_id(given_id, REQUEST_ID_HEADER) if given_id else ""
         # The caller's id may repeat; ours must not, answers are matched by it.
@@ -117,9 +131,13 @@
             outcome = await self.node.run_request(self.running)
         self._send_outcome(outcome, request_id)
 
-    def _send_outcome(self, outcome: Answer | Failure | Mismatch, request_id: str) -> None:
+    def _send_outcome(
+        self, outcome: Answer | Failure | Mismatch, request_id: str
+    ) -> None:
         if isinstance(outcome, Mismatch):
-            outcome = not_run("key-reused", f"this {KEY_HEADER} came with another body before")
+            outcome = not_run(
+                "key-reused", f"this {KEY_HEADER} came with another body before"
+            )
         if isinstance(outcome, Answer):
             self.send_answer(outcome, request_id)
         else:
@@ -140,7 +158,9 @@
         trail = self.node.known_trail(request_id)
         if trail is None or not (caller.is_operator or caller.team == trail.team):
             raise HTTPError(404, f"no request {request_id} is known on this host")
-        self.send_json({"request_id": request_id, "team": trail.team, "steps": trail.steps})
+        self.send_json(
+            {"request_id": request_id, "team": trail.team, "steps": trail.steps}
+        )
 
     def delete(self, request_id: str) -> None:
         """Cancel it if it still waits."""
@@ -184,12 +204,11 @@
         )
         self._send(reply, 202)
 
-    def _send(self, reply: dict[str, Any] | Failure, status: int = 200) -> None:
+    def _send(self, reply: TaskView | Failure, status: int = 200) -> None:
         if isinstance(reply, Failure):
             self.send_failure(reply)
         else:
-            reply.pop("body", None)
-            self.send_json(reply, status)
+            self.send_json(reply.plain(), status)
 
 
 class TaskHandler(TasksHandler):
@@ -215,15 +234,15 @@
 
     async def _ask(
         self, task_id: str, cancel: bool = False, explain: bool = False
-    ) -> dict[str, Any] | Failure:
+    ) -> TaskView | Failure:
         return await self.node.task_calls.ask(task_id, self.identity(), cancel, explain)
 
-    def _send_result(self, reply: dict[str, Any]) -> None:
-        if reply["state"] != "succeeded":
-            detail = f"the task is {reply['state']}: {reply['detail']}"
-            self.send_failure(not_run("not-found", detail), state=reply["state"])
+    def _send_result(self, reply: TaskView) -> None:
+        if reply.state != "succeeded":
+            detail = f"the task is {reply.state}: {reply.detail}"
+            self.send_failure(not_run("not-found", detail), state=reply.state)
             return
-        self.send_answer(Answer(reply["body"], reply["worker"]), reply["task_id"])
+        self.send_answer(Answer(reply.body, reply.worker), reply.task_id)
 
 
 def caller_routes(node: Entry) -> list[tuple[str, type[Handler], dict[str, Any]]]:
--- a/redwingrun/choosers.py
+++ b/redwingrun/choosers.py
@@ -41,7 +41,9 @@
 
     def choose(self, candidates: list[Candidate]) -> Candidate:
         """Return the fastest."""
-        return max(candidates, key=lambda item: (item.speed, -item.busy_share, item.name))
+        return max(
+            candidates, key=lambda item: (item.speed, -item.busy_share, item.name)
+        )
 
 
 @define
--- a/redwingrun/cmdline.py
+++ b/redwingrun/cmdline.py
@@ -36,10 +36,16 @@
 app.add_typer(debug_app, name="debug")
 
 Server = Annotated[
-    str, typer.Option(envvar="REDWINGRUN_SERVER", help="Address of any entry, http://IP:port.")
+    str,
+    typer.Option(
+        envvar="REDWINGRUN_SERVER", help="Address of any entry, http://IP:port."
+    ),
 ]
 Token = Annotated[
-    str, typer.Option(envvar="REDWINGRUN_TOKEN", help="Your token; better in the environment.")
+    str,
+    typer.Option(
+        envvar="REDWINGRUN_TOKEN", help="Your token; better in the environment."
+    ),
 ]
 AsJson = Annotated[bool, typer.Option("--json", help="Print JSON.")]
 Files = Annotated[list[Path], typer.Argument(help="Files in JSON with comments.")]
@@ -128,9 +134,12 @@
     token: Token,
     reason: Annotated[str, typer.Option(help="Why, for the audit trail.")],
     based_on: Annotated[
-        int | None, typer.Option(help="Version that you changed; default the one in force.")
+        int | None,
+        typer.Option(help="Version that you changed; default the one in force."),
     ] = None,
-    wait: Annotated[bool, typer.Option(help="Wait until every live daemon has it.")] = False,
+    wait: Annotated[
+        bool, typer.Option(help="Wait until every live daemon has it.")
+    ] = False,
     as_json: AsJson = False,
 ) -> None:
     """Check files as one set and publish them in place of the set in force.
@@ -153,7 +162,9 @@
     console = Console(stderr=True)
     with console.status(f"waiting for version {version}") as status:
         for lagging in api.until_in_force(version, WAIT_S):
-            status.update(f"waiting for {len(lagging)} daemon(s): {', '.join(lagging[:3])}")
+            status.update(
+                f"waiting for {len(lagging)} daemon(s): {', '.join(lagging[:3])}"
+            )
 
 
 @app.command()
@@ -161,7 +172,9 @@
 def get(
     server: Server,
     token: Token,
-    section: Annotated[str, typer.Argument(help="workloads, policies, pools or teams.")] = "",
+    section: Annotated[
+        str, typer.Argument(help="workloads, policies, pools or teams.")
+    ] = "",
     name: Annotated[str, typer.Argument(help="Name of one object.")] = "",
 ) -> None:
     """Print the objects in force as JSON.
@@ -190,7 +203,9 @@
     found = Api(server, token).config()
     before = json.dumps(found["objects"], indent=2, sort_keys=True).splitlines()
     after = json.dumps(wanted, indent=2, sort_keys=True).splitlines()
-    lines = difflib.unified_diff(before, after, f"version {found['version']}", "files", "", "", 2)
+    lines = difflib.unified_diff(
+        before, after, f"version {found['version']}", "files", "", "", 2
+    )
     text = "\n".join(lines)
     typer.echo(text or f"no difference from version {found['version']}")
 
@@ -202,10 +217,16 @@
     server: Server,
     token: Token,
     body: Annotated[str, typer.Option(help="The payload, or @FILE.")] = "{}",
-    key: Annotated[str, typer.Option(help="Idempotency key: the same key runs once.")] = "",
-    deadline_s: Annotated[float | None, typer.Option(help="Longest wait in seconds.")] = None,
+    key: Annotated[
+        str, typer.Option(help="Idempotency key: the same key runs once.")
+    ] = "",
+    deadline_s: Annotated[
+        float | None, typer.Option(help="Longest wait in seconds.")
+    ] = None,
     urgent: Annotated[bool, typer.Option(help="Take the place of batch work.")] = False,
-    task: Annotated[bool, typer.Option(help="Submit a task, do not wait for it.")] = False,
+    task: Annotated[
+        bool, typer.Option(help="Submit a task, do not wait for it.")
+    ] = False,
     as_json: AsJson = False,
 ) -> None:
     """Run a quick request and print its answer, or submit a task with --task.
@@ -268,7 +289,9 @@
         for row in sorted(found["members"], key=lambda row: (row["host"], row["kind"]))
     ]
     output.rows(["host", "daemon", "data centre", "version"], rows)
-    owners = [[shard, owner or "nobody"] for shard, owner in sorted(found["owners"].items())]
+    owners = [
+        [shard, owner or "nobody"] for shard, owner in sorted(found["owners"].items())
+    ]
     output.rows(["shard", "owner"], owners)
     if found["drained"] or found["leaving"]:
         names = [[name, "drained"] for name in found["drained"]]
@@ -291,7 +314,9 @@
     found = Api(server, token).explain(name)
     state = found.get("state", "request")
     notes = found.get("notes") or found.get("steps") or ["nothing more is known"]
-    Output(as_json).value(found, "\n".join([f"{name}: {state}", *[f"  {line}" for line in notes]]))
+    Output(as_json).value(
+        found, "\n".join([f"{name}: {state}", *[f"  {line}" for line in notes]])
+    )
 
 
 @app.command()
@@ -328,7 +353,9 @@
     Example: redwingrun drain routeboard-m3
     """
     reply = Api(server, token).drain(name, back)
-    Output(as_json).value(reply, f"{name} {'drained' if reply['drained'] else 'in service'}")
+    Output(as_json).value(
+        reply, f"{name} {'drained' if reply['drained'] else 'in service'}"
+    )
 
 
 @debug_app.command("sys")
@@ -340,7 +367,15 @@
     """
     from importlib.metadata import version
 
-    parts = ["tornado", "grpclib", "pycurl", "attrs", "eliot", "Expression", "hdrhistogram"]
+    parts = [
+        "tornado",
+        "grpclib",
+        "pycurl",
+        "attrs",
+        "eliot",
+        "Expression",
+        "hdrhistogram",
+    ]
     lines = [f"redwingrun {__version__}", f"python {platform.python_version()}"]
     lines += [f"{name} {version(name)}" for name in parts]
     lines.append(f"objects: {', '.join(KIND_BY_SECTION)}")
@@ -354,7 +389,9 @@
 
     Example: redwingrun debug settings
     """
-    Output(False).rows(["setting", "default", "meaning"], [list(row) for row in reference()])
+    Output(False).rows(
+        ["setting", "default", "meaning"], [list(row) for row in reference()]
+    )
 
 
 @debug_app.command("node")
--- a/redwingrun/config.py
+++ b/redwingrun/config.py
@@ -42,9 +42,13 @@
     """
 
     host: str = checked("name of this host, the same for both daemons", text())
-    data_centre: str = checked("name of the data centre that the host stands in", text())
+    data_centre: str = checked(
+        "name of the data centre that the host stands in", text()
+    )
     listen_ip: str = checked("IP number to listen on and to be reached at", _ip)
-    http_port: int = checked("port for callers, operators and metrics", whole(1, MAX_PORT))
+    http_port: int = checked(
+        "port for callers, operators and metrics", whole(1, MAX_PORT)
+    )
     peer_port: int = checked("port for the other daemons", whole(1, MAX_PORT))
     peer_advertise_port: int = checked(
         "port at which peers reach this daemon, 0 for peer_port", whole(0, MAX_PORT), 0
@@ -52,37 +56,63 @@
     table_url: str = checked("address of the platform's table", _url)
     object_store_url: str = checked("address of the platform's object store", _url)
     host_list_url: str = checked("address of the platform's list of hosts", _url)
-    token_file: str = checked("file with the callers' and operators' tokens", text(1000))
-    peer_secret_file: str = checked("file with the secret that daemons share", text(1000))
+    token_file: str = checked(
+        "file with the callers' and operators' tokens", text(1000)
+    )
+    peer_secret_file: str = checked(
+        "file with the secret that daemons share", text(1000)
+    )
     weight: float = checked("size of the host against others", number(0.01, 100), 1.0)
     log_level: str = checked("'quiet', 'normal' or 'all' messages", text(), "normal")
 
-    lease_term_s: float = checked("how long a member lease lasts", number(0.5, 600), 6.0)
-    lease_margin_s: float = checked("clock margin of member leases", number(0.05, 60), 1.0)
+    lease_term_s: float = checked(
+        "how long a member lease lasts", number(0.5, 600), 6.0
+    )
+    lease_margin_s: float = checked(
+        "clock margin of member leases", number(0.05, 60), 1.0
+    )
     lease_renew_s: float = checked("time between renewals", number(0.1, 60), 1.5)
     promise_s: float = checked("how long a peer's promise lasts", number(0.5, 600), 4.0)
     max_extension_s: float = checked(
         "longest time without the table before a lease ends", number(1, 86400), 300.0
     )
-    table_timeout_s: float = checked("longest wait for the table", number(0.05, 60), 1.0)
+    table_timeout_s: float = checked(
+        "longest wait for the table", number(0.05, 60), 1.0
+    )
     group_delay_s: float = checked("how long writes gather", number(0, 1), 0.005)
     group_max_writes: int = checked("rows in one group of writes", whole(1, 10000), 200)
 
-    max_body_bytes: int = checked("largest body of a request", whole(1, 64 << 20), 1 << 20)
+    max_body_bytes: int = checked(
+        "largest body of a request", whole(1, 64 << 20), 1 << 20
+    )
     max_calls: int = checked("calls of callers served at once", whole(1, 100000), 2000)
     queue_limit: int = checked("requests that may wait here", whole(1, 100000), 500)
     connect_timeout_s: float = checked("longest wait to connect", number(0.01, 60), 0.5)
     retry_share: float = checked("retries as a share of requests", number(0, 1), 0.1)
-    news_interval_s: float = checked("shortest time between news to a peer", number(0, 10), 0.02)
+    news_interval_s: float = checked(
+        "shortest time between news to a peer", number(0, 10), 0.02
+    )
     news_max_age_s: float = checked("age at which news is void", number(0.01, 60), 3.0)
-    config_poll_s: float = checked("time between looks at the version", number(0.1, 60), 1.0)
-    host_poll_s: float = checked("time between looks at the host list", number(0.1, 60), 1.0)
-    drain_timeout_s: float = checked("longest wait for work at a stop", number(0, 3600), 30.0)
+    config_poll_s: float = checked(
+        "time between looks at the version", number(0.1, 60), 1.0
+    )
+    host_poll_s: float = checked(
+        "time between looks at the host list", number(0.1, 60), 1.0
+    )
+    drain_timeout_s: float = checked(
+        "longest wait for work at a stop", number(0, 3600), 30.0
+    )
 
-    task_term_s: float = checked("how long a task runs without news", number(0.5, 600), 10.0)
+    task_term_s: float = checked(
+        "how long a task runs without news", number(0.5, 600), 10.0
+    )
     task_margin_s: float = checked("clock margin of task leases", number(0.05, 60), 1.0)
-    task_renew_s: float = checked("time between calls to a worker", number(0.1, 60), 2.0)
-    worker_timeout_s: float = checked("longest wait for a worker", number(0.05, 60), 1.5)
+    task_renew_s: float = checked(
+        "time between calls to a worker", number(0.1, 60), 2.0
+    )
+    worker_timeout_s: float = checked(
+        "longest wait for a worker", number(0.05, 60), 1.5
+    )
 
     def lease(self) -> LeaseSettings:
         """Return the settings of member leases."""
@@ -100,7 +130,9 @@
 
     def task_lease(self) -> TaskLeaseSettings:
         """Return the settings of task leases."""
-        return TaskLeaseSettings(self.task_term_s, self.task_margin_s, self.task_renew_s)
+        return TaskLeaseSettings(
+            self.task_term_s, self.task_margin_s, self.task_renew_s
+        )
 
 
 def load_settings(path: Path) -> Settings:
@@ -118,11 +150,15 @@
     """
     settings, problems = build(Settings, source.value)
     faults = [
-        Fault(source.name, source.line_of(item.name), item.name, item.problem, item.remedy)
+        Fault(
+            source.name, source.line_of(item.name), item.name, item.problem, item.remedy
+        )
         for item in problems
     ]
     for key in source.duplicate_keys:
-        faults.append(Fault(source.name, source.line_of(key), key, "stands twice", "keep one"))
+        faults.append(
+            Fault(source.name, source.line_of(key), key, "stands twice", "keep one")
+        )
     if settings is not None:
         faults.extend(_contradictions(source, settings))
     if faults:
@@ -147,7 +183,11 @@
             settings.task_renew_s + settings.worker_timeout_s < settings.task_term_s,
             "a call and its timeout must fit into task_term_s",
         ),
-        ("peer_port", settings.peer_port != settings.http_port, "is the same as http_port"),
+        (
+            "peer_port",
+            settings.peer_port != settings.http_port,
+            "is the same as http_port",
+        ),
         (
             "log_level",
             settings.log_level in ("quiet", "normal", "all"),
@@ -165,6 +205,10 @@
     """Return name, default and help of each setting, for the operators' page."""
     rows = []
     for attribute in attrs.fields(Settings):
-        default = "required" if attribute.default is attrs.NOTHING else repr(attribute.default)
+        default = (
+            "required"
+            if attribute.default is attrs.NOTHING
+            else repr(attribute.default)
+        )
         rows.append((attribute.name, default, attribute.metadata[HELP]))
     return rows
--- a/redwingrun/coordination/follower.py
+++ b/redwingrun/coordination/follower.py
@@ -137,7 +137,9 @@
             return Published(row)
         return LostRace((await self.current())[0])
 
-    async def _commit(self, row: VersionRow, stored: Row | None, audit: AuditRow) -> bool:
+    async def _commit(
+        self, row: VersionRow, stored: Row | None, audit: AuditRow
+    ) -> bool:
         if stored is None:
             condition = Condition.absent(VERSION_KEY)
         else:
--- a/redwingrun/coordination/ledger.py
+++ b/redwingrun/coordination/ledger.py
@@ -8,6 +8,7 @@
 from attrs import evolve, frozen
 
 from redwingrun.coordination.codec import decode, encode
+from redwingrun.coordination.groupcommit import GroupCommit
 from redwingrun.coordination.table import (
     Committed,
     Condition,
@@ -19,7 +20,13 @@
     Write,
     settle,
 )
-from redwingrun.coordination.verdict import Answer, Failure, Verdict, may_have_run, not_run
+from redwingrun.coordination.verdict import (
+    Answer,
+    Failure,
+    Verdict,
+    may_have_run,
+    not_run,
+)
 
 LEDGER_PREFIX = "ledger/"
 
@@ -80,11 +87,11 @@
     A row found started by somebody else is *may have run* and is never given
     out again; only the attempt that holds it can reopen it, with a *not run*.
 
-    :param table: usually a group commit in front of the table for the writes.
-    :param writer: what commits; has the table's ``transact``.
+    :param table: read to settle lost answers.
+    :param writer: what commits: the table itself, or a group commit before it.
     """
 
-    def __init__(self, table: Table, writer: object):
+    def __init__(self, table: Table, writer: Table | GroupCommit):
         self._table = table
         self._writer = writer
 
@@ -104,7 +111,9 @@
             return found
         stored = await self._read(wanted.key)
         if stored is None:
-            return not_run("ledger-unsettled", "the table lost sight of the key; send again")
+            return not_run(
+                "ledger-unsettled", "the table lost sight of the key; send again"
+            )
         return await self._found(wanted, stored)
 
     async def _found(
@@ -120,7 +129,9 @@
         if answer is not None:
             return answer
         if row.state == EntryState.STARTED.value:
-            return may_have_run("started-before", "an earlier attempt has no known outcome")
+            return may_have_run(
+                "started-before", "an earlier attempt has no known outcome"
+            )
         found = await self._put(wanted, Condition.at(wanted.key, stored.version))
         if isinstance(found, Attempt):
             return found
@@ -190,7 +201,9 @@
 def _finished(row: LedgerRow, outcome: Answer | Failure) -> LedgerRow | None:
     if isinstance(outcome, Answer):
         body = base64.b64encode(outcome.body).decode()
-        return evolve(row, state=EntryState.DONE.value, answer=body, upstream=outcome.upstream)
+        return evolve(
+            row, state=EntryState.DONE.value, answer=body, upstream=outcome.upstream
+        )
     if outcome.verdict is Verdict.NOT_RUN:
         return evolve(row, state=EntryState.OPEN.value)
     return None
--- a/redwingrun/coordination/members.py
+++ b/redwingrun/coordination/members.py
@@ -106,15 +106,21 @@
         """Return the seconds for which the holder may still act."""
         return self._valid_until_s - now_s if self.valid(now_s) else 0.0
 
-    def renewal(self, now_s: float, roster: frozenset[str], **changes: object) -> Renewal:
+    def renewal(
+        self, now_s: float, roster: frozenset[str], **changes: object
+    ) -> Renewal:
         """Return the next renewal, or the first one of a new member."""
-        row = evolve(self.row, roster=sorted(roster), token=self.row.token + 1, **changes)
+        row = evolve(
+            self.row, roster=sorted(roster), token=self.row.token + 1, **changes
+        )
         self.row = row
         self._rosters.append(roster)
         condition = Condition.absent(row.key)
         if self.version is not None:
             condition = Condition.at(row.key, self.version)
-        return Renewal(now_s, row, Transaction((condition,), (Write(row.key, encode(row)),)))
+        return Renewal(
+            now_s, row, Transaction((condition,), (Write(row.key, encode(row)),))
+        )
 
     def renewed(self, renewal: Renewal, version: int, now_s: float) -> None:
         """Take a renewal that took effect.
@@ -146,7 +152,9 @@
         everyone = frozenset().union(*self._rosters) if self._rosters else frozenset()
         return everyone - {self.row.member_id}
 
-    def extended(self, started_s: float, promised_by: frozenset[str], now_s: float) -> bool:
+    def extended(
+        self, started_s: float, promised_by: frozenset[str], now_s: float
+    ) -> bool:
         """Extend the lease by promises asked for at ``started_s``.
 
         Every possible roster needs a second member: a watcher outside of it
@@ -181,7 +189,9 @@
 
     def forget_before(self, now_s: float) -> None:
         """Drop what has ended."""
-        live = {key: end for key, end in self._until_by_member_id.items() if end > now_s}
+        live = {
+            key: end for key, end in self._until_by_member_id.items() if end > now_s
+        }
         self._until_by_member_id = live
 
 
--- a/redwingrun/coordination/shards.py
+++ b/redwingrun/coordination/shards.py
@@ -101,14 +101,21 @@
 
     def _claim(self, old: ShardRow, member_id: str) -> tuple[ShardRow, Transaction]:
         row = evolve(old, owner=member_id, epoch=old.epoch + 1)
-        conditions = [self._unchanged(row), Condition.present(member_key(self.kind, member_id))]
+        conditions = [
+            self._unchanged(row),
+            Condition.present(member_key(self.kind, member_id)),
+        ]
         if old.owner:
             # The owner's row is gone only once it was expelled or left.
             conditions.append(Condition.absent(member_key(self.kind, old.owner)))
         return row, Transaction(tuple(conditions), (Write(row.key, encode(row)),))
 
     def releases(
-        self, member_id: str, shards: list[str], members: dict[str, MemberRow], leaving: bool
+        self,
+        member_id: str,
+        shards: list[str],
+        members: dict[str, MemberRow],
+        leaving: bool,
     ) -> list[tuple[ShardRow, Transaction]]:
         """Return the releases to try now: a few that fall to another live member."""
         found = []
@@ -117,7 +124,9 @@
             target = rendezvous(shard, members)
             if leaving or not wanted or target not in (None, member_id):
                 row = evolve(self._by_shard[shard], owner="")
-                change = Transaction((self._unchanged(row),), (Write(row.key, encode(row)),))
+                change = Transaction(
+                    (self._unchanged(row),), (Write(row.key, encode(row)),)
+                )
                 found.append((row, change))
         return found if leaving else found[: self.moves_per_step]
 
--- a/redwingrun/coordination/statechart.py
+++ b/redwingrun/coordination/statechart.py
@@ -39,7 +39,9 @@
             named.update(events.values())
         missing = named - set(self.next_by_state)
         if missing:
-            raise ChartError(f"chart {self.name}: no state {', '.join(sorted(missing))}")
+            raise ChartError(
+                f"chart {self.name}: no state {', '.join(sorted(missing))}"
+            )
 
     def allows(self, state: str, event: str) -> bool:
         """Tell whether the event may happen in the state."""
@@ -51,7 +53,9 @@
         :raises ChartError: when the event may not happen.
         """
         if not self.allows(state, event):
-            raise ChartError(f"chart {self.name}: no event {event!r} in state {state!r}")
+            raise ChartError(
+                f"chart {self.name}: no event {event!r} in state {state!r}"
+            )
         return self.next_by_state[state][event]
 
     def is_final(self, state: str) -> bool:
--- a/redwingrun/dispatcher.py
+++ b/redwingrun/dispatcher.py
@@ -285,7 +285,9 @@
 
     def heard(self, member_id: str, news: PoolNews, now_s: float) -> list[Action]:
         """Take a peer's news, and push what waits here to its free slots."""
-        self._peer_by_id[member_id] = _Peer(news, now_s, news.free_short, news.free_long)
+        self._peer_by_id[member_id] = _Peer(
+            news, now_s, news.free_short, news.free_long
+        )
         self._hungry[member_id] = bool(news.waiting_short or news.waiting_long)
         if not self.waiting():
             return self._invite() if self._hungry[member_id] else []
@@ -303,7 +305,9 @@
         self._peer_by_id = {
             key: peer for key, peer in self._peer_by_id.items() if key in member_ids
         }
-        self._hungry = {key: flag for key, flag in self._hungry.items() if key in member_ids}
+        self._hungry = {
+            key: flag for key, flag in self._hungry.items() if key in member_ids
+        }
 
     def waiting(self) -> int:
         """Return how many requests wait here."""
@@ -355,7 +359,9 @@
             if not self.ejector.usable(minion.name, now_s):
                 continue
             busy = minion.upstream.slots - minion.free()
-            found.append(Candidate(minion.name, busy, minion.upstream.slots, minion.speed.value))
+            found.append(
+                Candidate(minion.name, busy, minion.upstream.slots, minion.speed.value)
+            )
         return found
 
     def _free(self, long: bool) -> int:
@@ -381,7 +387,9 @@
         if not fresh:
             return None
         speed, member_id = max(fresh)
-        here = max((item.speed for item in self._candidates(request.long, now_s)), default=0.0)
+        here = max(
+            (item.speed for item in self._candidates(request.long, now_s)), default=0.0
+        )
         return member_id if here and speed > here * REMOTE_SPEED_GAIN else None
 
     def _fill_from(self, queue: FairQueue, now_s: float) -> list[Action]:
--- a/redwingrun/ejection.py
+++ b/redwingrun/ejection.py
@@ -69,7 +69,9 @@
         health.ejected_until_s = now_s + health.pause_s
 
     def _may_eject(self) -> bool:
-        out = sum(1 for item in self._by_minion.values() if item.ejected_until_s is not None)
+        out = sum(
+            1 for item in self._by_minion.values() if item.ejected_until_s is not None
+        )
         return out + 1 <= MAX_EJECTED_SHARE * len(self._by_minion)
 
     def usable(self, name: str, now_s: float) -> bool:
--- a/redwingrun/entry.py
+++ b/redwingrun/entry.py
@@ -115,7 +115,12 @@
     # Requests
 
     def request(
-        self, workload: Workload, team: str, body: bytes, request_id: str, deadline_s: float
+        self,
+        workload: Workload,
+        team: str,
+        body: bytes,
+        request_id: str,
+        deadline_s: float,
     ) -> Request:
         """Return a request as the routing sees it."""
         now_s = self.clock.now()
@@ -159,7 +164,9 @@
         if isinstance(outcome, Answer):
             self.metrics.seconds("waiting_seconds", outcome.waited_s, cls=kind)
             self.metrics.seconds("answer_seconds", total_s, cls=kind)
-            trail.add(f"answered by {outcome.upstream} after waiting {outcome.waited_s:.4f} s")
+            trail.add(
+                f"answered by {outcome.upstream} after waiting {outcome.waited_s:.4f} s"
+            )
         else:
             trail.add(f"{outcome.verdict.value}: {outcome.reason}: {outcome.detail}")
         self.log.detail(
@@ -172,7 +179,9 @@
             seconds=round(total_s, 6),
         )
 
-    async def run_once(self, request: Request, idempotency_key: str) -> Outcome | Mismatch:
+    async def run_once(
+        self, request: Request, idempotency_key: str
+    ) -> Outcome | Mismatch:
         """Run a request that must run at most once, under its key."""
         token = secrets.token_hex(TOKEN_BYTES)
         found = await self._claim(request, idempotency_key, token)
@@ -189,7 +198,9 @@
         """Claim the key, waiting for another attempt's outcome if there is one."""
         pause_s = POLL_LEDGER_S
         while True:
-            found = await self.ledger.begin(request.team, idempotency_key, request.digest, token)
+            found = await self.ledger.begin(
+                request.team, idempotency_key, request.digest, token
+            )
             waits = isinstance(found, Failure) and found.verdict is Verdict.MAY_HAVE_RUN
             late = self.clock.now() + pause_s > request.deadline_s
             if not waits or late:
--- a/redwingrun/fields.py
+++ b/redwingrun/fields.py
@@ -32,7 +32,9 @@
     metadata = {HELP: help_text, CHECK: check}
     if isinstance(default, (dict, list)):
         kind = type(default)
-        return attrs.field(factory=lambda: kind(default), metadata=metadata, kw_only=True)
+        return attrs.field(
+            factory=lambda: kind(default), metadata=metadata, kw_only=True
+        )
     return attrs.field(default=default, metadata=metadata, kw_only=True)
 
 
@@ -80,7 +82,9 @@
 
 def flag() -> Check:
     """Check for true or false."""
-    return lambda value: None if isinstance(value, bool) else f"{value!r} is not true or false"
+    return lambda value: (
+        None if isinstance(value, bool) else f"{value!r} is not true or false"
+    )
 
 
 def one_of(*choices: str) -> Check:
@@ -107,7 +111,9 @@
 
 def mapping() -> Check:
     """Check for a JSON object."""
-    return lambda value: None if isinstance(value, dict) else f"{value!r} is not an object"
+    return lambda value: (
+        None if isinstance(value, dict) else f"{value!r} is not an object"
+    )
 
 
 def nearest(word: Any, known: Any) -> str:
@@ -133,7 +139,9 @@
     return cls(**plain), []
 
 
-def _field_problems(name: str, attribute: attrs.Attribute, plain: dict) -> list[Problem]:
+def _field_problems(
+    name: str, attribute: attrs.Attribute, plain: dict
+) -> list[Problem]:
     if name not in plain:
         if attribute.default is attrs.NOTHING:
             return [Problem(name, "is missing", attribute.metadata.get(HELP, ""))]
--- a/redwingrun/gangs.py
+++ b/redwingrun/gangs.py
@@ -56,7 +56,9 @@
         """
         if self._hold_stands(now_s):
             return
-        gangs = {task.task_id: task for task in queued if task.task_id in self._since_by_gang}
+        gangs = {
+            task.task_id: task for task in queued if task.task_id in self._since_by_gang
+        }
         self._since_by_gang = {
             key: since_s for key, since_s in self._since_by_gang.items() if key in gangs
         }
@@ -106,4 +108,6 @@
         if hold is None or hold.task_id == task.task_id:
             return []
         left_s = hold.until_s - now_s
-        return [f"{len(hold.workers)} workers are kept for a gang for {left_s:.0f} s more"]
+        return [
+            f"{len(hold.workers)} workers are kept for a gang for {left_s:.0f} s more"
+        ]
--- a/redwingrun/jsonfile.py
+++ b/redwingrun/jsonfile.py
@@ -56,10 +56,14 @@
         return path.read_text(encoding="utf-8")
     except OSError as error:
         reason = error.strerror or str(error)
-        raise InvalidInput([Fault(str(path), 0, "", reason, "check the path")]) from error
+        raise InvalidInput(
+            [Fault(str(path), 0, "", reason, "check the path")]
+        ) from error
     except UnicodeDecodeError as error:
         problem = f"byte {error.start} is not UTF-8"
-        raise InvalidInput([Fault(str(path), 0, "", problem, "save it as UTF-8")]) from error
+        raise InvalidInput(
+            [Fault(str(path), 0, "", problem, "save it as UTF-8")]
+        ) from error
 
 
 def parse_json(name: str, text: str) -> JsonFile:
@@ -71,15 +75,21 @@
     if not text.strip():
         raise InvalidInput([Fault(name, 1, "", "the file is empty", "start with {}")])
     try:
-        value = jsonc.loads(text, object_pairs_hook=lambda pairs: _pairs(pairs, duplicates))
+        value = jsonc.loads(
+            text, object_pairs_hook=lambda pairs: _pairs(pairs, duplicates)
+        )
     except JSONDecodeError as error:
-        fault = Fault(name, error.lineno, "", f"not JSON: {error.msg}", "mend the syntax")
+        fault = Fault(
+            name, error.lineno, "", f"not JSON: {error.msg}", "mend the syntax"
+        )
         raise InvalidInput([fault]) from error
     except RecursionError as error:
         fault = Fault(name, 0, "", "nested too deeply", "flatten it")
         raise InvalidInput([fault]) from error
     if not isinstance(value, dict):
-        fault = Fault(name, 1, "", "the file must hold one JSON object", "wrap it in {}")
+        fault = Fault(
+            name, 1, "", "the file must hold one JSON object", "wrap it in {}"
+        )
         raise InvalidInput([fault])
     return JsonFile(name, text, value, duplicates)
 
--- a/redwingrun/membership.py
+++ b/redwingrun/membership.py
@@ -21,6 +21,7 @@
 from redwingrun.coordination.shards import SHARDS_PREFIX, ShardBook, ShardRow
 from redwingrun.coordination.table import (
     Committed,
+    Condition,
     Row,
     Table,
     TableUnavailable,
@@ -115,7 +116,7 @@
         """Tell whether this process owns a shard under an epoch right now."""
         return self.owned().get(shard) == epoch
 
-    def fence(self, shard: str) -> object:
+    def fence(self, shard: str) -> Condition:
         """Return the condition that fences a write about a shard."""
         return self._book.fence(shard)
 
@@ -154,7 +155,9 @@
         # The promise book outlives a lapse, but not a restart: this run speaks
         # for all ids it has had, and for nobody else's.
         return PromiseReply(
-            member_id=self.member_id, promised=promised, speaks_for=sorted(self._own_ids)
+            member_id=self.member_id,
+            promised=promised,
+            speaks_for=sorted(self._own_ids),
         )
 
     # The life of a member
@@ -204,7 +207,9 @@
     async def _clear_lapsed(self) -> None:
         """Delete the rows of our own lapsed ids: nobody needs to wait for them."""
         while self._lapsed_keys:
-            await self._table.transact(Transaction((), (Write(self._lapsed_keys[0], None),)))
+            await self._table.transact(
+                Transaction((), (Write(self._lapsed_keys[0], None),))
+            )
             self._lapsed_keys.pop(0)
 
     async def _step(self) -> None:
@@ -255,7 +260,9 @@
         seen_s = self._clock.now()
         shards = await self._table.scan(SHARDS_PREFIX)
         mine = tuple(
-            row for row in members if row.key.startswith(f"{MEMBERS_PREFIX}{self._kind}/")
+            row
+            for row in members
+            if row.key.startswith(f"{MEMBERS_PREFIX}{self._kind}/")
         )
         self._watch.observe(mine, seen_s)
         others = [decode(MemberRow, row.value) for row in members if row not in mine]
@@ -295,9 +302,13 @@
             return True
         return await self._a_witness_allows(suspect, witnesses)
 
-    async def _a_witness_allows(self, suspect: Suspect, witnesses: frozenset[str]) -> bool:
+    async def _a_witness_allows(
+        self, suspect: Suspect, witnesses: frozenset[str]
+    ) -> bool:
         """Ask the live members until one speaks for a witness."""
-        suspects = {item.row.member_id for item in self._watch.suspects(self._clock.now())}
+        suspects = {
+            item.row.member_id for item in self._watch.suspects(self._clock.now())
+        }
         request = PromiseRequest(for_member_id=suspect.row.member_id)
         for member_id, row in sorted(self._watch.members().items()):
             if member_id in suspects or member_id in self._own_ids:
@@ -333,9 +344,13 @@
         self._metrics.count("lease_extensions_total", done=str(done).lower())
 
     async def _ask_promise(self, peer: MemberRow) -> bool:
-        request = PromiseRequest(for_member_id=self.member_id, to_member_id=peer.member_id)
+        request = PromiseRequest(
+            for_member_id=self.member_id, to_member_id=peer.member_id
+        )
         timeout_s = self._lease_settings.margin_s
-        result = await self._peers.call(peer.peer_address, "Promise", request, timeout_s)
+        result = await self._peers.call(
+            peer.peer_address, "Promise", request, timeout_s
+        )
         speaks = result.is_ok() and peer.member_id in result.ok.speaks_for
         return speaks and result.ok.promised
 
@@ -352,7 +367,9 @@
             result = await self._table.transact(change)
             if isinstance(result, Committed):
                 self._book.took(row, result.version)
-                self._log.event("shard", shard=row.shard, owner=row.owner, epoch=row.epoch)
+                self._log.event(
+                    "shard", shard=row.shard, owner=row.owner, epoch=row.epoch
+                )
 
     def _live_members(self) -> dict[str, MemberRow]:
         members = self._watch.members()
--- a/redwingrun/metrics.py
+++ b/redwingrun/metrics.py
@@ -81,9 +81,14 @@
                 typed.add(name)
             for percentile in PERCENTILES:
                 quantile = (("quantile", f"{percentile / 100:g}"),)
-                value = histogram.get_value_at_percentile(percentile) / MICROSECONDS_PER_SECOND
+                value = (
+                    histogram.get_value_at_percentile(percentile)
+                    / MICROSECONDS_PER_SECOND
+                )
                 lines.append(f"{PREFIX}{name}{_labels(labels + quantile)} {value:.6f}")
-            lines.append(f"{PREFIX}{name}_count{_labels(labels)} {histogram.get_total_count()}")
+            lines.append(
+                f"{PREFIX}{name}_count{_labels(labels)} {histogram.get_total_count()}"
+            )
         return "\n".join(lines) + "\n"
 
     def _plain_lines(
--- a/redwingrun/news.py
+++ b/redwingrun/news.py
@@ -26,13 +26,17 @@
 
     def peer_ids(self) -> set[str]:
         """Return the ids of the other entries."""
-        return set(self._node.membership.members(ENTRY)) - {self._node.membership.member_id}
+        return set(self._node.membership.members(ENTRY)) - {
+            self._node.membership.member_id
+        }
 
     def tell_soon(self, member_id: str) -> None:
         """Tell a peer now, or leave it to a telling that is under way."""
         running = self._tell_by_peer.get(member_id)
         if running is None or running.done():
-            self._tell_by_peer[member_id] = self._node.spawn(self._tell(member_id), "tell")
+            self._tell_by_peer[member_id] = self._node.spawn(
+                self._tell(member_id), "tell"
+            )
 
     async def _tell(self, member_id: str) -> None:
         peer = self._node.membership.members(ENTRY).get(member_id)
--- a/redwingrun/node.py
+++ b/redwingrun/node.py
@@ -85,7 +85,9 @@
         self.http = HttpClient(f"{settings.host}/{self.kind}")
         timeout_s = settings.table_timeout_s
         self.table = HttpTable(self.http, settings.table_url, timeout_s, self.metrics)
-        self.store = HttpObjectStore(self.http, settings.object_store_url, timeout_s, self.metrics)
+        self.store = HttpObjectStore(
+            self.http, settings.object_store_url, timeout_s, self.metrics
+        )
         self._host_list = HttpHostList(self.http, settings.host_list_url, timeout_s)
         self.writer = GroupCommit(self.table, settings.group())
         self.peers = PeerClient(self._secret)
@@ -157,7 +159,9 @@
             self._tasks.remove(task)
         if not task.cancelled() and task.exception() is not None:
             self.metrics.count("task_failures_total", task=task.get_name())
-            self.log.fault("task-failed", task=task.get_name(), error=repr(task.exception()))
+            self.log.fault(
+                "task-failed", task=task.get_name(), error=repr(task.exception())
+            )
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then stop gracefully."""
@@ -185,7 +189,9 @@
         server.listen(self.settings.http_port, self.settings.listen_ip, backlog=BACKLOG)
         return server
 
-    async def _shut_down(self, http_server: HTTPServer, peer_server: PeerServer) -> None:
+    async def _shut_down(
+        self, http_server: HTTPServer, peer_server: PeerServer
+    ) -> None:
         self.log.event("stopping")
         self.ready = False
         for task in self._tasks:
@@ -256,7 +262,9 @@
         except HostListUnavailable as error:
             self.log.detail("host-list-unreachable", error=str(error))
             return
-        leaving = {name for name, host in hosts.items() if host.state is HostState.LEAVING}
+        leaving = {
+            name for name, host in hosts.items() if host.state is HostState.LEAVING
+        }
         if leaving != self.leaving_hosts:
             self.leaving_hosts = leaving
             self.on_change()
--- a/redwingrun/objects.py
+++ b/redwingrun/objects.py
@@ -81,7 +81,9 @@
     idempotent: bool = checked("whether running it twice does no harm", flag(), True)
     run_s: float = checked("declared run time in seconds", number(0.0001, YEAR_S), 1.0)
     size: dict = checked("cores, memory_gb and accelerators of a task", mapping(), {})
-    count: int = checked("tasks that start together or not at all", whole(1, MAX_GANG), 1)
+    count: int = checked(
+        "tasks that start together or not at all", whole(1, MAX_GANG), 1
+    )
 
     @property
     def task_size(self) -> Size:
@@ -95,10 +97,16 @@
 
     name: str = field(default="", metadata={"help": "", "check": text()})
     priority: int = checked("higher goes first", whole(0, 100), 50)
-    deadline_s: float = checked("longest time from arrival to answer", number(0.001, YEAR_S), 5.0)
-    long: bool = checked("keep it from the slots kept free for short work", flag(), False)
+    deadline_s: float = checked(
+        "longest time from arrival to answer", number(0.001, YEAR_S), 5.0
+    )
+    long: bool = checked(
+        "keep it from the slots kept free for short work", flag(), False
+    )
     urgent: bool = checked("may take the place of batch work", flag(), False)
-    restart: str = checked("never, or checkpoint", one_of("never", "checkpoint"), "never")
+    restart: str = checked(
+        "never, or checkpoint", one_of("never", "checkpoint"), "never"
+    )
     spread: str = checked(
         "what copies are spread over", one_of("none", "rack", "data_centre"), "none"
     )
@@ -114,13 +122,19 @@
     rack: str = checked("name of its rack", text(), "")
     slots: int = checked("requests that a minion serves at once", whole(1, 10000), 8)
     cores: float = checked("processor cores of a worker", number(0, MAX_CORES), 0.0)
-    memory_gb: float = checked("memory of a worker in GB", number(0, MAX_MEMORY_GB), 0.0)
-    accelerators: int = checked("accelerators of a worker", whole(0, MAX_ACCELERATORS), 0)
+    memory_gb: float = checked(
+        "memory of a worker in GB", number(0, MAX_MEMORY_GB), 0.0
+    )
+    accelerators: int = checked(
+        "accelerators of a worker", whole(0, MAX_ACCELERATORS), 0
+    )
 
     @property
     def capacity(self) -> Size:
         """What a worker has."""
-        return Size(cores=self.cores, memory_gb=self.memory_gb, accelerators=self.accelerators)
+        return Size(
+            cores=self.cores, memory_gb=self.memory_gb, accelerators=self.accelerators
+        )
 
 
 @frozen(kw_only=True)
@@ -135,8 +149,10 @@
 
     @cached_property
     def upstreams_by_name(self) -> dict[str, Upstream]:
-        """The minions or workers; made once, since every workload's check reads them."""
-        return {name: Upstream(name=name, **plain) for name, plain in self.upstreams.items()}
+        """The minions or workers; made once, every workload's check reads them."""
+        return {
+            name: Upstream(name=name, **plain) for name, plain in self.upstreams.items()
+        }
 
     def shards(self) -> dict[str, list[str]]:
         """Return the names of the upstreams of each shard.
@@ -192,7 +208,9 @@
         """Return the set from its canonical text."""
         plain = orjson.loads(content)
         sections = {
-            section: {name: kind(**item) for name, item in plain.get(section, {}).items()}
+            section: {
+                name: kind(**item) for name, item in plain.get(section, {}).items()
+            }
             for section, kind in KIND_BY_SECTION.items()
         }
         return cls(**sections)
@@ -254,14 +272,18 @@
 
     def __init__(self, faults: list[Fault]):
         self.faults = list(faults)
-        self.by_section: dict[str, dict[str, Any]] = {key: {} for key in KIND_BY_SECTION}
+        self.by_section: dict[str, dict[str, Any]] = {
+            key: {} for key in KIND_BY_SECTION
+        }
         self._file_by_object: dict[tuple[str, str], JsonFile] = {}
 
     def take(self, source: JsonFile) -> None:
         """Take the objects of one file."""
         for key in source.duplicate_keys:
             line = source.line_of(key)
-            self.faults.append(Fault(source.name, line, key, "stands twice", "keep one"))
+            self.faults.append(
+                Fault(source.name, line, key, "stands twice", "keep one")
+            )
         for section, plain in source.value.items():
             if section not in KIND_BY_SECTION:
                 problem = f"unknown section{nearest(section, KIND_BY_SECTION)}"
@@ -269,18 +291,25 @@
                 self.faults.append(fault)
             elif not isinstance(plain, dict):
                 fault = Fault(
-                    source.name, source.line_of(section), section, "must be an object by name"
+                    source.name,
+                    source.line_of(section),
+                    section,
+                    "must be an object by name",
                 )
                 self.faults.append(fault)
             else:
                 self._take_section(source, section, plain)
 
-    def _take_section(self, source: JsonFile, section: str, plain: dict[str, Any]) -> None:
+    def _take_section(
+        self, source: JsonFile, section: str, plain: dict[str, Any]
+    ) -> None:
         for name, item in plain.items():
             where = (section, name)
             if where in self._file_by_object:
                 other = self._file_by_object[where].name
-                self._fault(source, section, name, "", f"stands in {other} too", "keep one")
+                self._fault(
+                    source, section, name, "", f"stands in {other} too", "keep one"
+                )
                 continue
             self._file_by_object[where] = source
             found, problems = build(KIND_BY_SECTION[section], item)
@@ -289,7 +318,9 @@
                 self.by_section[section][name] = evolve(found, name=name)
                 self._check_parts(source, section, name, found)
 
-    def _check_parts(self, source: JsonFile, section: str, name: str, found: Any) -> None:
+    def _check_parts(
+        self, source: JsonFile, section: str, name: str, found: Any
+    ) -> None:
         parts: list[tuple[str, Any, type]] = []
         if isinstance(found, Workload):
             parts.append(("size", found.size, Size))
@@ -307,14 +338,25 @@
             self.by_section[section].pop(name)
 
     def _problems(
-        self, source: JsonFile, section: str, name: str, problems: list[Problem], part: str = ""
+        self,
+        source: JsonFile,
+        section: str,
+        name: str,
+        problems: list[Problem],
+        part: str = "",
     ) -> None:
         for item in problems:
             path = ".".join(key for key in (part, item.name) if key)
             self._fault(source, section, name, path, item.problem, item.remedy)
 
     def _fault(
-        self, source: JsonFile, section: str, name: str, path: str, problem: str, remedy: str
+        self,
+        source: JsonFile,
+        section: str,
+        name: str,
+        path: str,
+        problem: str,
+        remedy: str,
     ) -> None:
         line = source.line_of(section, name, *[key for key in path.split(".") if key])
         subject = f"{section[:-1] if section != 'policies' else 'policy'} {name}"
@@ -330,7 +372,9 @@
 
     def _check_workload(self, objects: ObjectSet, workload: Workload) -> None:
         self._reference("workloads", workload.name, "pool", workload.pool, "pools")
-        self._reference("workloads", workload.name, "policy", workload.policy, "policies")
+        self._reference(
+            "workloads", workload.name, "policy", workload.policy, "policies"
+        )
         for team in workload.teams:
             self._reference("workloads", workload.name, "teams", team, "teams")
         pool = objects.pools.get(workload.pool)
@@ -339,12 +383,24 @@
         source = self._file_by_object["workloads", workload.name]
         needed = MINIONS if workload.kind == QUICK else WORKERS
         if pool.type != needed:
-            problem = f"{workload.kind} work needs a pool of {needed}, {pool.name} has {pool.type}"
-            self._fault(source, "workloads", workload.name, "pool", problem, "name another")
+            problem = (
+                f"{workload.kind} work needs a pool of {needed}, "
+                f"{pool.name} has {pool.type}"
+            )
+            self._fault(
+                source, "workloads", workload.name, "pool", problem, "name another"
+            )
         elif pool.type == WORKERS:
             reason = never_runs(workload, pool)
             if reason:
-                self._fault(source, "workloads", workload.name, "size", reason, "make it smaller")
+                self._fault(
+                    source,
+                    "workloads",
+                    workload.name,
+                    "size",
+                    reason,
+                    "make it smaller",
+                )
 
     def _check_team(self, objects: ObjectSet, team: Team) -> None:
         if not team.parent:
@@ -356,12 +412,16 @@
             if parent in seen:
                 source = self._file_by_object["teams", team.name]
                 problem = f"its parents form a cycle through {parent}"
-                self._fault(source, "teams", team.name, "parent", problem, "cut the cycle")
+                self._fault(
+                    source, "teams", team.name, "parent", problem, "cut the cycle"
+                )
                 return
             seen.add(parent)
             parent = objects.teams[parent].parent
 
-    def _reference(self, section: str, name: str, path: str, target: str, kind: str) -> None:
+    def _reference(
+        self, section: str, name: str, path: str, target: str, kind: str
+    ) -> None:
         known = [key for where, key in self._file_by_object if where == kind]
         if target in known:
             return
@@ -378,7 +438,9 @@
     if not workers:
         return f"pool {pool.name} has no workers"
     if not any(size.fits(worker.capacity) for worker in workers):
-        return f"no worker of {pool.name} is large enough: {_closest(size, list(workers))}"
+        return (
+            f"no worker of {pool.name} is large enough: {_closest(size, list(workers))}"
+        )
     left = workload.count
     for worker in workers:
         left -= _copies(size, worker.capacity, left)
--- a/redwingrun/operators.py
+++ b/redwingrun/operators.py
@@ -61,7 +61,9 @@
         """Answer with the version and content in force on this host."""
         self.operator()
         row = self.node.follower.in_force
-        self.send_json({"version": row.number, "objects": orjson.loads(self.node.config.content)})
+        self.send_json(
+            {"version": row.number, "objects": orjson.loads(self.node.config.content)}
+        )
 
     async def post(self) -> None:
         """Check a whole set of objects and publish it."""
@@ -92,7 +94,8 @@
         if isinstance(result, LostRace):
             winner = result.winner
             detail = (
-                f"version {winner.number} was published by {winner.operator or 'nobody'}"
+                f"version {winner.number} was published"
+                f" by {winner.operator or 'nobody'}"
                 f" meanwhile ({winner.reason or 'no reason given'})"
             )
             self.send_failure(not_run("lost-race", detail), version=winner.number)
@@ -105,7 +108,9 @@
     based_on = plain.get("based_on")
     sources = plain.get("sources")
     if not isinstance(based_on, int) or isinstance(based_on, bool) or based_on < 0:
-        raise HTTPError(400, "based_on must be the version that was changed, 0 for the first")
+        raise HTTPError(
+            400, "based_on must be the version that was changed, 0 for the first"
+        )
     if not isinstance(sources, dict) or not sources:
         raise HTTPError(400, "sources must hold the texts of the object files by name")
     files = [parse_json(name, str(text)) for name, text in sources.items()]
@@ -175,7 +180,9 @@
 
     async def _set(self, name: str, action: str, value: str | None) -> None:
         operator = self.operator()
-        known = {item for pool in self.node.objects.pools.values() for item in pool.upstreams}
+        known = {
+            item for pool in self.node.objects.pools.values() for item in pool.upstreams
+        }
         if name not in known:
             raise HTTPError(404, f"no pool has a minion or worker {name!r}")
         row = AuditRow(action, operator.name, timestamp(), name, reason=self.reason())
@@ -186,7 +193,9 @@
         except (TableUnavailable, TableUnknown) as error:
             self.send_table_error(error)
             return
-        self.send_json({"name": name, "drained": bool(value), "kept": isinstance(done, Committed)})
+        self.send_json(
+            {"name": name, "drained": bool(value), "kept": isinstance(done, Committed)}
+        )
 
 
 def operator_routes(node: Entry) -> list[tuple[str, type[Handler], dict[str, Any]]]:
--- a/redwingrun/packing.py
+++ b/redwingrun/packing.py
@@ -47,7 +47,9 @@
 
     def could_hold(self, size: Size) -> bool:
         """Tell whether a task of this size fits when nothing else is here."""
-        capacity = Size(cores=self.cores, memory_gb=self.memory_gb, accelerators=self.accelerators)
+        capacity = Size(
+            cores=self.cores, memory_gb=self.memory_gb, accelerators=self.accelerators
+        )
         return size.fits(capacity)
 
     def resize(self, capacity: Size) -> None:
@@ -103,7 +105,7 @@
 
 
 class BestFit(Packer):
-    """Least room left, over all dimensions; accelerators are kept for who needs them."""
+    """Least room left, over all dimensions."""
 
     def choose(self, size: Size, rooms: list[Room]) -> Room:
         """Return the room with the least left; one loop without calls."""
@@ -142,7 +144,9 @@
         if room.cores:
             total += size.cores * room.free_cores / (room.cores * room.cores)
         if room.memory_gb:
-            total += size.memory_gb * room.free_memory_gb / (room.memory_gb * room.memory_gb)
+            total += (
+                size.memory_gb * room.free_memory_gb / (room.memory_gb * room.memory_gb)
+            )
         if room.accelerators:
             total += size.accelerators * room.free_accelerators / room.accelerators**2
         return total
@@ -177,7 +181,11 @@
 
 def _left_shares(size: Size, room: Room) -> tuple[float, float, float]:
     cores = (room.free_cores - size.cores) / room.cores if room.cores else 0.0
-    memory = (room.free_memory_gb - size.memory_gb) / room.memory_gb if room.memory_gb else 0.0
+    memory = (
+        (room.free_memory_gb - size.memory_gb) / room.memory_gb
+        if room.memory_gb
+        else 0.0
+    )
     accelerators = 0.0
     if room.accelerators:
         accelerators = (room.free_accelerators - size.accelerators) / room.accelerators
--- a/redwingrun/peers.py
+++ b/redwingrun/peers.py
@@ -48,11 +48,17 @@
         except GRPCError as error:
             return Error(_refused(error))
         if reply is None:
-            return Error(progress.failure("peer-lost", "the peer closed the connection"))
+            return Error(
+                progress.failure("peer-lost", "the peer closed the connection")
+            )
         return Ok(reply)
 
     async def _exchange(
-        self, bound: UnaryUnaryMethod, message: Any, progress: _Progress, timeout_s: float
+        self,
+        bound: UnaryUnaryMethod,
+        message: Any,
+        progress: _Progress,
+        timeout_s: float,
     ) -> Any:
         async with bound.open(timeout=timeout_s, metadata=self._metadata) as stream:
             # Only the headers go out here: without a message nothing can run.
--- a/redwingrun/placer.py
+++ b/redwingrun/placer.py
@@ -136,14 +136,17 @@
     def _notes(self, keeper: PoolKeeper, task: Task) -> list[str]:
         if task.state == QUEUED:
             return keeper.scheduler.explain(task, self.clock.now())
-        notes = [f"attempt {task.row.attempt} on {', '.join(task.row.workers) or 'no worker'}"]
+        workers = ", ".join(task.row.workers) or "no worker"
+        notes = [f"attempt {task.row.attempt} on {workers}"]
         if task.row.detail:
             notes.append(task.row.detail)
         return notes
 
 
 def _failed(failure: Failure) -> TaskReply:
-    return TaskReply(verdict=failure.verdict.value, reason=failure.reason, detail=failure.detail)
+    return TaskReply(
+        verdict=failure.verdict.value, reason=failure.reason, detail=failure.detail
+    )
 
 
 def _view(task: Task) -> TaskReply:
--- a/redwingrun/platform.py
+++ b/redwingrun/platform.py
@@ -38,7 +38,9 @@
 class HttpTable(Table):
     """The table over HTTP; see ``docs/INTERFACES.md`` for the protocol."""
 
-    def __init__(self, client: HttpClient, url: str, timeout_s: float, metrics: Metrics):
+    def __init__(
+        self, client: HttpClient, url: str, timeout_s: float, metrics: Metrics
+    ):
         self._client = client
         self._url = url.rstrip("/")
         self._timeout_s = timeout_s
@@ -48,8 +50,13 @@
         """Apply a transaction."""
         body = orjson.dumps(
             {
-                "conditions": [_plain_condition(item) for item in transaction.conditions],
-                "writes": [{"key": item.key, "value": item.value} for item in transaction.writes],
+                "conditions": [
+                    _plain_condition(item) for item in transaction.conditions
+                ],
+                "writes": [
+                    {"key": item.key, "value": item.value}
+                    for item in transaction.writes
+                ],
             }
         )
         self._metrics.count("table_writes_total")
@@ -72,7 +79,8 @@
         self._metrics.count("table_reads_total")
         reply = await self._send("POST", "/read", orjson.dumps({field: value}))
         return tuple(
-            Row(item["key"], item["value"], item["version"]) for item in orjson.loads(reply.body)
+            Row(item["key"], item["value"], item["version"])
+            for item in orjson.loads(reply.body)
         )
 
     async def _send(self, method: str, path: str, body: bytes) -> Reply:
@@ -98,7 +106,9 @@
 class HttpObjectStore(ObjectStore):
     """The object store over HTTP."""
 
-    def __init__(self, client: HttpClient, url: str, timeout_s: float, metrics: Metrics):
+    def __init__(
+        self, client: HttpClient, url: str, timeout_s: float, metrics: Metrics
+    ):
         self._client = client
         self._url = url.rstrip("/")
         self._timeout_s = timeout_s
@@ -124,7 +134,9 @@
         with self._metrics.timed("store_seconds", store="objects"):
             result = await self._client.send(call)
         if result.is_error():
-            raise ObjectStoreUnavailable(f"{result.error.reason}: {result.error.detail}")
+            raise ObjectStoreUnavailable(
+                f"{result.error.reason}: {result.error.detail}"
+            )
         return result.ok
 
 
@@ -168,7 +180,9 @@
 
     async def hosts(self) -> dict[str, ListedHost]:
         """Return the hosts by name."""
-        result = await self._client.send(Call("GET", f"{self._url}/hosts", self._timeout_s))
+        result = await self._client.send(
+            Call("GET", f"{self._url}/hosts", self._timeout_s)
+        )
         if result.is_error() or result.ok.status != 200:
             raise HostListUnavailable(str(result))
         listed = {}
--- a/redwingrun/poolkeeper.py
+++ b/redwingrun/poolkeeper.py
@@ -36,7 +36,12 @@
 PLACE_INTERVAL_S = 0.5
 MAX_ENDED_KEPT = 5_000
 SILENT_RENEWALS = 2
-END_BY_NAME = {"ok": End.OK, "failed": End.FAILED, "stopped": End.STOPPED, "lapsed": End.LOST}
+END_BY_NAME = {
+    "ok": End.OK,
+    "failed": End.FAILED,
+    "stopped": End.STOPPED,
+    "lapsed": End.LOST,
+}
 # Seen once over its size a member is throttled, then checkpointed, then stopped.
 CHECKPOINT_AT_EXCESS = 2
 STOP_AT_EXCESS = 3
@@ -157,7 +162,9 @@
         known = self.task_by_id.get(message.task_id)
         if known is not None:
             return self._same(known, message.digest)
-        refusal = refusal_of(self._node.objects, message, workload, len(self.task_by_id))
+        refusal = refusal_of(
+            self._node.objects, message, workload, len(self.task_by_id)
+        )
         if refusal is not None:
             return refusal
         work = self._node.spawn(self._keep_new(message, workload), "submit")
@@ -165,7 +172,9 @@
         # Goes on when the entry gives up waiting: its outcome decides for later ones.
         return await asyncio.shield(work)
 
-    async def _keep_new(self, message: SubmitTask, workload: Workload) -> Task | Failure:
+    async def _keep_new(
+        self, message: SubmitTask, workload: Workload
+    ) -> Task | Failure:
         self._order += 1
         policy = self._node.objects.policies[workload.policy]
         task = Task(row_of(message, workload, policy, self._order))
@@ -179,7 +188,9 @@
             self._place_now.set()
             return task
         if done is Commit.REFUSED:
-            return not_run("table-unavailable", "the task could not be kept; send it again")
+            return not_run(
+                "table-unavailable", "the task could not be kept; send it again"
+            )
         # Ownership ended with a write under way: the next owner may find the row.
         return may_have_run("not-owner", "this host no longer owns the pool")
 
@@ -199,12 +210,14 @@
             self._wake_workers(task)
             return None
         if done is Commit.NOT_OWNER:
-            return may_have_run("not-owner", "the next owner may find the task cancelled")
+            return may_have_run(
+                "not-owner", "the next owner may find the task cancelled"
+            )
         self._take_back(task, before)
         return not_run("table-unavailable", "the cancellation could not be kept")
 
     def _take_back(self, task: Task, before: TaskRow) -> None:
-        """Undo a cancellation that was not kept, unless the task has ended meanwhile."""
+        """Undo a cancellation that was not kept, unless the task ended meanwhile."""
         if task.state not in (STOPPING, CANCELLED):
             return
         task.row = evolve(task.row, state=before.state, detail=before.detail)
@@ -222,7 +235,9 @@
         for task in self.scheduler.preemptions(self.task_by_id, now_s):
             task.happen("preempt", "makes room for urgent work")
             self._wake_workers(task)
-        self._node.metrics.gauge("tasks_queued", self.scheduler.queued(), pool=self._pool)
+        self._node.metrics.gauge(
+            "tasks_queued", self.scheduler.queued(), pool=self._pool
+        )
 
     def _begin(self, placement: Placement) -> None:
         task = placement.task
@@ -242,7 +257,9 @@
             for index in range(row.count):
                 self._member_ended(task, index, End.NOT_RUN)
             return
-        await asyncio.gather(*[self._start_member(task, index) for index in range(row.count)])
+        await asyncio.gather(
+            *[self._start_member(task, index) for index in range(row.count)]
+        )
 
     async def _start_member(self, task: Task, index: int) -> None:
         row = task.row
@@ -265,8 +282,12 @@
             checkpoint=row.checkpoints[index] if row.checkpoints else "",
         )
         result = await self._workers.start(call, self._node.settings.worker_timeout_s)
-        # The next owner takes over from the rows; what we heard is no longer ours to use.
-        if not self.owns() or index not in task.starting or task.row.attempt != row.attempt:
+        # The next owner takes over from the rows; our news is no longer of use.
+        if (
+            not self.owns()
+            or index not in task.starting
+            or task.row.attempt != row.attempt
+        ):
             return
         task.starting.discard(index)
         if result.is_ok():
@@ -277,7 +298,9 @@
 
     def _start_failed(self, task: Task, index: int, failure: Failure) -> None:
         name = task.row.workers[index]
-        self._node.log.event("start-failed", task=task.task_id, worker=name, reason=failure.reason)
+        self._node.log.event(
+            "start-failed", task=task.task_id, worker=name, reason=failure.reason
+        )
         if failure.verdict is Verdict.NOT_RUN:
             task.avoid.add(name)
             self.scheduler.worker_failed(name, self._node.clock.now())
@@ -349,7 +372,9 @@
                 call.throttle.append(key)
         return call
 
-    def _worker_heard(self, name: str, link: _Link, report: WorkerReport, call: SyncCall) -> None:
+    def _worker_heard(
+        self, name: str, link: _Link, report: WorkerReport, call: SyncCall
+    ) -> None:
         worker = self.scheduler.worker_by_name.get(name)
         if worker is None:
             return
@@ -371,7 +396,9 @@
             self.scheduler.workers_changed()
             self._place_now.set()
 
-    def _take_members(self, name: str, link: _Link, report: WorkerReport, call: SyncCall) -> None:
+    def _take_members(
+        self, name: str, link: _Link, report: WorkerReport, call: SyncCall
+    ) -> None:
         members = self._members_on(name)
         for key in call.keep:
             if key not in members:
@@ -418,7 +445,11 @@
     def _take_stray(self, link: _Link, key: MemberKey, found: MemberReport) -> None:
         """Stop or forget what the worker has and no present attempt wants."""
         task = self.task_by_id.get(key.task_id)
-        wanted = task is not None and key.attempt == task.row.attempt and key.index in task.live
+        wanted = (
+            task is not None
+            and key.attempt == task.row.attempt
+            and key.index in task.live
+        )
         if wanted:
             return
         if not found.ended:
@@ -489,6 +520,7 @@
 
 def _detail(task: Task) -> str:
     ends = ", ".join(
-        f"{end.value} on {task.row.workers[index]}" for index, end in sorted(task.ends.items())
+        f"{end.value} on {task.row.workers[index]}"
+        for index, end in sorted(task.ends.items())
     )
     return ends[:200]
--- a/redwingrun/queues.py
+++ b/redwingrun/queues.py
@@ -99,7 +99,9 @@
             if not hopeless:
                 continue
             late.extend(hopeless)
-            lane.requests = deque(item for item in lane.requests if item not in hopeless)
+            lane.requests = deque(
+                item for item in lane.requests if item not in hopeless
+            )
             for item in hopeless:
                 self._removed(item)
             if not lane.requests:
@@ -107,8 +109,10 @@
         return late
 
     def share_of(self, team: str) -> float:
-        """Return a team's part of the service among those that wait, itself included."""
-        teams = {name for name, lane in self._lane_by_team.items() if lane.requests} | {team}
+        """Return a team's part of the service among those that wait and itself."""
+        teams = {name for name, lane in self._lane_by_team.items() if lane.requests} | {
+            team
+        }
         total = sum(self.share_by_team.get(name, 1.0) for name in teams)
         return self.share_by_team.get(team, 1.0) / total
 
--- a/redwingrun/router.py
+++ b/redwingrun/router.py
@@ -8,7 +8,13 @@
 from expression import Result
 
 from redwingrun.config import Settings
-from redwingrun.coordination.verdict import Answer, Failure, Verdict, may_have_run, not_run
+from redwingrun.coordination.verdict import (
+    Answer,
+    Failure,
+    Verdict,
+    may_have_run,
+    not_run,
+)
 from redwingrun.dispatcher import (
     MAX_ATTEMPTS,
     Action,
@@ -26,6 +32,7 @@
 from redwingrun.objects import MINIONS, Pool
 from redwingrun.peer_pb2 import News, RunReply, RunRequest
 from redwingrun.requests import Request
+from redwingrun.retries import RetryBudget
 from redwingrun.runtimes import RunTimes
 
 BUSY = "busy"
@@ -51,7 +58,13 @@
 class Router:
     """Owns the dispatchers and the sockets towards minions and peers."""
 
-    def __init__(self, node: Node, minions: MinionClient, run_times: RunTimes, budget: object):
+    def __init__(
+        self,
+        node: Node,
+        minions: MinionClient,
+        run_times: RunTimes,
+        budget: RetryBudget,
+    ):
         self._node = node
         self._settings: Settings = node.settings
         self._minions = minions
@@ -79,7 +92,9 @@
         route = self._route_by_pool.get(pool.name)
         if route is None:
             route = _Route(
-                Dispatcher(pool.name, self._settings.queue_limit, self._settings.news_max_age_s)
+                Dispatcher(
+                    pool.name, self._settings.queue_limit, self._settings.news_max_age_s
+                )
             )
             self._route_by_pool[pool.name] = route
         shares = {name: team.share for name, team in self._node.objects.teams.items()}
@@ -191,7 +206,9 @@
         workload = objects.workloads.get(message.workload)
         route = self._route_by_pool.get(workload.pool) if workload else None
         if route is None:
-            return self._reply(message.request_id, not_run(BUSY, "the pool is not known here"))
+            return self._reply(
+                message.request_id, not_run(BUSY, "the pool is not known here")
+            )
         if digest(message.body) != message.digest:
             return self._reply(message.request_id, not_run("damaged", "wrong digest"))
         request = self._request_of(message, workload.pool, workload.run_s)
@@ -307,7 +324,10 @@
         name = minion.name
         self._node.metrics.count("minion_failures_total", reason=failure.reason)
         self._node.log.event(
-            "minion-failure", request=request.request_id, minion=name, reason=failure.reason
+            "minion-failure",
+            request=request.request_id,
+            minion=name,
+            reason=failure.reason,
         )
         answered = failure.reason.startswith("status-")
         if failure.verdict is Verdict.NOT_RUN or answered:
@@ -387,7 +407,9 @@
     def _resolve(self, request: Request, outcome: Outcome) -> None:
         if request.may_have_run and outcome.verdict is Verdict.NOT_RUN:
             # The last try did not run, but an earlier one may have.
-            outcome = may_have_run(outcome.reason, f"an earlier try is unknown; {outcome.detail}")
+            outcome = may_have_run(
+                outcome.reason, f"an earlier try is unknown; {outcome.detail}"
+            )
         if request.waiter is not None and not request.waiter.done():
             request.waiter.set_result(outcome)
 
@@ -408,7 +430,11 @@
             await asyncio.sleep(SETTLE_INTERVAL_S)
 
     def _take_report(
-        self, route: _Route, minion: Minion, held: dict[str, Request], running: frozenset[str]
+        self,
+        route: _Route,
+        minion: Minion,
+        held: dict[str, Request],
+        running: frozenset[str],
     ) -> bool:
         now_s = self._node.clock.now()
         unsettled = route.unsettled.get(minion.name, {})
@@ -452,4 +478,6 @@
         if digest(reply.body) != reply.digest:
             return may_have_run("damaged", "the answer does not match its digest")
         return Answer(reply.body, reply.upstream, waited_s)
-    return Failure(Verdict(reply.verdict), reply.reason, reply.detail, upstream=reply.upstream)
+    return Failure(
+        Verdict(reply.verdict), reply.reason, reply.detail, upstream=reply.upstream
+    )
--- a/redwingrun/scheduler.py
+++ b/redwingrun/scheduler.py
@@ -221,7 +221,9 @@
         return placements
 
     def _usable_rooms(self, now_s: float) -> list[Room]:
-        return [item.room for item in self.worker_by_name.values() if item.usable(now_s)]
+        return [
+            item.room for item in self.worker_by_name.values() if item.usable(now_s)
+        ]
 
     def workers_changed(self) -> None:
         """Look again at which workers take work; call it when one's state changed."""
@@ -243,7 +245,9 @@
                 placements.append(placement)
                 heapq.heappush(turns, (self._team_load(team), team))
 
-    def _place_one(self, lane: Lane, rooms: list[Room], now_s: float) -> Placement | None:
+    def _place_one(
+        self, lane: Lane, rooms: list[Room], now_s: float
+    ) -> Placement | None:
         for _, shape in lane.heads(self._misfits):
             found = self._try(lane.head(shape), rooms, now_s)
             if found is not None:
@@ -304,7 +308,9 @@
         used = asdict(self.used(team))
         total = self._total
         dominant = max(
-            used[name] / getattr(total, name) for name in used if getattr(total, name) > 0
+            used[name] / getattr(total, name)
+            for name in used
+            if getattr(total, name) > 0
         )
         known = self.objects.teams.get(team)
         return dominant / (known.share if known else 1.0)
@@ -331,13 +337,19 @@
         """Return batch tasks to checkpoint so that waiting urgent work fits."""
         victims: list[Task] = []
         for (urgent, _), lanes in self._lane_by_level.items():
-            waiting = [task for lane in lanes.values() for task in lane.tasks()] if urgent else []
+            waiting = (
+                [task for lane in lanes.values() for task in lane.tasks()]
+                if urgent
+                else []
+            )
             for task in waiting:
                 if not self._over_quota(task):
                     victims.extend(self._victims(task, tasks, now_s))
         return victims
 
-    def _victims(self, urgent: Task, tasks: dict[str, Task], now_s: float) -> list[Task]:
+    def _victims(
+        self, urgent: Task, tasks: dict[str, Task], now_s: float
+    ) -> list[Task]:
         best: list[Task] | None = None
         for worker in self.worker_by_name.values():
             if not worker.usable(now_s):
@@ -383,7 +395,9 @@
             return ["no worker takes work now", *notes]
         size = task.row.size
         fitting = sum(1 for item in usable if item.room.holds(size))
-        notes.insert(0, f"{fitting} of {len(usable)} workers have room for one member now")
+        notes.insert(
+            0, f"{fitting} of {len(usable)} workers have room for one member now"
+        )
         if task.row.count > 1:
             notes.append(f"all {task.row.count} members must start together")
         notes.extend(self._gangs.notes(task, now_s))
@@ -398,7 +412,9 @@
                 notes.append(f"worker {worker.name} is leaving")
             elif not worker.usable(now_s):
                 pause_s = worker.quarantined_until_s - now_s
-                notes.append(f"worker {worker.name} fails its tasks; tried in {pause_s:.0f} s")
+                notes.append(
+                    f"worker {worker.name} fails its tasks; tried in {pause_s:.0f} s"
+                )
         return notes
 
     def queued(self) -> int:
--- a/redwingrun/taskcalls.py
+++ b/redwingrun/taskcalls.py
@@ -6,6 +6,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from attrs import asdict, frozen
+
 from redwingrun.auth import Identity
 from redwingrun.coordination.verdict import Failure, Verdict, not_run
 from redwingrun.httpclient import digest
@@ -18,7 +20,31 @@
 CALL_TIMEOUT_S = 3.0
 PAUSE_S = 0.25
 # Answers that another owner, or the same one a little later, may better.
-PASSING_REASONS = frozenset({"not-owner", "no-owner", "not-connected", "peer-lost", "timeout"})
+PASSING_REASONS = frozenset(
+    {"not-owner", "no-owner", "not-connected", "peer-lost", "timeout"}
+)
+
+
+@frozen
+class TaskView:
+    """What the owner of a pool tells of one of its tasks.
+
+    :param body: the result, once it has succeeded.
+    :param notes: why it waits, or what happened; only when asked for.
+    """
+
+    task_id: str
+    state: str
+    worker: str
+    detail: str
+    body: bytes
+    notes: list[str]
+
+    def plain(self) -> dict[str, Any]:
+        """Return what callers see of it; the result is asked for by itself."""
+        shown = asdict(self)
+        del shown["body"]
+        return shown
 
 
 class TaskCalls:
@@ -39,7 +65,7 @@
         body: bytes,
         run_s: float,
         urgent: bool,
-    ) -> dict[str, Any] | Failure:
+    ) -> TaskView | Failure:
         """Submit a task."""
         message = SubmitTask(
             task_id=task_id,
@@ -50,11 +76,13 @@
             urgent=urgent,
             run_s=run_s,
         )
-        return await self._until_settled(lambda: self._call(workload.pool, "Submit", message))
+        return await self._until_settled(
+            lambda: self._call(workload.pool, "Submit", message)
+        )
 
     async def ask(
         self, task_id: str, identity: Identity, cancel: bool, explain: bool
-    ) -> dict[str, Any] | Failure:
+    ) -> TaskView | Failure:
         """Ask for, cancel or explain a task."""
         pool = task_id.partition(":")[0]
         query = TaskQuery(
@@ -70,8 +98,8 @@
         return await self._until_settled(lambda: self._call(pool, "Task", query))
 
     async def _until_settled(
-        self, call: Callable[[], Awaitable[dict[str, Any] | Failure]]
-    ) -> dict[str, Any] | Failure:
+        self, call: Callable[[], Awaitable[TaskView | Failure]]
+    ) -> TaskView | Failure:
         ends_s = self._node.clock.now() + LONGEST_WAIT_S
         unsettled: Failure | None = None
         while True:
@@ -86,25 +114,27 @@
                 return unsettled or reply
             await asyncio.sleep(PAUSE_S)
 
-    async def _call(self, pool: str, method: str, message: Any) -> dict[str, Any] | Failure:
+    async def _call(self, pool: str, method: str, message: Any) -> TaskView | Failure:
         owner = self._node.membership.owner_of(PLACER, pool)
         if owner is None:
             return not_run("no-owner", f"no host owns pool {pool} now")
-        result = await self._node.peers.call(owner.peer_address, method, message, CALL_TIMEOUT_S)
+        result = await self._node.peers.call(
+            owner.peer_address, method, message, CALL_TIMEOUT_S
+        )
         if result.is_error():
             return result.error
         reply: TaskReply = result.ok
         if reply.verdict != Verdict.ANSWERED.value:
             return Failure(Verdict(reply.verdict), reply.reason, reply.detail)
-        return _plain(reply)
-
-
-def _plain(reply: TaskReply) -> dict[str, Any]:
-    return {
-        "task_id": reply.task_id,
-        "state": reply.state,
-        "worker": reply.worker,
-        "detail": reply.detail,
-        "body": reply.body,
-        "notes": list(reply.notes),
-    }
+        return _view_of(reply)
+
+
+def _view_of(reply: TaskReply) -> TaskView:
+    return TaskView(
+        task_id=reply.task_id,
+        state=reply.state,
+        worker=reply.worker,
+        detail=reply.detail,
+        body=reply.body,
+        notes=list(reply.notes),
+    )
--- a/redwingrun/taskrows.py
+++ b/redwingrun/taskrows.py
@@ -112,7 +112,9 @@
     async def delete(self, row: TaskRow) -> None:
         """Delete the row of a task that ended long ago."""
         try:
-            await self._writer.transact(Transaction((self._fence,), (Write(row.key, None),)))
+            await self._writer.transact(
+                Transaction((self._fence,), (Write(row.key, None),))
+            )
         except (TableUnavailable, TableUnknown):
             # Found again, and dropped again, when the pool is next loaded.
             return
--- a/redwingrun/tasks.py
+++ b/redwingrun/tasks.py
@@ -69,7 +69,9 @@
     @property
     def size(self) -> Size:
         """The size of one member."""
-        return Size(cores=self.cores, memory_gb=self.memory_gb, accelerators=self.accelerators)
+        return Size(
+            cores=self.cores, memory_gb=self.memory_gb, accelerators=self.accelerators
+        )
 
 
 @frozen
@@ -197,7 +199,11 @@
             return "succeed"
         if ends == {End.NOT_RUN}:
             return "not_run"
-        if self.state in (STOPPING, CHECKPOINTING) and ends <= {End.STOPPED, End.OK, End.NOT_RUN}:
+        if self.state in (STOPPING, CHECKPOINTING) and ends <= {
+            End.STOPPED,
+            End.OK,
+            End.NOT_RUN,
+        }:
             return "stopped"
         again = self.row.restartable and self.row.attempt < MAX_ATTEMPTS
         if End.FAILED in ends:
--- a/redwingrun/web.py
+++ b/redwingrun/web.py
@@ -57,7 +57,9 @@
     def prepare(self) -> None:
         """Count the call as being served."""
         if self.node.calls.enter() > self.node.settings.max_calls:
-            raise HTTPError(503, f"{self.node.settings.max_calls} calls are served already")
+            raise HTTPError(
+                503, f"{self.node.settings.max_calls} calls are served already"
+            )
         if not self.node.ready:
             # While it stops or is not ready, no caller should keep a connection.
             self.set_header("Connection", "close")
@@ -137,15 +139,21 @@
         own_fault = status_code >= 500 and not isinstance(error, HTTPError)
         verdict = Verdict.MAY_HAVE_RUN if own_fault else Verdict.NOT_RUN
         self.set_header(VERDICT_HEADER, verdict.value)
-        reasons = {status: reason for reason, status in reversed(STATUS_BY_REASON.items())}
+        reasons = {
+            status: reason for reason, status in reversed(STATUS_BY_REASON.items())
+        }
         reason = reasons.get(status_code, f"status-{status_code}")
-        self.send_json({"verdict": verdict.value, "reason": reason, "detail": detail}, status_code)
+        self.send_json(
+            {"verdict": verdict.value, "reason": reason, "detail": detail}, status_code
+        )
 
     def log_exception(self, *exc_info: Any) -> None:
         """Log our own faults, not the callers' ones."""
         if not isinstance(exc_info[1], HTTPError):
             self.node.metrics.count("handler_faults_total")
-            self.node.log.fault("handler-failed", path=self.request.path, error=repr(exc_info[1]))
+            self.node.log.fault(
+                "handler-failed", path=self.request.path, error=repr(exc_info[1])
+            )
 
     def set_default_headers(self) -> None:
         """Name the program, without its parts' versions."""
--- a/redwingrun/workers.py
+++ b/redwingrun/workers.py
@@ -95,11 +95,15 @@
     """Starts, renews and stops tasks on workers."""
 
     @abstractmethod
-    async def start(self, call: StartCall, timeout_s: float) -> Result[WorkerReport, Failure]:
+    async def start(
+        self, call: StartCall, timeout_s: float
+    ) -> Result[WorkerReport, Failure]:
         """Start a member; *not run* means that it does not and will not run."""
 
     @abstractmethod
-    async def sync(self, call: SyncCall, timeout_s: float) -> Result[WorkerReport, Failure]:
+    async def sync(
+        self, call: SyncCall, timeout_s: float
+    ) -> Result[WorkerReport, Failure]:
         """Renew and ask. An empty incarnation only asks who is there."""
 
 
@@ -109,11 +113,15 @@
     def __init__(self, client: HttpClient):
         self._client = client
 
-    async def start(self, call: StartCall, timeout_s: float) -> Result[WorkerReport, Failure]:
+    async def start(
+        self, call: StartCall, timeout_s: float
+    ) -> Result[WorkerReport, Failure]:
         """Start a member."""
         return await self._post(f"{call.address}/start", call, timeout_s)
 
-    async def sync(self, call: SyncCall, timeout_s: float) -> Result[WorkerReport, Failure]:
+    async def sync(
+        self, call: SyncCall, timeout_s: float
+    ) -> Result[WorkerReport, Failure]:
         """Renew and ask."""
         return await self._post(f"{call.address}/sync", call, timeout_s)
 
@@ -144,4 +152,6 @@
             checkpoint=item["checkpoint"],
             usage=Size(**item["usage"]),
         )
-    return WorkerReport(plain["incarnation"], plain["clock_s"], members, plain["leaving"])
+    return WorkerReport(
+        plain["incarnation"], plain["clock_s"], members, plain["leaving"]
+    )
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -1,4 +1,4 @@
-"""Runs stand-ins: ``python -m standins FILE``, where FILE holds their names and ports."""
+"""Runs stand-ins: ``python -m standins FILE``; FILE holds names and ports."""
 
 from __future__ import annotations
 
@@ -36,7 +36,10 @@
 def _run_minions(plan: dict[str, Any]) -> None:
     items = {item["name"]: item for item in plan["items"]}
     group = minions.MinionGroup(
-        {name: minions.Minion(name, item.get("speed", 1.0)) for name, item in items.items()},
+        {
+            name: minions.Minion(name, item.get("speed", 1.0))
+            for name, item in items.items()
+        },
         stragglers=plan.get("stragglers", 0.0),
     )
     for name, minion in group.minions.items():
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -50,7 +50,11 @@
         """Return the fault that a call meets, if any."""
         for fault in self.active:
             fits = fault.mode == mode and fault.name in ("", name)
-            if fits and sender.startswith(fault.sender) and self.source.random() < fault.share:
+            if (
+                fits
+                and sender.startswith(fault.sender)
+                and self.source.random() < fault.share
+            ):
                 return fault
         return None
 
@@ -109,7 +113,9 @@
 
     def post(self) -> None:
         """Replace all faults by those in the body."""
-        self.owner.faults.active = [Fault(**item) for item in orjson.loads(self.request.body)]
+        self.owner.faults.active = [
+            Fault(**item) for item in orjson.loads(self.request.body)
+        ]
         self.finish(b"{}")
 
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -159,7 +159,9 @@
         if self.faults.find(STALE, self.sender, "hosts"):
             owner.stale_hosts = owner.stale_hosts or dict(hosts)
             hosts = owner.stale_hosts
-        await self.answer([{"name": name, "state": state} for name, state in hosts.items()])
+        await self.answer(
+            [{"name": name, "state": state} for name, state in hosts.items()]
+        )
 
     async def post(self) -> None:
         """Set the states of some hosts."""
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -131,7 +131,11 @@
         """Count a start, and whether the same member runs elsewhere now."""
         task, _, index = member.key
         for other in self.workers.values():
-            same = [item for item in other.live() if (item.key[0], item.key[2]) == (task, index)]
+            same = [
+                item
+                for item in other.live()
+                if (item.key[0], item.key[2]) == (task, index)
+            ]
             self.doubled += sum(1 for item in same if item is not member)
         self.starts_by_task[task] += 1
         worker.started += 1
@@ -203,7 +207,9 @@
             not_after_s=not_after_s,
             ends_s=now_s + run_s - done_s,
             body=body,
-            usage={name: value * body.get("usage", 1.0) for name, value in size.items()},
+            usage={
+                name: value * body.get("usage", 1.0) for name, value in size.items()
+            },
             started_s=now_s - done_s,
         )
         self.note_start(worker, worker.members[key])
@@ -220,7 +226,9 @@
             if member is None:
                 worker.refused.add(key)
             elif renews and not member.ended:
-                member.not_after_s = max(member.not_after_s, plain["grant"]["not_after_s"])
+                member.not_after_s = max(
+                    member.not_after_s, plain["grant"]["not_after_s"]
+                )
         for key in map(_key, plain["stop"]):
             worker.end(key, "stopped")
         for key in map(_key, plain["checkpoint"]):
@@ -240,7 +248,11 @@
     """Return what a worker answers: its clock and all its members."""
     members = [
         {
-            "member": {"task_id": item.key[0], "attempt": item.key[1], "index": item.key[2]},
+            "member": {
+                "task_id": item.key[0],
+                "attempt": item.key[1],
+                "index": item.key[2],
+            },
             "ended": item.ended,
             "result": item.result,
             "checkpoint": item.checkpoint,
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -1,4 +1,4 @@
-"""Bad input as a new user would try it: each row is refused clearly, nothing half-applied."""
+"""Bad input as a new user would try it: refused clearly, nothing half-applied."""
 
 from __future__ import annotations
 
@@ -18,14 +18,22 @@
 
 POOL = {
     "type": "workers",
-    "upstreams": {"w0": {"address": "a", "data_centre": "d", "cores": 4, "memory_gb": 8}},
+    "upstreams": {
+        "w0": {"address": "a", "data_centre": "d", "cores": 4, "memory_gb": 8}
+    },
 }
 GOOD = {
     "teams": {"t": {}},
     "policies": {"p": {}},
     "pools": {"w": POOL},
     "workloads": {
-        "plan": {"kind": "batch", "pool": "w", "policy": "p", "teams": ["t"], "size": {"cores": 1}}
+        "plan": {
+            "kind": "batch",
+            "pool": "w",
+            "policy": "p",
+            "teams": ["t"],
+            "size": {"cores": 1},
+        }
     },
 }
 
@@ -48,15 +56,33 @@
     "a duplicate name": ('{"teams": {"t": {}, "t": {}}}', "stands twice"),
     "an unknown section": ('{"team": {}}', "did you mean 'teams'?"),
     "an unknown key": (changed("teams/t/shares", 1), "did you mean 'share'?"),
-    "an unknown class": (changed("workloads/plan/kind", "quik"), "did you mean 'quick'?"),
+    "an unknown class": (
+        changed("workloads/plan/kind", "quik"),
+        "did you mean 'quick'?",
+    ),
     "a missing key": (changed("workloads/plan", {"kind": "batch"}), "pool: is missing"),
     "a negative size": (changed("workloads/plan/size", {"cores": -1}), "outside 0 to"),
-    "an absurd size": (changed("workloads/plan/size", {"cores": 1e300}), "outside 0 to"),
-    "not a number": (changed("workloads/plan/size", {"cores": "many"}), "is not a number"),
-    "a broken reference": (changed("workloads/plan/policy", "q"), "there is no policy 'q'"),
+    "an absurd size": (
+        changed("workloads/plan/size", {"cores": 1e300}),
+        "outside 0 to",
+    ),
+    "not a number": (
+        changed("workloads/plan/size", {"cores": "many"}),
+        "is not a number",
+    ),
+    "a broken reference": (
+        changed("workloads/plan/policy", "q"),
+        "there is no policy 'q'",
+    ),
     "a broken team": (changed("workloads/plan/teams", ["u"]), "there is no team 'u'"),
-    "the wrong pool": (changed("workloads/plan/kind", "quick"), "needs a pool of minions"),
-    "a cycle": (changed("teams", {"t": {"parent": "u"}, "u": {"parent": "t"}}), "form a cycle"),
+    "the wrong pool": (
+        changed("workloads/plan/kind", "quick"),
+        "needs a pool of minions",
+    ),
+    "a cycle": (
+        changed("teams", {"t": {"parent": "u"}, "u": {"parent": "t"}}),
+        "form a cycle",
+    ),
     "a job that never fits": (
         changed("workloads/plan/size", {"cores": 5}),
         "no worker of w is large enough: cores 5 of at most 4",
@@ -149,14 +175,70 @@
     "an unknown workload": ("setters", "POST", "/v1/run/none", {}, 404, "no workload"),
     "another team's workload": ("setters", "POST", PLAN, {}, 403, "may not ask"),
     "no key for an order": ("setters", "POST", ORDER, {}, 400, "Idempotency-Key"),
-    "a bad key": ("setters", "POST", ORDER, {"Idempotency-Key": "a b"}, 400, "must be 1 to"),
-    "a task as a request": ("head-setter", "POST", "/v1/run/re-plan", {}, 400, "/v1/tasks/"),
-    "a request as a task": ("setters", "POST", "/v1/tasks/grade-check", {}, 400, "/v1/run/"),
-    "a bad deadline": ("setters", "POST", CHECK, {"X-Deadline-S": "soon"}, 400, "not a number"),
-    "an endless deadline": ("setters", "POST", CHECK, {"X-Deadline-S": "inf"}, 400, "outside"),
-    "urgent without leave": ("head-setter", "POST", PLAN, {"X-Urgent": "1"}, 403, "not allow"),
-    "an unknown task": ("setters", "GET", "/v1/task/walls:setters:x", {}, 404, "no task"),
-    "an unknown request": ("setters", "GET", "/v1/requests/none", {}, 404, "no request"),
+    "a bad key": (
+        "setters",
+        "POST",
+        ORDER,
+        {"Idempotency-Key": "a b"},
+        400,
+        "must be 1 to",
+    ),
+    "a task as a request": (
+        "head-setter",
+        "POST",
+        "/v1/run/re-plan",
+        {},
+        400,
+        "/v1/tasks/",
+    ),
+    "a request as a task": (
+        "setters",
+        "POST",
+        "/v1/tasks/grade-check",
+        {},
+        400,
+        "/v1/run/",
+    ),
+    "a bad deadline": (
+        "setters",
+        "POST",
+        CHECK,
+        {"X-Deadline-S": "soon"},
+        400,
+        "not a number",
+    ),
+    "an endless deadline": (
+        "setters",
+        "POST",
+        CHECK,
+        {"X-Deadline-S": "inf"},
+        400,
+        "outside",
+    ),
+    "urgent without leave": (
+        "head-setter",
+        "POST",
+        PLAN,
+        {"X-Urgent": "1"},
+        403,
+        "not allow",
+    ),
+    "an unknown task": (
+        "setters",
+        "GET",
+        "/v1/task/walls:setters:x",
+        {},
+        404,
+        "no task",
+    ),
+    "an unknown request": (
+        "setters",
+        "GET",
+        "/v1/requests/none",
+        {},
+        404,
+        "no request",
+    ),
     "an unknown page": ("setters", "GET", "/v2", {}, 404, "there is no /v2"),
     "the wrong method": ("setters", "PUT", CHECK, {}, 405, ""),
     "an operator's page": ("setters", "GET", "/v1/audit", {}, 403, "only operators"),
@@ -173,15 +255,25 @@
 
 
 async def _keys_and_tokens(cell: Cell) -> None:
-    first = await cell.as_team("setters", "POST", ORDER, {"nonce": "first"}, headers=KEY)
-    other = await cell.as_team("setters", "POST", ORDER, {"nonce": "other"}, headers=KEY)
-    again = await cell.as_team("setters", "POST", ORDER, {"nonce": "first"}, headers=KEY)
+    first = await cell.as_team(
+        "setters", "POST", ORDER, {"nonce": "first"}, headers=KEY
+    )
+    other = await cell.as_team(
+        "setters", "POST", ORDER, {"nonce": "other"}, headers=KEY
+    )
+    again = await cell.as_team(
+        "setters", "POST", ORDER, {"nonce": "first"}, headers=KEY
+    )
     assert (first.status, other.status, again.status) == (200, 409, 200)
     assert first.body == again.body
     kept = await cell.as_team("setters", "GET", "/v1/results/k")
     stranger = await cell.as_team("head-setter", "GET", "/v1/results/k")
     assert (kept.body, stranger.status) == (first.body, 404)
-    for headers in ({}, {"Authorization": "Bearer wrong"}, {"Authorization": "Basic eDp5"}):
+    for headers in (
+        {},
+        {"Authorization": "Bearer wrong"},
+        {"Authorization": "Basic eDp5"},
+    ):
         reply = await cell.call("POST", cell.hosts[0].url + CHECK, {}, headers)
         assert (reply.status, reply.json()["verdict"]) == (401, "not run")
 
--- a/tests/test_config_model.py
+++ b/tests/test_config_model.py
@@ -1,4 +1,4 @@
-"""A search of publishing and following: racing operators, lost answers, gossip, outages."""
+"""A search of publishing and following: races, lost answers, gossip, outages."""
 
 from __future__ import annotations
 
@@ -121,12 +121,18 @@
 
     async def _publish(self, host: int, behind: int) -> None:
         process = self.processes[host]
-        publisher = Publisher(FakeTable(self.rows, process), FakeStore(self.objects, process))
+        publisher = Publisher(
+            FakeTable(self.rows, process), FakeStore(self.objects, process)
+        )
         based_on = max(0, self.tasks[host].follower.in_force.number - behind)
         content = self._content()
-        audit = AuditRow("publish", f"operator-{self.made}", str(self.made), "", based_on)
+        audit = AuditRow(
+            "publish", f"operator-{self.made}", str(self.made), "", based_on
+        )
         try:
-            result = await publisher.publish(content, based_on, audit, f"token-{self.made}")
+            result = await publisher.publish(
+                content, based_on, audit, f"token-{self.made}"
+            )
         except (TableUnavailable, ObjectStoreUnavailable):
             self.refused.add(digest_of(content))
             return
@@ -135,7 +141,9 @@
         if isinstance(result, LostRace):
             self.refused.add(digest_of(content))
         if isinstance(result, Published):
-            assert result.row.number not in self.published, "two operators won one version"
+            assert result.row.number not in self.published, (
+                "two operators won one version"
+            )
             self.published[result.row.number] = result.row.digest
 
     def _advance(self, seconds: float) -> None:
@@ -164,13 +172,19 @@
             assert row.digest not in self.refused, "a refused publication is in force"
 
     @rule(
-        host=HOSTS, behind=st.sampled_from([0, 0, 0, 1]), seconds=st.sampled_from([0.02, 0.1, 2.0])
+        host=HOSTS,
+        behind=st.sampled_from([0, 0, 0, 1]),
+        seconds=st.sampled_from([0.02, 0.1, 2.0]),
     )
     def publish(self, host, behind, seconds):
         self.publications.append(self.loop.create_task(self._publish(host, behind)))
         self._advance(seconds)
 
-    @rule(host=HOSTS, mode=st.sampled_from([OK, *TABLE_MODES]), seconds=st.sampled_from([0.1, 4]))
+    @rule(
+        host=HOSTS,
+        mode=st.sampled_from([OK, *TABLE_MODES]),
+        seconds=st.sampled_from([0.1, 4]),
+    )
     def table(self, host, mode, seconds):
         self.processes[host].table_mode = mode
         self._advance(seconds)
@@ -185,7 +199,9 @@
     def stale_news(self, host, other):
         """A peer's older news comes late, or a second time."""
         number = max(0, self.tasks[other].follower.in_force.number - 1)
-        news = News(config_number=number, config_digest=self.digest_by_number.get(number, ""))
+        news = News(
+            config_number=number, config_digest=self.digest_by_number.get(number, "")
+        )
         self.loop.create_task(self.tasks[host].hear_news(news, f"address-{other}"))
         self._advance(0.2)
 
@@ -198,7 +214,7 @@
         self.network.cut.clear()
 
     def _heal_and_compare(self) -> None:
-        """Within the stated time of the end of all faults, all have the newest version."""
+        """Within the stated time after all faults, all have the newest version."""
         self.network.cut.clear()
         for process in self.processes:
             process.table_mode = OK
@@ -206,13 +222,17 @@
         self._advance(IN_FORCE_S)
         numbers = {task.follower.in_force.number for task in self.tasks}
         assert len(numbers) == 1, f"versions {numbers} are in force"
-        assert numbers.pop() >= max(self.published, default=0), "a published version is lost"
+        assert numbers.pop() >= max(self.published, default=0), (
+            "a published version is lost"
+        )
 
 
 def test_a_publication_that_takes_effect_late_is_not_told_as_a_lost_race():
     """The search found it: the version row was read before the late effect."""
     machine = ConfigMachine()
-    machine.publish.hypothesis_stateful_rule.function(machine, host=0, behind=0, seconds=0.02)
+    machine.publish.hypothesis_stateful_rule.function(
+        machine, host=0, behind=0, seconds=0.02
+    )
     machine.processes[0].table_mode = "late"
     machine._advance(5.0)
     machine._heal_and_compare()
@@ -254,7 +274,9 @@
         (Follower, "hear", _hear_anything),
     ],
     "the version row is written blindly": [(Publisher, "_commit", _commit_blindly)],
-    "a lost answer counts as a lost race": [(follower_module, "settle", _settle_says_no)],
+    "a lost answer counts as a lost race": [
+        (follower_module, "settle", _settle_says_no)
+    ],
 }
 
 
--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -1,4 +1,4 @@
-"""What any implementation of an outside interface must do; put yours into the tables."""
+"""What an implementation of an outside interface must do; put yours in here."""
 
 from __future__ import annotations
 
@@ -28,7 +28,13 @@
 from redwingrun.objects import Size
 from redwingrun.platform import HostState, HttpHostList, HttpObjectStore, HttpTable
 from redwingrun.tasks import MemberKey
-from redwingrun.workers import Grant, HttpWorkerClient, StartCall, SyncCall, WorkerClient
+from redwingrun.workers import (
+    Grant,
+    HttpWorkerClient,
+    StartCall,
+    SyncCall,
+    WorkerClient,
+)
 from tests.helpers import FakeTable, Process, Rows
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -65,15 +71,17 @@
     assert await table.read("a") is None
     first = await table.transact(change(Condition.absent("a"), a="1", ab="2"))
     assert isinstance(first, Committed)
-    assert await table.transact(change(Condition.absent("a"), a="x", b="x")) == Conflict(("a",))
+    assert await table.transact(
+        change(Condition.absent("a"), a="x", b="x")
+    ) == Conflict(("a",))
     assert await table.read("b") is None
     row = await table.read("a")
     assert (row.value, row.version) == ("1", first.version)
     second = await table.transact(change(Condition.at("a", first.version), a="3"))
     assert second.version > first.version
-    assert await table.transact(change(Condition.at("a", first.version), a="4")) == Conflict(
-        ("a",)
-    )
+    assert await table.transact(
+        change(Condition.at("a", first.version), a="4")
+    ) == Conflict(("a",))
     assert [found.key for found in await table.scan("a")] == ["a", "ab"]
     await table.transact(change(Condition.present("a"), a=None))
     again = await table.transact(change(Condition.absent("a"), a="5"))
@@ -113,7 +121,9 @@
     assert hosts["routeboard-m1"].state is HostState.LIVE
 
 
-def minion_call(cell: StandIns, request_id: str, epoch: int, body: bytes = b"{}") -> MinionCall:
+def minion_call(
+    cell: StandIns, request_id: str, epoch: int, body: bytes = b"{}"
+) -> MinionCall:
     address = f"http://127.0.0.1:{cell.upstream_port['routeboard-m1']}"
     return MinionCall(address, request_id, "check", body, epoch, 1.0)
 
@@ -152,8 +162,12 @@
     await workers.sync(unknown, 1.0)
     refusals = {
         "a member that was asked for and unknown": start_call(cell, grant, 1),
-        "an older epoch": start_call(cell, Grant(hello.incarnation, 2, grant.not_after_s), 2),
-        "another incarnation": start_call(cell, Grant("other", 3, grant.not_after_s), 2),
+        "an older epoch": start_call(
+            cell, Grant(hello.incarnation, 2, grant.not_after_s), 2
+        ),
+        "another incarnation": start_call(
+            cell, Grant("other", 3, grant.not_after_s), 2
+        ),
         "a grant that is over": start_call(cell, Grant(hello.incarnation, 3, 0.0), 2),
     }
     for name, call in refusals.items():
@@ -178,5 +192,7 @@
 
 def test_the_embedding_example_runs_once_per_key():
     command = [sys.executable, str(ROOT / "examples" / "ledger_example.py")]
-    result = subprocess.run(command, capture_output=True, text=True, cwd=ROOT, check=True)
+    result = subprocess.run(
+        command, capture_output=True, text=True, cwd=ROOT, check=True
+    )
     assert result.stdout.splitlines() == ["paid by attempt one"] * 2
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -4,7 +4,15 @@
 
 import asyncio
 
-from redwingrun.dispatcher import Dispatcher, Forward, Minion, PoolNews, Reject, Send, Tell
+from redwingrun.dispatcher import (
+    Dispatcher,
+    Forward,
+    Minion,
+    PoolNews,
+    Reject,
+    Send,
+    Tell,
+)
 from redwingrun.objects import Upstream
 from redwingrun.requests import Request
 
@@ -14,7 +22,9 @@
     return Minion(upstream, 1, foreign=foreign)
 
 
-def make(*minions: Minion, queue_limit: int = 100, long_share: float = 0.5) -> Dispatcher:
+def make(
+    *minions: Minion, queue_limit: int = 100, long_share: float = 0.5
+) -> Dispatcher:
     dispatcher = Dispatcher("pool", queue_limit, 1.0)
     dispatcher.set_shares({}, long_share)
     dispatcher.own({item.name: item for item in minions})
@@ -37,7 +47,11 @@
 def test_no_minion_gets_more_than_its_slots():
     dispatcher = make(minion("a"))
     actions = [dispatcher.submit(request(f"r{index}"), 0.0) for index in range(3)]
-    assert [type(found[0]) if found else None for found in actions] == [Send, Send, None]
+    assert [type(found[0]) if found else None for found in actions] == [
+        Send,
+        Send,
+        None,
+    ]
     assert dispatcher.waiting() == 1
 
 
@@ -94,7 +108,9 @@
     dispatcher = make()
     dispatcher.submit(request("r", deadline_s=1.0), 0.0)
     late = dispatcher.expire(1.5)
-    assert [(type(item), item.failure.reason) for item in late] == [(Reject, "deadline")]
+    assert [(type(item), item.failure.reason) for item in late] == [
+        (Reject, "deadline")
+    ]
 
 
 def test_a_full_queue_takes_from_the_team_that_has_most():
@@ -114,7 +130,9 @@
         dispatcher.minions()["bad"].busy[sent.request_id] = sent
         dispatcher.finished("bad", sent, None, False, 0.0)
     assert dispatcher.ejector.ejected() == ["bad"]
-    names = {dispatcher.submit(request(f"s{index}"), 0.1)[0].minion for index in range(4)}
+    names = {
+        dispatcher.submit(request(f"s{index}"), 0.1)[0].minion for index in range(4)
+    }
     assert names == {"good"}
     assert dispatcher.ejector.usable("bad", 2.0)
     dispatcher.ejector.sent("bad")
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -1,4 +1,4 @@
-"""The pages: every shown command runs, the settings are those of the program, figures exist."""
+"""The pages: every shown command runs, the settings are those of the program."""
 
 from __future__ import annotations
 
@@ -95,6 +95,8 @@
 
 
 def test_every_setting_is_used():
-    texts = [path.read_text(encoding="utf-8") for path in ROOT.glob("redwingrun/**/*.py")]
+    texts = [
+        path.read_text(encoding="utf-8") for path in ROOT.glob("redwingrun/**/*.py")
+    ]
     used = set(re.findall(r"(?:settings|self)\.(?=([a-z_]+))", "".join(texts)))
     assert [name for name, _, _ in reference() if name not in used] == []
--- a/tests/test_groupcommit.py
+++ b/tests/test_groupcommit.py
@@ -28,7 +28,9 @@
 
 def test_many_transactions_take_one_commit():
     async def scenario(rows, process, group):
-        results = await asyncio.gather(*[group.transact(put(f"k{n}", "v")) for n in range(50)])
+        results = await asyncio.gather(
+            *[group.transact(put(f"k{n}", "v")) for n in range(50)]
+        )
         assert all(isinstance(result, Committed) for result in results)
         assert rows.commits == 1
 
@@ -38,7 +40,9 @@
 def test_a_conflict_is_told_to_its_caller_only():
     async def scenario(rows, process, group):
         bad = put("bad", "v", Condition.present("none"))
-        results = await asyncio.gather(group.transact(put("a", "v")), group.transact(bad))
+        results = await asyncio.gather(
+            group.transact(put("a", "v")), group.transact(bad)
+        )
         assert isinstance(results[0], Committed)
         assert results[1] == Conflict(("none",))
         assert "bad" not in rows.by_key
@@ -48,7 +52,9 @@
 
 def test_writes_of_one_row_keep_their_order():
     async def scenario(rows, process, group):
-        await asyncio.gather(*[group.transact(put("k", str(number))) for number in range(5)])
+        await asyncio.gather(
+            *[group.transact(put("k", str(number))) for number in range(5)]
+        )
         assert rows.by_key["k"].value == "4"
 
     run(scenario)
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -39,7 +39,9 @@
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
-                length = int(head.lower().split(b"content-length:")[1].split(b"\r\n")[0])
+                length = int(
+                    head.lower().split(b"content-length:")[1].split(b"\r\n")[0]
+                )
                 await reader.readexactly(length)
                 self.requests += 1
                 script = self._scripts.pop(0) if self._scripts else b""
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -133,10 +133,15 @@
             ]
         )
         assert sorted(reply.status for reply in replies) == [200, 409, 409, 409]
-        version = next(reply.json()["version"] for reply in replies if reply.status == 200)
+        version = next(
+            reply.json()["version"] for reply in replies if reply.status == 200
+        )
         losers = [reply.json()["detail"] for reply in replies if reply.status == 409]
         assert all("was published by lan" in detail for detail in losers)
-    drains = [cell.as_operator(method, "/v1/drains/routeboard-m0") for method in ("PUT", "DELETE")]
+    drains = [
+        cell.as_operator(method, "/v1/drains/routeboard-m0")
+        for method in ("PUT", "DELETE")
+    ]
     await asyncio.gather(*drains)
 
 
@@ -174,7 +179,10 @@
     # The balancer sees the host leave its ready state a moment before.
     load.avoid.add(host.name)
     cell.send_signal(host, signal.SIGTERM)
-    codes = [await asyncio.to_thread(item.wait, 20) for item in host.process_by_daemon.values()]
+    codes = [
+        await asyncio.to_thread(item.wait, 20)
+        for item in host.process_by_daemon.values()
+    ]
     assert codes == [0, 0]
     cell.add_host("entry-3", 2.0)
     await asyncio.sleep(4.0)
@@ -182,7 +190,11 @@
 
 async def upstreams_leave(cell: Cell, load: Load) -> None:
     # Both of the fastest: without the guard they would surely get work.
-    states = {"routeboard-m2": "leaving", "routeboard-m5": "leaving", "walls-w1": "leaving"}
+    states = {
+        "routeboard-m2": "leaving",
+        "routeboard-m5": "leaving",
+        "walls-w1": "leaving",
+    }
     await cell.set_hosts(states)
     for name in ("routeboard-m2", "routeboard-m5"):
         await cell.upstream_call(name, "leave", {})
@@ -209,7 +221,9 @@
     """More at once than all slots hold."""
     body = {"nonce": "burst", "work_s": 0.4}
     calls = [
-        cell.as_team("setters", "POST", "/v1/run/grade-check", body, host=cell.hosts[index % 3])
+        cell.as_team(
+            "setters", "POST", "/v1/run/grade-check", body, host=cell.hosts[index % 3]
+        )
         for index in range(120)
     ]
     await asyncio.gather(*calls)
@@ -269,7 +283,11 @@
         await fault(cell, load)
         await load.stop()
         version = await _version(cell)
-        extra = {"based_on": version, "sources": cell.sources(), "reason": "after the fault"}
+        extra = {
+            "based_on": version,
+            "sources": cell.sources(),
+            "reason": "after the fault",
+        }
         started_s = time.monotonic()
         accepted = await cell.as_operator("POST", "/v1/config", extra)
         assert accepted.status == 200, accepted
@@ -281,7 +299,9 @@
         unfinished = await wait_for_tasks(load)
         broken = await broken_promises(load)
         answered = sum(1 for sent in load.checks if sent.status == 200)
-        assert answered > len(load.checks) / 3, f"only {answered} of {len(load.checks)} answered"
+        assert answered > len(load.checks) / 3, (
+            f"only {answered} of {len(load.checks)} answered"
+        )
         return broken, unfinished
 
 
--- a/tests/test_ledger_model.py
+++ b/tests/test_ledger_model.py
@@ -11,8 +11,22 @@
 
 from redwingrun.coordination import ledger as ledger_module
 from redwingrun.coordination.ledger import Attempt, Ledger, LedgerRow, Mismatch
-from redwingrun.coordination.verdict import Answer, Failure, Verdict, may_have_run, not_run
-from tests.helpers import OK, TABLE_MODES, FakeTable, Process, Rows, VirtualLoop, close_loop
+from redwingrun.coordination.verdict import (
+    Answer,
+    Failure,
+    Verdict,
+    may_have_run,
+    not_run,
+)
+from tests.helpers import (
+    OK,
+    TABLE_MODES,
+    FakeTable,
+    Process,
+    Rows,
+    VirtualLoop,
+    close_loop,
+)
 
 TEAM = "setters"
 KEY = "order-1"
@@ -50,7 +64,9 @@
     def teardown(self):
         close_loop(self.loop)
 
-    async def _attempt(self, host: int, ending: str, work_s: float, digest: str) -> None:
+    async def _attempt(
+        self, host: int, ending: str, work_s: float, digest: str
+    ) -> None:
         self.tokens += 1
         ledger = self.ledgers[host]
         found = await ledger.begin(TEAM, KEY, digest, f"token-{self.tokens}")
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -14,7 +14,13 @@
 def _dead_row(index: int) -> MemberRow:
     name = f"dead-{index}"
     return MemberRow(
-        name, ENTRY, name, "hoan-kiem", "address-slow", "", roster=[name, f"gone-{index}", "slow"]
+        name,
+        ENTRY,
+        name,
+        "hoan-kiem",
+        "address-slow",
+        "",
+        roster=[name, f"gone-{index}", "slow"],
     )
 
 
@@ -22,7 +28,11 @@
     """Asking after 40 dead members held up the renewal until the lease lapsed."""
     machine = OwnershipMachine()
     rows = [_dead_row(index) for index in range(40)]
-    rows.append(MemberRow("slow", ENTRY, "slow", "hoan-kiem", "address-slow", "", roster=["slow"]))
+    rows.append(
+        MemberRow(
+            "slow", ENTRY, "slow", "hoan-kiem", "address-slow", "", roster=["slow"]
+        )
+    )
     writes = tuple(Write(row.key, encode(row)) for row in rows)
     machine.rows.apply(Transaction((), writes))
     machine.network.handler_by_address["address-slow"] = lambda method, message: None
--- a/tests/test_ownership_model.py
+++ b/tests/test_ownership_model.py
@@ -143,19 +143,28 @@
         for shard in SHARDS:
             owners = [item for item in self.by_host.values() if item.acts_on(shard)]
             self.sound = self.sound and len(owners) <= 1
-            assert len(owners) <= 1, f"{shard} has owners {[o.process.name for o in owners]}"
+            assert len(owners) <= 1, (
+                f"{shard} has owners {[o.process.name for o in owners]}"
+            )
 
     @rule(seconds=st.sampled_from([0.2, 1.0, 3.0, 8.0]))
     def advance(self, seconds):
         self._advance(seconds)
 
-    @rule(host=HOSTS, mode=st.sampled_from(TABLE_MODES), seconds=st.sampled_from([0.5, 4.0]))
+    @rule(
+        host=HOSTS,
+        mode=st.sampled_from(TABLE_MODES),
+        seconds=st.sampled_from([0.5, 4.0]),
+    )
     def table_trouble(self, host, mode, seconds):
         if host in self.by_host:
             self.by_host[host].process.table_mode = mode
             self._advance(seconds)
 
-    @rule(mode=st.sampled_from([OK, DOWN, DOWN]), seconds=st.sampled_from([1.0, 5.0, 12.0]))
+    @rule(
+        mode=st.sampled_from([OK, DOWN, DOWN]),
+        seconds=st.sampled_from([1.0, 5.0, 12.0]),
+    )
     def table_outage(self, mode, seconds):
         for running in self.by_host.values():
             running.process.table_mode = mode
@@ -225,7 +234,9 @@
             running.process.paused.set()
         self._advance(40.0)
         if self.by_host and self.sound:
-            owned = [s for s in SHARDS if any(r.acts_on(s) for r in self.by_host.values())]
+            owned = [
+                s for s in SHARDS if any(r.acts_on(s) for r in self.by_host.values())
+            ]
             assert owned == SHARDS
 
 
@@ -247,8 +258,12 @@
 
 
 def _reply_for_anybody(self, promised):
-    everybody = [f"host-{host}-{number:04d}" for host in range(4) for number in range(99)]
-    return PromiseReply(member_id=self.member_id, promised=promised, speaks_for=everybody)
+    everybody = [
+        f"host-{host}-{number:04d}" for host in range(4) for number in range(99)
+    ]
+    return PromiseReply(
+        member_id=self.member_id, promised=promised, speaks_for=everybody
+    )
 
 
 def _promise_to_anybody(self, request):
@@ -285,7 +300,9 @@
 ORIGINAL_CLAIM = ShardBook._claim
 
 SEARCHED = {
-    "extends without anybody's promise": [(Membership, "_ask_promise", _promised_unasked)],
+    "extends without anybody's promise": [
+        (Membership, "_ask_promise", _promised_unasked)
+    ],
     "a claimant asks nobody": [
         (PromiseBook, "holds", lambda self, member_id, now_s: False),
     ],
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -12,7 +12,9 @@
 def test_a_check_an_order_and_a_task_are_served_end_to_end():
     async def scenario():
         async with Cell(Layout(weights=(1.0, 2.0), norte=False)) as cell:
-            check = await cell.as_team("setters", "POST", "/v1/run/grade-check", {"nonce": "a"})
+            check = await cell.as_team(
+                "setters", "POST", "/v1/run/grade-check", {"nonce": "a"}
+            )
             assert check.json()["nonce"] == "a"
             key = {"Idempotency-Key": "k"}
             for _ in range(2):
@@ -23,7 +25,9 @@
             runs = (await cell.counters("minions"))["runs_by_nonce"]
             assert runs == {"a": 1, "b": 1}
             body = {"nonce": "c", "work_s": 0.3}
-            await cell.as_team("head-setter", "POST", "/v1/tasks/re-plan", body, headers=key)
+            await cell.as_team(
+                "head-setter", "POST", "/v1/tasks/re-plan", body, headers=key
+            )
 
             async def done():
                 path = "/v1/task/walls:head-setter:k"
@@ -46,7 +50,9 @@
     async def scenario():
         async with Cell(Layout(weights=(1.0, 2.0), workers=1, norte=False)) as cell:
 
-            async def submit(workload: str, key: str, work_s: float, **headers: str) -> str:
+            async def submit(
+                workload: str, key: str, work_s: float, **headers: str
+            ) -> str:
                 reply = await cell.as_team(
                     "head-setter",
                     "POST",
@@ -61,7 +67,9 @@
                 reply = await cell.as_team("head-setter", "GET", f"/v1/task/{task_id}")
                 return reply.json()["state"] == state
 
-            batch = [await submit("re-plan", f"plan-{index}", 6.0) for index in range(8)]
+            batch = [
+                await submit("re-plan", f"plan-{index}", 6.0) for index in range(8)
+            ]
             for task_id in batch:
                 await cell.until(partial(in_state, task_id, "running"), 20, task_id)
             started_s = time.monotonic()
--- a/tests/test_poolkeeper.py
+++ b/tests/test_poolkeeper.py
@@ -12,7 +12,7 @@
 
 
 def test_a_write_that_takes_effect_late_never_brings_an_older_state_back():
-    """A placement's write was answered late, written again, and then overwrote the end."""
+    """A placement's write came late, was repeated, and then overwrote the end."""
     machine = TaskLeaseMachine()
     message = submission("guide", "late", work_s=0.2)
     machine.submitted[message.task_id] = "guide"
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -10,13 +10,19 @@
 from redwingrun.tasks import End, Task, TaskRow
 
 
-def make(workers: int = 3, quota: dict | None = None, spread: str = "none") -> Scheduler:
+def make(
+    workers: int = 3, quota: dict | None = None, spread: str = "none"
+) -> Scheduler:
     scheduler = Scheduler()
     scheduler.objects = ObjectSet(
         teams={"t": Team(name="t", quota=quota or {}), "u": Team(name="u", parent="t")},
         policies={"p": Policy(name="p", spread=spread)},
         pools={"w": Pool(name="w", type="workers", upstreams={})},
-        workloads={"plan": Workload(name="plan", kind="batch", pool="w", policy="p", teams=["t"])},
+        workloads={
+            "plan": Workload(
+                name="plan", kind="batch", pool="w", policy="p", teams=["t"]
+            )
+        },
     )
     upstreams = {
         f"w{index}": Upstream(
@@ -125,7 +131,9 @@
 
 def test_urgent_work_names_the_fewest_batch_tasks_to_checkpoint():
     scheduler = make(workers=2)
-    tasks = {f"t{index}": task(f"t{index}", index, restartable=True) for index in range(4)}
+    tasks = {
+        f"t{index}": task(f"t{index}", index, restartable=True) for index in range(4)
+    }
     for item in tasks.values():
         scheduler.enqueue(item, 0.0)
     assert len(placed(scheduler)) == 4
@@ -154,7 +162,9 @@
         scheduler.worker_failed("w0", 0.0)
     scheduler.enqueue(task("a"), 0.0)
     assert placed(scheduler, 1.0) == {}
-    assert "fails its tasks" in scheduler.explain(next(iter(scheduler._waiting())), 1.0)[1]
+    assert (
+        "fails its tasks" in scheduler.explain(next(iter(scheduler._waiting())), 1.0)[1]
+    )
     assert placed(scheduler, 11.0) == {"a": ("w0",)}
 
 
--- a/tests/test_tasklease_model.py
+++ b/tests/test_tasklease_model.py
@@ -1,4 +1,4 @@
-"""A search of task leases and re-placement: freezes, late calls, restarts, new owners."""
+"""A search of task leases and re-placement: late calls, restarts, new owners."""
 
 from __future__ import annotations
 
@@ -61,7 +61,12 @@
         POOL: {
             "type": "workers",
             "upstreams": {
-                name: {"address": name, "data_centre": "hoan-kiem", "cores": 4, "memory_gb": 8}
+                name: {
+                    "address": name,
+                    "data_centre": "hoan-kiem",
+                    "cores": 4,
+                    "memory_gb": 8,
+                }
                 for name in WORKERS
             },
         }
@@ -182,7 +187,9 @@
         self.group = WorkerGroup(
             {
                 name: Worker(
-                    name, {"cores": 4, "memory_gb": 8}, now=LoopClock(self.loop, rates[name]).now
+                    name,
+                    {"cores": 4, "memory_gb": 8},
+                    now=LoopClock(self.loop, rates[name]).now,
                 )
                 for name in WORKERS
             }
@@ -213,7 +220,9 @@
         row = ShardRow(POOL, "placer", f"owner-{self.epoch}", self.epoch)
         self.rows.apply(Transaction((), (Write(row.key, encode(row)),)))
         node = FakeNode(self, self.process, self.epoch)
-        self.keeper = PoolKeeper(node, POOL, self.epoch, FakeWorkers(self, self.process))
+        self.keeper = PoolKeeper(
+            node, POOL, self.epoch, FakeWorkers(self, self.process)
+        )
         node.spawn(self.keeper.run(), "keeper")
         self._advance(0.5)
 
@@ -251,7 +260,9 @@
         task_id = f"{POOL}:head:{len(self.submitted)}"
         self.submitted[task_id] = workload
         message = submission(workload, str(len(self.submitted) - 1), work_s)
-        found = self._wait_for(self.keeper.submit(message, self.objects.workloads[workload]))
+        found = self._wait_for(
+            self.keeper.submit(message, self.objects.workloads[workload])
+        )
         if found is None:
             # No answer: the task may have been kept, or may be kept later.
             self.unsure.add(task_id)
@@ -275,7 +286,9 @@
         self._advance(0.3)
 
     @rule(
-        name=NAMES, late_s=st.sampled_from([1.0, 6.0, 12.0]), seconds=st.sampled_from([1.0, 8.0])
+        name=NAMES,
+        late_s=st.sampled_from([1.0, 6.0, 12.0]),
+        seconds=st.sampled_from([1.0, 8.0]),
     )
     def calls_come_late(self, name, late_s, seconds):
         self.late_s = late_s
@@ -329,7 +342,10 @@
             settled = settled or task.state == "cancelled" or task.state == "queued"
             assert settled, f"{task_id} ({workload}) is {task.state}: {task}"
             if task.state == "queued":
-                free = [w.room.free_cores for w in self.keeper.scheduler.worker_by_name.values()]
+                free = [
+                    w.room.free_cores
+                    for w in self.keeper.scheduler.worker_by_name.values()
+                ]
                 running = [t.task_id for t in self.keeper.task_by_id.values() if t.live]
                 assert running, f"{task_id} waits on idle workers: {free}"
 
@@ -356,7 +372,11 @@
 
 ORIGINAL_NOT_AFTER = WorkerLease.not_after
 MUTANTS = {
-    "a silent worker's tasks are moved at once": (WorkerLease, "certainly_over", _over_at_once),
+    "a silent worker's tasks are moved at once": (
+        WorkerLease,
+        "certainly_over",
+        _over_at_once,
+    ),
     "the grant has no end": (WorkerLease, "not_after", _lease_from_receipt),
     "a first owner's grants are not waited for": (
         PoolKeeper,
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -1,4 +1,4 @@
-"""The task's state chart, every transition, and the event that follows from members' ends."""
+"""The task's state chart, and the event that follows from members' ends."""
 
 from __future__ import annotations
 
