One shard a minion, and epochs that compare over all shards

Cause: minions were cut into shards by position, so a change of the pool moved them between shards, and each shard counted its epochs from 1. While one owner had not heard of the change, both owners' calls had equal epochs and the minion took both.

Ruled out: a stable cut by hashed names (the count of shards still moves minions); a new claim at each change of the pool (writes for each minion that did not move).

Change: a minion is its own shard, and the epoch is the table's version of the claim, which grows over the whole table. A name or an address in two pools is refused, and so is a worker that changes pools in one version.

--- a/lab/cell.py
+++ b/lab/cell.py
@@ -250,7 +250,7 @@
             place = places[index % len(places)]
             upstreams[name] = {"address": f"http://{IP}:{port}", "data_centre": place}
             items.append({"name": name, "port": port, "speed": speed})
-        self.pools[pool] = {"type": "minions", "shard_size": 2, "upstreams": upstreams}
+        self.pools[pool] = {"type": "minions", "upstreams": upstreams}
         return items
 
     def _workers(
--- a/redwingrun/coordination/shards.py
+++ b/redwingrun/coordination/shards.py
@@ -1,4 +1,9 @@
-"""Shard ownership: one owner for each shard, fenced by an epoch that only grows."""
+"""Shard ownership: one owner for each shard, fenced by an epoch that only grows.
+
+The epoch is the table's version of the claim. Versions are never reused and grow
+over the whole table, so that epochs of different shards can be compared too: an
+upstream that comes under another shard refuses its earlier owner.
+"""
 
 from __future__ import annotations
 
@@ -22,7 +27,6 @@
     shard: str
     kind: str
     owner: str = ""
-    epoch: int = 0
 
     @property
     def key(self) -> str:
@@ -84,8 +88,11 @@
 
     def owned(self, member_id: str) -> dict[str, int]:
         """Return the epoch of each shard that the member owns."""
-        rows = self._by_shard.values()
-        return {row.shard: row.epoch for row in rows if row.owner == member_id}
+        return {
+            shard: self._version_by_shard[shard]
+            for shard, row in self._by_shard.items()
+            if row.owner == member_id
+        }
 
     def claims(
         self, member_id: str, shards: list[str], members: dict[str, MemberRow]
@@ -100,7 +107,7 @@
         return found
 
     def _claim(self, old: ShardRow, member_id: str) -> tuple[ShardRow, Transaction]:
-        row = evolve(old, owner=member_id, epoch=old.epoch + 1)
+        row = evolve(old, owner=member_id)
         conditions = [
             self._unchanged(row),
             Condition.present(member_key(self.kind, member_id)),
--- a/redwingrun/membership.py
+++ b/redwingrun/membership.py
@@ -368,7 +368,7 @@
             if isinstance(result, Committed):
                 self._book.took(row, result.version)
                 self._log.event(
-                    "shard", shard=row.shard, owner=row.owner, epoch=row.epoch
+                    "shard", shard=row.shard, owner=row.owner, epoch=result.version
                 )
 
     def _live_members(self) -> dict[str, MemberRow]:
--- a/redwingrun/objects.py
+++ b/redwingrun/objects.py
@@ -144,7 +144,6 @@
     name: str = field(default="", metadata={"help": "", "check": text()})
     type: str = checked("minions or workers", one_of(MINIONS, WORKERS))
     upstreams: dict = checked("its minions or workers by name", mapping())
-    shard_size: int = checked("minions under one owner", whole(1, 1000), 3)
     long_share: float = checked("share of slots open to long work", number(0, 1), 0.75)
 
     @cached_property
@@ -157,17 +156,14 @@
     def shards(self) -> dict[str, list[str]]:
         """Return the names of the upstreams of each shard.
 
-        Minions are cut into shards of ``shard_size``. Workers stay one shard, so
-        that a gang is placed by one owner.
+        Each minion is a shard of its own, so that a change of the pool never
+        moves a minion from one shard to another. Workers are one shard, so that
+        a gang is placed by one owner.
         """
         names = sorted(self.upstreams)
         if self.type == WORKERS:
             return {self.name: names}
-        cut = range(0, len(names), self.shard_size)
-        return {
-            f"{self.name}.{index}": names[start : start + self.shard_size]
-            for index, start in enumerate(cut)
-        }
+        return {name: [name] for name in names}
 
 
 @frozen(kw_only=True)
@@ -369,6 +365,24 @@
             self._check_workload(objects, workload)
         for team in objects.teams.values():
             self._check_team(objects, team)
+        self._check_upstreams(objects)
+
+    def _check_upstreams(self, objects: ObjectSet) -> None:
+        """Each minion and worker stands once: its owner counts alone what it holds."""
+        pool_by_name: dict[str, str] = {}
+        name_by_address: dict[str, str] = {}
+        for pool in objects.pools.values():
+            for name, upstream in pool.upstreams_by_name.items():
+                other = pool_by_name.setdefault(name, pool.name)
+                if other != pool.name:
+                    self._twice(pool, name, f"stands in pool {other} too")
+                same = name_by_address.setdefault(upstream.address, name)
+                if same != name:
+                    self._twice(pool, name, f"has the address of {same} too")
+
+    def _twice(self, pool: Pool, name: str, problem: str) -> None:
+        source = self._file_by_object["pools", pool.name]
+        self._fault(source, "pools", pool.name, name, problem, "keep one")
 
     def _check_workload(self, objects: ObjectSet, workload: Workload) -> None:
         self._reference("workloads", workload.name, "pool", workload.pool, "pools")
@@ -431,6 +445,26 @@
         self._fault(source, section, name, path, problem, "define it or name another")
 
 
+def moved_workers(before: ObjectSet, after: ObjectSet) -> list[str]:
+    """Return the workers that another pool would take over at once.
+
+    Two owners would work on them until both have heard of it: a worker leaves
+    its pool in one version and joins another in a later one.
+    """
+    pool_by_worker = {
+        name: pool.name
+        for pool in before.pools.values()
+        if pool.type == WORKERS
+        for name in pool.upstreams
+    }
+    return [
+        name
+        for pool in after.pools.values()
+        for name in pool.upstreams
+        if pool_by_worker.get(name, pool.name) != pool.name
+    ]
+
+
 def never_runs(workload: Workload, pool: Pool) -> str:
     """Say why no worker of a pool can ever run a workload, empty when one can."""
     size = workload.task_size
--- a/redwingrun/operators.py
+++ b/redwingrun/operators.py
@@ -27,7 +27,7 @@
 from redwingrun.errors import InvalidInput
 from redwingrun.jsonfile import parse_json
 from redwingrun.node import DRAINS_PREFIX
-from redwingrun.objects import check_objects
+from redwingrun.objects import ObjectSet, check_objects, moved_workers
 from redwingrun.web import Handler
 
 if TYPE_CHECKING:
@@ -75,6 +75,14 @@
             faults = [asdict(fault) for fault in error.faults]
             self.send_failure(not_run("invalid", str(error)), faults=faults)
             return
+        moved = moved_workers(self.node.objects, ObjectSet.from_content(content))
+        if moved:
+            detail = (
+                f"workers {', '.join(moved)} change pools: drain them, publish without"
+                " them, and then with them in the other pool"
+            )
+            self.send_failure(not_run("invalid", detail))
+            return
         audit = AuditRow(
             action="publish",
             operator=operator.name,
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -87,6 +87,14 @@
         changed("workloads/plan/size", {"cores": 5}),
         "no worker of w is large enough: cores 5 of at most 4",
     ),
+    "a worker in two pools": (
+        changed("pools/v", POOL),
+        "w0: stands in pool w too",
+    ),
+    "one address twice": (
+        changed("pools/w/upstreams/w1", POOL["upstreams"]["w0"]),
+        "w1: has the address of w0 too",
+    ),
     "a gang that never fits": (changed("workloads/plan/count", 9), "do not fit into w"),
 }
 
@@ -290,6 +298,13 @@
         reply = await cell.as_operator("POST", "/v1/config", plain)
         assert reply.status in (400, 409), (plain, reply)
         assert reply.json()["verdict"] == "not run"
+    moved = cell.sources()
+    workers = cell.pools["walls"]["upstreams"]
+    other = {"type": "workers", "upstreams": {"walls-w0": workers.pop("walls-w0")}}
+    moved["pools.jsonc"] = json.dumps({"pools": {**cell.pools, "other": other}})
+    plain = {"based_on": before["version"], "sources": moved}
+    reply = await cell.as_operator("POST", "/v1/config", plain)
+    assert (reply.status, "change pools" in reply.json()["detail"]) == (400, True)
     reply = await cell.as_operator("PUT", "/v1/drains/nobody")
     assert reply.status == 404
     after = (await cell.as_operator("GET", "/v1/config")).json()
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -247,6 +247,34 @@
     await asyncio.sleep(1.0)
 
 
+async def pool_changes(cell: Cell, load: Load) -> None:
+    """Minions leave a pool and come back; one owner hears of it late, all are busy."""
+
+    async def flood() -> None:
+        while True:
+            await burst(cell, load)
+
+    floods = [asyncio.create_task(flood()) for _ in range(2)]
+    upstreams = cell.pools["routeboard"]["upstreams"]
+    for kept in (sorted(upstreams)[1:], sorted(upstreams)) * 2:
+        _cut_off(cell, True)
+        await cell.faults("platform", {"mode": "cut", "sender": "entry-2/"})
+        cell.pools["routeboard"]["upstreams"] = {name: upstreams[name] for name in kept}
+        await cell.publish(await _version(cell), "the pool changes")
+        await asyncio.sleep(2.0)
+        _cut_off(cell, False)
+        await cell.faults("platform")
+        await asyncio.sleep(2.5)
+    for task in floods:
+        task.cancel()
+    await asyncio.sleep(1.0)
+
+
+def _cut_off(cell: Cell, cut: bool) -> None:
+    for relay, _ in cell.hosts[2].relay_by_daemon.values():
+        relay.drop_requests = relay.drop_answers = cut
+
+
 Fault = Callable[[Cell, Load], Awaitable[None]]
 FAULTS: list[Fault] = [
     no_fault,
@@ -267,6 +295,7 @@
     planned_stop_and_replacement,
     upstreams_leave,
     burst,
+    pool_changes,
     workers_miss_calls,
     table_down_and_kill,
     freeze_and_upstreams_cut,
@@ -275,7 +304,7 @@
 
 async def run_scenario(fault: Fault, mutation: str = "") -> tuple[list[str], list[str]]:
     """Run a fault under load; return what broke, and tasks that did not end."""
-    relays = fault in (cut_from_peers, cut_one_way)
+    relays = fault in (cut_from_peers, cut_one_way, pool_changes)
     async with Cell(Layout(norte=False, relays=relays, mutation=mutation)) as cell:
         load = Load(cell, seed=FAULTS.index(fault) if fault in FAULTS else 0)
         load.start()
--- a/tests/test_tasklease_model.py
+++ b/tests/test_tasklease_model.py
@@ -217,7 +217,7 @@
     def _take_over(self) -> None:
         self.epoch += 1
         self.process = Process(f"owner-{self.epoch}")
-        row = ShardRow(POOL, "placer", f"owner-{self.epoch}", self.epoch)
+        row = ShardRow(POOL, "placer", f"owner-{self.epoch}")
         self.rows.apply(Transaction((), (Write(row.key, encode(row)),)))
         node = FakeNode(self, self.process, self.epoch)
         self.keeper = PoolKeeper(
