--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -14,7 +14,8 @@
 
 from benchmarks.control import cpu_s, usage
 from lab.cell import Cell, Layout
-from redwingrun.objects import ObjectSet, objects_from_text
+from redwingrun.objectcheck import objects_from_text
+from redwingrun.objects import ObjectSet
 
 IDLE_S = 10.0
 HOSTS = (2, 4, 8)
--- a/redwingrun/cmdline.py
+++ b/redwingrun/cmdline.py
@@ -21,7 +21,8 @@
 from redwingrun.config import load_settings, reference
 from redwingrun.errors import NotReachable, RedwingrunError
 from redwingrun.jsonfile import read_json_file
-from redwingrun.objects import KIND_BY_SECTION, load_objects
+from redwingrun.objectcheck import load_objects
+from redwingrun.objects import KIND_BY_SECTION
 
 EXIT_REFUSED = 1
 EXIT_UNREACHABLE = 3
--- a/redwingrun/operators.py
+++ b/redwingrun/operators.py
@@ -27,7 +27,8 @@
 from redwingrun.errors import InvalidInput
 from redwingrun.jsonfile import parse_json
 from redwingrun.node import DRAINS_PREFIX
-from redwingrun.objects import ObjectSet, check_objects, moved_workers
+from redwingrun.objectcheck import check_objects
+from redwingrun.objects import ObjectSet, moved_workers
 from redwingrun.web import Handler
 
 if TYPE_CHECKING:
--- a/redwingrun/poolkeeper.py
+++ b/redwingrun/poolkeeper.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from attrs import define, evolve, field
+from attrs import evolve
 
 from redwingrun.admission import refusal_of, row_of
 from redwingrun.coordination.tasklease import WorkerLease
@@ -16,7 +16,6 @@
 from redwingrun.taskrows import RETRY_INTERVAL_S, Commit, TaskRows
 from redwingrun.tasks import (
     CANCELLED,
-    CHECKPOINTING,
     QUEUED,
     STOPPING,
     End,
@@ -24,6 +23,7 @@
     Task,
     TaskRow,
 )
+from redwingrun.workerlink import STOP_AT_EXCESS, WorkerLink
 from redwingrun.workers import (
     Grant,
     MemberReport,
@@ -42,19 +42,6 @@
     "stopped": End.STOPPED,
     "lapsed": End.LOST,
 }
-# Seen once over its size a member is throttled, then checkpointed, then stopped.
-CHECKPOINT_AT_EXCESS = 2
-STOP_AT_EXCESS = 3
-
-
-@define
-class _Link:
-    """One worker's lease and what to tell it next."""
-
-    lease: WorkerLease
-    wake: asyncio.Event = field(factory=asyncio.Event)
-    forget: list[MemberKey] = field(factory=list)
-    stray: list[MemberKey] = field(factory=list)
 
 
 class PoolKeeper:
@@ -74,7 +61,7 @@
         self.task_by_id: dict[str, Task] = {}
         self.loaded = False
         self.closed = False
-        self._link_by_worker: dict[str, _Link] = {}
+        self._link_by_worker: dict[str, WorkerLink] = {}
         self._place_now = asyncio.Event()
         self._order = 0
         self._submissions: dict[str, asyncio.Task] = {}
@@ -132,7 +119,7 @@
         self._set_objects()
         for name in self.scheduler.worker_by_name:
             if name not in self._link_by_worker:
-                self._link_by_worker[name] = _Link(self._first_lease())
+                self._link_by_worker[name] = WorkerLink(self._first_lease())
                 self._node.spawn(self._keep_worker(name), f"worker-{name}")
         self._place_now.set()
 
@@ -272,7 +259,7 @@
             return
         call = StartCall(
             address=worker.upstream.address,
-            grant=self._grant(link, row.incarnations[index]),
+            grant=link.grant(self._epoch, row.incarnations[index]),
             member=task.key(index),
             workload=row.workload,
             size=row.size,
@@ -311,9 +298,6 @@
 
     # Workers
 
-    def _grant(self, link: _Link, incarnation: str) -> Grant:
-        return Grant(incarnation, self._epoch, link.lease.not_after())
-
     async def _keep_worker(self, name: str) -> None:
         link = self._link_by_worker[name]
         while self.owns() and name in self.scheduler.worker_by_name:
@@ -325,14 +309,14 @@
                 continue
         self._link_by_worker.pop(name, None)
 
-    async def _sync(self, name: str, link: _Link) -> None:
+    async def _sync(self, name: str, link: WorkerLink) -> None:
         worker = self.scheduler.worker_by_name[name]
         members = self._members_on(name)
         known = bool(worker.incarnation)
         grant = Grant("", self._epoch, 0.0)
         if known:
-            grant = self._grant(link, worker.incarnation)
-        call = self._sync_call(worker.upstream.address, grant, members, link)
+            grant = link.grant(self._epoch, worker.incarnation)
+        call = link.sync_call(worker.upstream.address, grant, members)
         result = await self._workers.sync(call, self._node.settings.worker_timeout_s)
         if not self.owns():
             return
@@ -353,27 +337,8 @@
                     found[task.key(index)] = (task, index)
         return found
 
-    def _sync_call(
-        self,
-        address: str,
-        grant: Grant,
-        members: dict[MemberKey, tuple[Task, int]],
-        link: _Link,
-    ) -> SyncCall:
-        call = SyncCall(address, grant, forget=list(link.forget), stop=list(link.stray))
-        for key, (task, index) in members.items():
-            call.keep.append(key)
-            excess = task.excess.get(index, 0)
-            if task.state == STOPPING or task.stop_all or excess >= STOP_AT_EXCESS:
-                call.stop.append(key)
-            elif task.state == CHECKPOINTING or excess == CHECKPOINT_AT_EXCESS:
-                call.checkpoint.append(key)
-            elif excess:
-                call.throttle.append(key)
-        return call
-
     def _worker_heard(
-        self, name: str, link: _Link, report: WorkerReport, call: SyncCall
+        self, name: str, link: WorkerLink, report: WorkerReport, call: SyncCall
     ) -> None:
         worker = self.scheduler.worker_by_name.get(name)
         if worker is None:
@@ -397,7 +362,7 @@
             self._place_now.set()
 
     def _take_members(
-        self, name: str, link: _Link, report: WorkerReport, call: SyncCall
+        self, name: str, link: WorkerLink, report: WorkerReport, call: SyncCall
     ) -> None:
         members = self._members_on(name)
         for key in call.keep:
@@ -442,7 +407,9 @@
             self._node.metrics.count("quarantines_total")
             self._node.log.event("quarantine", worker=name)
 
-    def _take_stray(self, link: _Link, key: MemberKey, found: MemberReport) -> None:
+    def _take_stray(
+        self, link: WorkerLink, key: MemberKey, found: MemberReport
+    ) -> None:
         """Stop or forget what the worker has and no present attempt wants."""
         task = self.task_by_id.get(key.task_id)
         wanted = (
@@ -457,7 +424,7 @@
         elif task is None or task.ended or task.row.attempt != key.attempt:
             link.forget.append(key)
 
-    def _worker_silent(self, name: str, link: _Link, failure: Failure) -> None:
+    def _worker_silent(self, name: str, link: WorkerLink, failure: Failure) -> None:
         worker = self.scheduler.worker_by_name.get(name)
         if worker is None:
             return
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -14,7 +14,7 @@
 from redwingrun.config import settings_from
 from redwingrun.errors import InvalidInput
 from redwingrun.jsonfile import parse_json
-from redwingrun.objects import load_objects, objects_from_text
+from redwingrun.objectcheck import load_objects, objects_from_text
 
 POOL = {
     "type": "workers",
--- a/tests/test_config_model.py
+++ b/tests/test_config_model.py
@@ -24,7 +24,7 @@
 )
 from redwingrun.coordination.table import TableUnavailable, TableUnknown
 from redwingrun.logs import Log
-from redwingrun.objects import objects_from_text
+from redwingrun.objectcheck import objects_from_text
 from redwingrun.peer_pb2 import ConfigReply, News
 from tests.helpers import (
     OK,
--- a/tests/test_tasklease_model.py
+++ b/tests/test_tasklease_model.py
@@ -23,7 +23,8 @@
 from redwingrun.httpclient import digest
 from redwingrun.logs import Log
 from redwingrun.metrics import Metrics
-from redwingrun.objects import ObjectSet, objects_from_text
+from redwingrun.objectcheck import objects_from_text
+from redwingrun.objects import ObjectSet
 from redwingrun.peer_pb2 import SubmitTask
 from redwingrun.poolkeeper import PoolKeeper
 from redwingrun.tasks import Task
