Tasks over their size fail with the reason; refusals at submission are tested

No test brought it about.

Change: seen once over its size a member is throttled, seen again it is stopped, with a checkpoint if it can start again; that counts as a failed attempt, and the task says "more than its size". Hop times are kept by class. Tests for the three cases and for a quota that a task can never meet (422, not run).

Before: no such test.

--- a/redwingrun/poolkeeper.py
+++ b/redwingrun/poolkeeper.py
@@ -397,7 +397,8 @@
             checkpoints[index] = found.checkpoint
             task.row = evolve(task.row, checkpoints=checkpoints)
         end = END_BY_NAME.get(found.ended, End.LOST)
-        if task.excess.get(index, 0) >= STOP_AT_EXCESS:
+        if end is End.STOPPED and task.excess.get(index, 0) >= STOP_AT_EXCESS:
+            # Not the worker's fault, and not a stop that anybody asked for.
             end = End.FAILED
         self._member_ended(task, index, end, found.result)
 
@@ -486,8 +487,9 @@
 
 
 def _detail(task: Task) -> str:
-    ends = ", ".join(
-        f"{end.value} on {task.row.workers[index]}"
-        for index, end in sorted(task.ends.items())
-    )
-    return ends[:200]
+    ends = []
+    for index, end in sorted(task.ends.items()):
+        over = end is End.FAILED and task.excess.get(index, 0) >= STOP_AT_EXCESS
+        why = "more than its size, " if over else ""
+        ends.append(f"{why}{end.value} on {task.row.workers[index]}")
+    return ", ".join(ends)[:200]
--- a/redwingrun/router.py
+++ b/redwingrun/router.py
@@ -293,7 +293,7 @@
             return not_run("not-owner", f"this host no longer owns {action.minion}")
         result = await self._call(minion, request, started_s)
         now_s = self._node.clock.now()
-        self._node.metrics.seconds("hop_seconds", now_s - started_s, to="minion")
+        self._hop(request, now_s - started_s, "minion")
         if result.is_ok():
             run_s = now_s - started_s
             self._learn(request, run_s)
@@ -339,6 +339,10 @@
             self._node.spawn(self._settle(route, minion), f"settle-{name}")
         return Failure(failure.verdict, failure.reason, failure.detail, upstream=name)
 
+    def _hop(self, request: Request, seconds: float, to: str) -> None:
+        kind = "long" if request.long else "short"
+        self._node.metrics.seconds("hop_seconds", seconds, to=to, cls=kind)
+
     def _learn(self, request: Request, run_s: float) -> None:
         workload = self._node.objects.workloads.get(request.workload)
         if workload is not None:
@@ -376,7 +380,7 @@
             address, "Run", message, remaining_s + HOP_ALLOWANCE_S
         )
         ended_s = self._node.clock.now()
-        self._node.metrics.seconds("hop_seconds", ended_s - started_s, to="peer")
+        self._hop(request, ended_s - started_s, "peer")
         if result.is_error():
             return result.error
         self.heard(result.ok.news)
--- a/redwingrun/workerlink.py
+++ b/redwingrun/workerlink.py
@@ -10,9 +10,9 @@
 from redwingrun.tasks import CHECKPOINTING, STOPPING, MemberKey, Task
 from redwingrun.workers import Grant, SyncCall
 
-# Seen once over its size a member is throttled, then checkpointed, then stopped.
-CHECKPOINT_AT_EXCESS = 2
-STOP_AT_EXCESS = 3
+# Seen once over its size a member is throttled, seen again it is stopped, with a
+# checkpoint if it can be started again.
+STOP_AT_EXCESS = 2
 
 
 @define
@@ -41,10 +41,11 @@
         for key, (task, index) in members.items():
             call.keep.append(key)
             excess = task.excess.get(index, 0)
-            if task.state == STOPPING or task.stop_all or excess >= STOP_AT_EXCESS:
+            if task.state == STOPPING or task.stop_all:
                 call.stop.append(key)
-            elif task.state == CHECKPOINTING or excess == CHECKPOINT_AT_EXCESS:
-                call.checkpoint.append(key)
+            elif task.state == CHECKPOINTING or excess >= STOP_AT_EXCESS:
+                kept = call.checkpoint if task.row.restartable else call.stop
+                kept.append(key)
             elif excess:
                 call.throttle.append(key)
         return call
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -88,7 +88,8 @@
         """Return what a member uses, as late as usage is reported."""
         if self.clock_s() - member.started_s < USAGE_LAG_S:
             return {}
-        return dict(member.size) if member.throttled else member.usage
+        held = member.throttled and not member.body.get("stubborn")
+        return dict(member.size) if held else member.usage
 
     def restart(self) -> None:
         """Lose everything, as a host does that is replaced."""
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -311,6 +311,27 @@
     assert after == before
 
 
+async def _never_starts(cell: Cell) -> None:
+    sources = cell.sources()
+    small = '"head-setter": {"quota": {"cores": 3}, '
+    sources["hanoi.jsonc"] = sources["hanoi.jsonc"].replace(
+        '"head-setter": {', small, 1
+    )
+    version = (await cell.as_operator("GET", "/v1/config")).json()["version"]
+    plain = {"based_on": version, "sources": sources}
+    assert (await cell.as_operator("POST", "/v1/config", plain)).status == 200
+
+    async def applied() -> bool:
+        reply = await cell.as_team("head-setter", "POST", PLAN, {"nonce": "never"})
+        return reply.status == 422
+
+    await cell.until(applied, 9, "the placer has the smaller quota")
+    reply = await cell.as_team("head-setter", "POST", PLAN, {"nonce": "never"})
+    assert reply.json()["verdict"] == "not run"
+    expected = "quota of team head-setter: cores 4 of at most 3"
+    assert expected in reply.json()["detail"]
+
+
 async def _bytes(cell: Cell) -> None:
     port = cell.hosts[0].http_port
     for raw in (
@@ -338,6 +359,7 @@
             await _calls(cell)
             await _keys_and_tokens(cell)
             await _publishing(cell)
+            await _never_starts(cell)
             await _bytes(cell)
             runs = (await cell.counters("minions"))["runs_by_nonce"]
             assert runs == {"first": 1}
--- a/tests/test_poolkeeper.py
+++ b/tests/test_poolkeeper.py
@@ -44,3 +44,31 @@
     outcomes = machine.loop.run_until_complete(asyncio.gather(first, second))
     assert not any(isinstance(outcome, Failure) for outcome in outcomes), outcomes
     machine.teardown()
+
+
+def _run_over_its_size(workload: str, **body):
+    machine = TaskLeaseMachine()
+    message = submission(workload, "large", work_s=20.0, usage=2.0, **body)
+    machine.submitted[message.task_id] = workload
+    kind = machine.objects.workloads[workload]
+    work = machine.keeper.submit(message, kind)
+    task = machine.loop.run_until_complete(work)
+    machine._advance(60.0)
+    machine.teardown()
+    return task, machine.group.starts_by_task[message.task_id]
+
+
+def test_a_task_over_its_size_is_throttled_and_may_end_well():
+    task, starts = _run_over_its_size("plan")
+    assert (task.state, starts) == ("succeeded", 1)
+
+
+def test_a_task_that_stays_over_its_size_is_checkpointed_and_fails_in_the_end():
+    task, starts = _run_over_its_size("plan", stubborn=True)
+    assert (task.state, starts) == ("failed", 3)
+    assert "more than its size" in task.row.detail
+
+
+def test_work_that_runs_at_most_once_is_stopped_when_it_stays_over_its_size():
+    task, starts = _run_over_its_size("guide", stubborn=True)
+    assert (task.state, starts) == ("failed", 1)
--- a/tests/test_tasklease_model.py
+++ b/tests/test_tasklease_model.py
@@ -162,9 +162,9 @@
         return task
 
 
-def submission(workload: str, key: str, work_s: float) -> SubmitTask:
+def submission(workload: str, key: str, work_s: float, **body_more) -> SubmitTask:
     """Return what an entry sends to submit a task."""
-    body = json.dumps({"work_s": work_s}).encode()
+    body = json.dumps({"work_s": work_s, **body_more}).encode()
     return SubmitTask(
         task_id=f"{POOL}:head:{key}",
         workload=workload,
