The quick start as written, and a lab that leaves nothing running

Cause: following the README as a newcomer: the lines of "make cell" did not show when its output was kept, the shown request needs a team's token, and ending make by a signal left the cell's processes running; so did stand-ins that could not listen.

Before: ten processes left after the signal.

--- a/lab/cell.py
+++ b/lab/cell.py
@@ -161,6 +161,15 @@
         self.pools: dict[str, Any] = {}
 
     async def __aenter__(self) -> Cell:
+        try:
+            await self._start()
+        except BaseException:
+            # Nothing may stay behind that nobody would end.
+            await self.__aexit__()
+            raise
+        return self
+
+    async def _start(self) -> None:
         self._start_standins()
         await self.until(self._standins_up, 20, "the stand-ins listen")
         for index, weight in enumerate(self.layout.weights):
@@ -169,7 +178,6 @@
                 await relay.start(port)
         await self.publish()
         await self.until(self.all_ready, 30, "all hosts are ready and all shards owned")
-        return self
 
     async def __aexit__(self, *exc_info: object) -> None:
         self.client.close()
--- a/lab/session.py
+++ b/lab/session.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import json
+import signal
 
 from lab.cell import OPERATOR_TOKEN, TOKEN_BY_TEAM, Cell
 
@@ -21,16 +21,22 @@
 
 async def session() -> None:
     """Run a cell and say how to reach it, until it is interrupted."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, stop.set)
     async with Cell() as cell:
         write_objects(cell)
-        print(f"cd {cell.folder}")
-        print(f"export REDWINGRUN_SERVER={cell.hosts[0].url}")
-        print(f"export REDWINGRUN_TOKEN={OPERATOR_TOKEN}  # an operator")
+        lines = [
+            f"cd {cell.folder}",
+            f"export REDWINGRUN_SERVER={cell.hosts[0].url}",
+            f"export REDWINGRUN_TOKEN={OPERATOR_TOKEN}  # an operator",
+        ]
         for team, token in TOKEN_BY_TEAM.items():
-            print(f"#   REDWINGRUN_TOKEN={token}  # {team}")
-        await asyncio.Event().wait()
+            lines.append(f"#   REDWINGRUN_TOKEN={token}  # {team}")
+        print("\n".join(lines), flush=True)
+        await stop.wait()
 
 
 if __name__ == "__main__":
-    with contextlib.suppress(KeyboardInterrupt):
-        asyncio.run(session())
+    asyncio.run(session())
