A mutant that changed nothing is replaced by one that does

Cause: "a lapse is not final" was no longer found: two guards keep the rule, the flag and the time, so taking one out changes nothing that can be seen.

--- a/tests/test_ownership_model.py
+++ b/tests/test_ownership_model.py
@@ -282,6 +282,10 @@
     return self.version is not None and now_s < self._valid_until_s
 
 
+def _goes_on(self):
+    self._valid_until_s += 10 * self.settings.term_s
+
+
 def _counted_from_answer(self, renewal, version, now_s):
     ORIGINAL_RENEWED(self, evolve(renewal, started_s=now_s + 1.0), version, now_s)
 
@@ -310,7 +314,8 @@
     "a late joiner asks nobody": [
         (MemberWatch, "witnesses", lambda self, suspect, own_ids: frozenset()),
     ],
-    "a lapse is not final": [
+    "a refused renewal does not end the lease": [
+        (MemberLease, "refused", _goes_on),
         (MemberLease, "valid", _valid_again),
         (Membership, "_rejoin_if_lapsed", lambda self: None),
     ],
