--- a/redwingrun/gangs.py
+++ b/redwingrun/gangs.py
@@ -7,7 +7,6 @@
 from redwingrun.packing import Room
 from redwingrun.tasks import Task
 
-# Chosen by the packing rows of the benchmarks: longer holds strand more than they help.
 GANG_PATIENCE_S = 60.0
 FIRST_GANG_HOLD_S = 10.0
 LONGEST_GANG_HOLD_S = 160.0
