Move the clients of our own stand-ins to cellservices

Cause: the adapter to the users' platform needs the package name redwingrun.platform, which a module of that name would hide. Ruled out: a folder at the root, which hides the standard library's platform. Conclusion: the name is free.

--- a/redwingrun/node.py
+++ b/redwingrun/node.py
@@ -13,6 +13,13 @@
 from tornado.web import Application
 
 from redwingrun.auth import TokenBook, load_secret
+from redwingrun.cellservices import (
+    HostListUnavailable,
+    HostState,
+    HttpHostList,
+    HttpObjectStore,
+    HttpTable,
+)
 from redwingrun.config import Settings
 from redwingrun.configtask import ConfigTask
 from redwingrun.coordination.clock import MonotonicClock
@@ -28,13 +35,6 @@
 from redwingrun.peer_pb2 import News
 from redwingrun.peers import PeerClient, PeerServer
 from redwingrun.peerservice import PeerService
-from redwingrun.platform import (
-    HostListUnavailable,
-    HostState,
-    HttpHostList,
-    HttpObjectStore,
-    HttpTable,
-)
 
 DRAINS_PREFIX = "drains/"
 BACKLOG = 1024
--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -10,6 +10,7 @@
 import pytest
 
 from lab.cell import Cell, Layout
+from redwingrun.cellservices import HostState, HttpHostList, HttpObjectStore, HttpTable
 from redwingrun.coordination.follower import ObjectStore
 from redwingrun.coordination.table import (
     Committed,
@@ -26,7 +27,6 @@
 from redwingrun.metrics import Metrics
 from redwingrun.minions import HttpMinionClient, MinionCall, MinionClient
 from redwingrun.objects import Size
-from redwingrun.platform import HostState, HttpHostList, HttpObjectStore, HttpTable
 from redwingrun.tasks import MemberKey
 from redwingrun.workers import (
     Grant,
