--- a/Makefile
+++ b/Makefile
@@ -48,6 +48,11 @@
 	PATH=$(BIN):$$PATH $(BIN)/python -m grpc_tools.protoc -I redwingrun \
 		--python_out=redwingrun --grpclib_python_out=redwingrun redwingrun/peer.proto
 	sed -i 's/^import peer_pb2/from redwingrun import peer_pb2/' redwingrun/peer_grpc.py
+	PATH=$(BIN):$$PATH $(BIN)/python -m grpc_tools.protoc -I redwingrun/jobs \
+		--python_out=redwingrun/jobs --grpclib_python_out=redwingrun/jobs \
+		redwingrun/jobs/jobpeer.proto
+	sed -i 's/^import jobpeer_pb2/from redwingrun.jobs import jobpeer_pb2/' \
+		redwingrun/jobs/jobpeer_grpc.py
 
 clean:
 	rm -rf $(VENV) .hypothesis build *.egg-info
--- a/redwingrun/coordination/table.py
+++ b/redwingrun/coordination/table.py
@@ -130,3 +130,43 @@
     if row is not None and row.value == value:
         return Committed(row.version)
     return None
+
+
+class HistoryLost(Exception):
+    """The table no longer holds the changes asked for: read everything again."""
+
+
+@frozen
+class Snapshot:
+    """All rows under a prefix as of one version of the table."""
+
+    rows: tuple[Row, ...]
+    version: int
+
+
+@frozen
+class Changes:
+    """What changed under a prefix, in order.
+
+    :param deleted: keys of rows that are gone.
+    :param version: go on from here.
+    """
+
+    rows: tuple[Row, ...]
+    deleted: tuple[str, ...]
+    version: int
+
+
+class WatchedTable(Table):
+    """A table that also tells what changes."""
+
+    @abstractmethod
+    async def snapshot(self, prefix: str) -> Snapshot:
+        """Return all rows under a prefix, with the version to watch from."""
+
+    @abstractmethod
+    async def changes(self, prefix: str, after: int, wait_s: float) -> Changes:
+        """Return the changes after a version, waiting for the first one.
+
+        :raises HistoryLost: when they are no longer held.
+        """
--- a/redwingrun/httpclient.py
+++ b/redwingrun/httpclient.py
@@ -63,12 +63,14 @@
 class HttpClient:
     """Sends calls through curl, which keeps connections and drops failed ones.
 
-    :param sender: told to the other side in each call, for its logs.
+    :param sender: told to the other side in each call, for its logs; empty for
+        a side that does not know our headers.
+    :param max_clients: most calls at the same time.
     """
 
-    def __init__(self, sender: str):
+    def __init__(self, sender: str, max_clients: int = MAX_CLIENTS):
         self._sender = sender
-        self._curl = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
+        self._curl = CurlAsyncHTTPClient(force_instance=True, max_clients=max_clients)
 
     async def send(self, call: Call) -> Result[Reply, Failure]:
         """Send a call.
@@ -76,8 +78,10 @@
         :return: the answer, or a failure whose verdict says whether the call
             may have had an effect.
         """
-        headers = {FROM_HEADER: self._sender, **call.headers}
-        if call.body is not None:
+        headers = dict(call.headers)
+        if self._sender:
+            headers[FROM_HEADER] = self._sender
+        if self._sender and call.body is not None:
             headers[DIGEST_HEADER] = digest(call.body)
         request = HTTPRequest(
             call.url,
@@ -116,6 +120,8 @@
 
 def failure_of(error: BaseException | None) -> Failure:
     """Return the verdict of a call that ended without a whole answer."""
+    if isinstance(error, CurlError) and _was_refused(error):
+        return not_run("connection-refused", str(error))
     if isinstance(error, CurlError) and error.errno in NOT_SENT:
         return not_run("not-connected", str(error))
     if isinstance(error, CurlError) and error.errno == pycurl.E_OPERATION_TIMEDOUT:
@@ -125,6 +131,11 @@
     return may_have_run("connection-lost", str(error))
 
 
+def _was_refused(error: CurlError) -> bool:
+    """Tell whether nothing listens at the address."""
+    return error.errno == pycurl.E_COULDNT_CONNECT
+
+
 def _timed_out(text: str) -> Failure:
     # libcurl says "Connection timed out" before and "Operation timed out" after
     # the connection stood; older ones say "Connection timeout after".
--- /dev/null
+++ b/redwingrun/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs of many tasks: acceptance, ownership, placement, progress and results."""
--- /dev/null
+++ b/redwingrun/jobs/gate.py
@@ -0,0 +1,72 @@
+"""What the placement policy has said about a step: who may run it, until when."""
+
+from __future__ import annotations
+
+from attrs import define, field, frozen
+
+# A ticket must still be good when the start arrives, a store answer later.
+TICKET_MARGIN_S = 0.15
+
+
+@frozen
+class Ticket:
+    """Permission to start a step's tasks on a worker.
+
+    :param life_ms: birth of the worker's life that it holds for.
+    :param expires_s: steady time.
+    """
+
+    text: str
+    life_ms: int
+    expires_s: float
+
+
+@define
+class StepGate:
+    """The answers for one step.
+
+    :param asking: whether a question is under way.
+    :param good: workers that were ever allowed: the policy doesn't change.
+    :param refused: workers that were named and not allowed.
+    """
+
+    asking: bool = False
+    asked_s: float = 0
+    retry_s: float = 0
+    good: set[str] = field(factory=set)
+    refused: set[str] = field(factory=set)
+    ticket_by_worker: dict[str, Ticket] = field(factory=dict)
+
+    def ticket(self, worker_id: str, life_ms: int, now_s: float) -> Ticket | None:
+        """Return a ticket that is good for a start now."""
+        ticket = self.ticket_by_worker.get(worker_id)
+        if ticket is None or ticket.life_ms != life_ms:
+            return None
+        if now_s + TICKET_MARGIN_S > ticket.expires_s:
+            return None
+        return ticket
+
+    def may_allow(self, worker_id: str) -> bool:
+        """Tell whether the policy allows the worker or hasn't been asked."""
+        return worker_id not in self.refused
+
+    def answered(
+        self, named: tuple[str, ...], ticket_by_worker: dict[str, Ticket]
+    ) -> None:
+        """Take the policy's answer about the workers named."""
+        self.asking = False
+        for worker_id in named:
+            if worker_id in ticket_by_worker:
+                self.good.add(worker_id)
+            else:
+                self.refused.add(worker_id)
+        self.ticket_by_worker.update(ticket_by_worker)
+
+    def failed(self, retry_s: float) -> None:
+        """Note that a question got no answer; ask again from ``retry_s`` on."""
+        self.asking = False
+        self.retry_s = retry_s
+
+    def forget(self, worker_id: str) -> None:
+        """Drop a ticket that a worker did not accept."""
+        self.ticket_by_worker.pop(worker_id, None)
--- /dev/null
+++ b/redwingrun/jobs/jobbook.py
@@ -0,0 +1,191 @@
+"""The jobs that an owner works on, and what an end of a run means for a job."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from attrs import define, field
+
+from redwingrun.jobs.progress import JobProgress, JobState, TaskProgress, TaskState
+from redwingrun.jobs.spec import (
+    JobSpec,
+    Queue,
+    StepId,
+    StepSpec,
+    Submission,
+    TaskId,
+)
+from redwingrun.jobs.workerpool import EndKind, RunEnd
+
+
+@define
+class Job:
+    """A job with its progress.
+
+    :param due_s: steady time by which it should be done.
+    :param gang_failure_run: the last run of each gang that was counted as failed.
+    :param failed_workers: where runs of a task have failed.
+    """
+
+    job_id: str
+    submission: Submission
+    queue: Queue
+    progress: JobProgress
+    due_s: float
+    gang_failure_run: dict[StepId, int] = field(factory=dict)
+    failed_workers: dict[TaskId, set[str]] = field(factory=dict)
+
+    @property
+    def spec(self) -> JobSpec:
+        """What the client described."""
+        return self.submission.spec
+
+    @property
+    def is_final(self) -> bool:
+        """Whether nothing follows the job's state."""
+        return self.progress.state.is_final
+
+    def step(self, step_id: StepId) -> StepSpec:
+        """Return a step's description."""
+        return self.spec.steps[step_id.step]
+
+    def tasks(self, step_id: StepId) -> list[TaskProgress]:
+        """Return the tasks of a step of an occurrence."""
+        return self.progress.tasks_by_occurrence[step_id.occurrence][step_id.step]
+
+    def task(self, task_id: TaskId) -> TaskProgress | None:
+        """Return a task, ``None`` when the job has no such task open."""
+        steps = self.progress.tasks_by_occurrence.get(task_id.occurrence)
+        if steps is None or task_id.step >= len(steps):
+            return None
+        tasks = steps[task_id.step]
+        return tasks[task_id.index] if task_id.index < len(tasks) else None
+
+    def placed(self) -> Iterator[tuple[TaskId, TaskProgress]]:
+        """Return all tasks that may have a run on a worker."""
+        for occurrence, steps in self.progress.tasks_by_occurrence.items():
+            for position, tasks in enumerate(steps):
+                for index, task in enumerate(tasks):
+                    if task.state is TaskState.PLACED:
+                        yield TaskId(self.job_id, occurrence, position, index), task
+
+    def open_steps(self, occurrence: int) -> Iterator[StepId]:
+        """Return the steps that wait for no other step and aren't done."""
+        steps = self.progress.tasks_by_occurrence[occurrence]
+        for position, spec in enumerate(self.spec.steps):
+            ready = all(_is_done(steps[other]) for other in spec.after)
+            if ready and not _is_done(steps[position]):
+                yield StepId(self.job_id, occurrence, position)
+
+    def waiting(self, step_id: StepId) -> list[int]:
+        """Return the indexes of a step's tasks that have no run."""
+        tasks = self.tasks(step_id)
+        waiting = [
+            index for index, task in enumerate(tasks) if task.state is TaskState.WAITING
+        ]
+        if self.step(step_id).gang and len(waiting) < len(tasks):
+            return []
+        return waiting
+
+    def next_run(self, step_id: StepId, index: int) -> int:
+        """Return a run number above all that were used; a gang shares one."""
+        tasks = self.tasks(step_id)
+        if self.step(step_id).gang:
+            return 1 + max(task.run for task in tasks)
+        task = tasks[index]
+        return 1 + max([task.run, *task.copy_worker_by_run])
+
+
+def _is_done(tasks: list[TaskProgress]) -> bool:
+    return all(task.state is TaskState.DONE for task in tasks)
+
+
+def apply_end(job: Job, end: RunEnd, worker_id: str) -> bool:
+    """Change a job by the end of one of its runs.
+
+    :return: whether the end said anything new.
+    """
+    task_id = end.run_id.task
+    task = job.task(task_id)
+    if task is None or job.is_final or task.state is not TaskState.PLACED:
+        return False
+    if end.run_id.run != task.run:
+        return False
+    step = job.step(task_id.step_id)
+    if end.kind is EndKind.DONE:
+        _done(job, task_id, task, step)
+        return True
+    task.state = TaskState.WAITING
+    task.checkpoint = end.checkpoint or task.checkpoint
+    if step.gang:
+        _share_checkpoint(job, task_id.step_id, task.checkpoint)
+    if end.kind is EndKind.FAILED:
+        job.failed_workers.setdefault(task_id, set()).add(worker_id)
+        _failed(job, task_id, end, step)
+    return True
+
+
+def _done(job: Job, task_id: TaskId, task: TaskProgress, step: StepSpec) -> None:
+    if step.lasting:
+        task.state = TaskState.WAITING
+        return
+    tasks = job.tasks(task_id.step_id) if step.gang else [task]
+    for member in tasks:
+        member.state = TaskState.DONE
+
+
+def _failed(job: Job, task_id: TaskId, end: RunEnd, step: StepSpec) -> None:
+    if step.lasting:
+        return
+    step_id = task_id.step_id
+    counter = job.tasks(step_id)[0] if step.gang else job.task(task_id)
+    if step.gang:
+        if job.gang_failure_run.get(step_id, 0) >= end.run_id.run:
+            return
+        job.gang_failure_run[step_id] = end.run_id.run
+    counter.failures += 1
+    if counter.failures >= job.queue.attempts:
+        job.progress.state = JobState.FAILED
+
+
+def _share_checkpoint(job: Job, step_id: StepId, checkpoint: str) -> None:
+    """Give every member of a gang the newest checkpoint of any."""
+    if not checkpoint:
+        return
+    for member in job.tasks(step_id):
+        member.checkpoint = checkpoint
+
+
+def apply_loss(job: Job, task_id: TaskId, run: int) -> bool:
+    """Change a job by a run that is gone without an end.
+
+    :return: whether the task waits again because of it.
+    """
+    task = job.task(task_id)
+    if task is None or job.is_final or task.state is not TaskState.PLACED:
+        return False
+    if task.run != run:
+        return False
+    task.state = TaskState.WAITING
+    return True
+
+
+def note_completion(job: Job, unix_ms: int) -> bool:
+    """Drop occurrences whose tasks are all done; complete the job with the last.
+
+    :return: whether anything changed.
+    """
+    by_number = job.progress.tasks_by_occurrence
+    done = [
+        number
+        for number, steps in by_number.items()
+        if all(_is_done(tasks) for tasks in steps)
+    ]
+    for number in done:
+        del by_number[number]
+        job.progress.finished_occurrences += 1
+    wanted = max(1, job.spec.occurrences)
+    if done and job.progress.finished_occurrences >= wanted:
+        job.progress.state = JobState.COMPLETED
+        job.progress.finished_ms = unix_ms
+    return bool(done)
--- /dev/null
+++ b/redwingrun/jobs/member.py
@@ -0,0 +1,445 @@
+"""A member of a slice: serves clients, and owns the slice when its turn comes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import secrets
+import zlib
+from collections.abc import Callable
+from typing import Any
+
+from attrs import define, frozen
+from expression import Error, Ok, Result
+
+from redwingrun.coordination.clock import Clock
+from redwingrun.coordination.codec import decode, encode
+from redwingrun.coordination.table import (
+    Condition,
+    HistoryLost,
+    Row,
+    TableUnavailable,
+    TableUnknown,
+    Transaction,
+    WatchedTable,
+    Write,
+)
+from redwingrun.coordination.verdict import Failure, not_run
+from redwingrun.jobs.engine import EngineSettings
+from redwingrun.jobs.intake import Intake
+from redwingrun.jobs.jobpeer_grpc import JobPeerStub
+from redwingrun.jobs.jobpeer_pb2 import AskRequest, LookRequest
+from redwingrun.jobs.jobpeerservice import JobPeerService
+from redwingrun.jobs.ports import (
+    PolicyAnswer,
+    PolicyPort,
+    QueueSource,
+    WorkerPort,
+    WorkerRegistry,
+)
+from redwingrun.jobs.questions import Lane
+from redwingrun.jobs.rows import node_prefix
+from redwingrun.jobs.slicejournal import (
+    OwnerRow,
+    SliceJournal,
+    owner_key,
+    read_owner,
+)
+from redwingrun.jobs.sliceowner import STEP_DOWN_S, OwnerParts, SliceOwner
+from redwingrun.jobs.spec import QueueSet
+from redwingrun.jobs.workerpool import AskOrder
+from redwingrun.logs import Log
+from redwingrun.metrics import Metrics
+from redwingrun.peers import PeerClient, PeerServer
+
+POLL_S = 0.45
+# An owner whose row stands still for so long is taken to be gone.
+SILENCE_S = 1.4
+# Members claim one after the other, by a hash of their names.
+STAGGER_STEPS = 8
+STAGGER_S = 0.06
+# A slice that was given up waits so long for the member that was asked to claim it.
+SUCCESSOR_S = 0.7
+QUEUES_WAIT_S = 1.0
+RETRY_S = 0.2
+MEMBERS_S = 3.0
+LOOK_TIMEOUT_S = 0.6
+TABLE_IS_NEAR_S = 1.0
+
+
+@frozen
+class MemberRow:
+    """Where a member can be reached."""
+
+    name: str
+    address: str
+
+
+@frozen
+class MemberSettings:
+    """How a member is set up.
+
+    :param name: unique among all members.
+    :param ip: address that peers reach.
+    :param port: port for peers.
+    """
+
+    name: str
+    ip: str
+    port: int
+    slice_name: str = "s0"
+    engine: EngineSettings = EngineSettings()
+
+    @property
+    def address(self) -> str:
+        """Where peers reach the member."""
+        return f"{self.ip}:{self.port}"
+
+
+@frozen
+class MemberParts:
+    """What a member works with."""
+
+    table: WatchedTable
+    queues: QueueSource
+    workers: WorkerPort
+    registry: WorkerRegistry
+    policy: PolicyPort
+    clock: Clock
+    unix_ms: Callable[[], int]
+    log: Log
+    metrics: Metrics
+
+
+@define
+class _Watch:
+    """What was last seen of the owner's row, and since when it stands still."""
+
+    row: Row | None = None
+    owner: OwnerRow | None = None
+    still_s: float = 0.0
+    polled_s: float | None = None
+
+    def see(self, row: Row | None, now_s: float) -> None:
+        """Take a reading; a long gap between two says little."""
+        same = (row.version if row else 0) == (self.row.version if self.row else 0)
+        gap_s = 0.0 if self.polled_s is None else now_s - self.polled_s
+        self.still_s = self.still_s + min(gap_s, 2 * POLL_S) if same else 0.0
+        self.polled_s = now_s
+        if not same or self.row is None:
+            self.row = row
+            self.owner = read_owner(row)
+
+
+class Member:
+    """One process of the slice.
+
+    :param settings: who it is.
+    :param parts: the outside.
+    """
+
+    def __init__(self, settings: MemberSettings, parts: MemberParts):
+        self._settings = settings
+        self._parts = parts
+        self._log = parts.log
+        self.queues: QueueSet | None = None
+        self.intake = Intake(parts.table, settings.slice_name, parts.clock)
+        self._owner: SliceOwner | None = None
+        self._watch = _Watch()
+        self._look_now = asyncio.Event()
+        self._leaving = False
+        self._left = asyncio.Event()
+        self._peers: dict[str, str] = {}
+        self._peer_client: PeerClient | None = None
+        self._peer_server: PeerServer | None = None
+        self._table_heard_s = 0.0
+        self._tasks: list[asyncio.Task[Any]] = []
+        digest = zlib.crc32(settings.name.encode())
+        self._stagger_s = STAGGER_S * (digest % STAGGER_STEPS)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether clients should be sent here."""
+        return self.queues is not None and not self._leaving
+
+    @property
+    def is_owner(self) -> bool:
+        """Whether this member owns the slice."""
+        return self._owner is not None
+
+    def table_silent_s(self) -> float:
+        """Return how long the table has not answered."""
+        return self._parts.clock.now() - self._table_heard_s
+
+    def waiting(self, queue: str) -> int | None:
+        """Return how many of a queue's jobs have not begun; ``None`` if unknown."""
+        owner = self._watch.owner
+        return None if owner is None else owner.waiting_by_queue.get(queue, 0)
+
+    def start(self) -> None:
+        """Begin to follow the table."""
+        loop = asyncio.get_running_loop()
+        for work in (self._follow_queues(), self._join(), self._watch_owner()):
+            task = loop.create_task(work)
+            task.add_done_callback(self._task_ended)
+            self._tasks.append(task)
+
+    def _task_ended(self, task: asyncio.Task[Any]) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            self._log.fault("member-task-failed", why=repr(task.exception()))
+
+    async def leave(self) -> None:
+        """Hand the slice over and stop claiming."""
+        self._leaving = True
+        owner = self._owner
+        if owner is not None:
+            successor = next(iter(sorted(self._peers)), "")
+            owner.give_up(successor)
+            await self._left.wait()
+            if successor:
+                await self._look(self._peers[successor], claim=True)
+
+    async def close(self) -> None:
+        """End everything that still runs."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._peer_client is not None:
+            self._peer_client.close()
+
+    # Configuration.
+
+    async def _follow_queues(self) -> None:
+        position: int | None = None
+        while True:
+            try:
+                source = self._parts.queues
+                if position is None:
+                    change = await source.load()
+                else:
+                    change = await source.changes(position, QUEUES_WAIT_S)
+            except HistoryLost:
+                position = None
+                continue
+            except (TableUnavailable, TableUnknown) as error:
+                self._log.event("queues-unread", why=str(error))
+                await asyncio.sleep(RETRY_S)
+                continue
+            position = change.position
+            self._table_heard_s = self._parts.clock.now()
+            if change.queues is not None:
+                self._take_queues(change.queues)
+            elif self.queues is None:
+                position = None
+                await asyncio.sleep(RETRY_S)
+
+    def _take_queues(self, queues: QueueSet) -> None:
+        if self.queues is not None and queues.version <= self.queues.version:
+            return
+        self._log.event(
+            "queues-in-force",
+            version=queues.version,
+            before=self.queues.version if self.queues else 0,
+            queues=len(queues.queue_by_name),
+        )
+        self.queues = queues
+        if self._owner is not None:
+            self._owner.set_queues(queues)
+
+    # Peers.
+
+    async def _join(self) -> None:
+        """Make this member known and keep the list of the others."""
+        secret = await self._until_done(self._shared_secret)
+        self._peer_client = PeerClient(secret, JobPeerStub)
+        self._peer_server = PeerServer(JobPeerService(self), secret)
+        await self._peer_server.start(self._settings.ip, self._settings.port)
+        prefix = node_prefix(self._settings.slice_name)
+        row = MemberRow(self._settings.name, self._settings.address)
+        write = Write(prefix + row.name, encode(row))
+        await self._until_done(
+            lambda: self._parts.table.transact(Transaction((), (write,)))
+        )
+        while True:
+            with contextlib.suppress(TableUnavailable, TableUnknown):
+                rows = await self._parts.table.scan(prefix)
+                self._take_members(rows)
+            await asyncio.sleep(MEMBERS_S)
+
+    async def _until_done(self, work: Callable[[], Any]) -> Any:
+        while True:
+            try:
+                return await work()
+            except (TableUnavailable, TableUnknown) as error:
+                self._log.event("join-waits", why=str(error))
+                await asyncio.sleep(RETRY_S)
+
+    async def _shared_secret(self) -> str:
+        """Return the secret of all members; the first one draws it."""
+        key = f"secrets/{self._settings.slice_name}/peers"
+        table = self._parts.table
+        row = await table.read(key)
+        if row is not None:
+            return row.value
+        drawn = secrets.token_hex(16)
+        await table.transact(
+            Transaction((Condition.absent(key),), (Write(key, drawn),))
+        )
+        row = await table.read(key)
+        if row is None:
+            raise TableUnknown("the peers' secret is not stored yet")
+        return row.value
+
+    def _take_members(self, rows: tuple[Row, ...]) -> None:
+        peers = {}
+        for row in rows:
+            with contextlib.suppress(ValueError):
+                member = decode(MemberRow, row.value)
+                peers[member.name] = member.address
+        peers.pop(self._settings.name, None)
+        self._peers = peers
+        if self._owner is not None:
+            self._set_lanes(self._owner)
+
+    def _set_lanes(self, owner: SliceOwner) -> None:
+        owner.lanes.set_peers(list(self._peers.values()))
+        owner.engine.ask_lanes = len(owner.lanes.lanes)
+
+    async def _look(self, address: str, claim: bool) -> float | None:
+        """Ask a peer since when the table has not answered it."""
+        if self._peer_client is None:
+            return None
+        reply = await self._peer_client.call(
+            address, "Look", LookRequest(claim=claim), LOOK_TIMEOUT_S
+        )
+        return reply.ok.table_silent_s if reply.is_ok() else None
+
+    def look_now(self) -> None:
+        """Read the owner's row at once."""
+        self._look_now.set()
+
+    async def ask(
+        self, lane: Lane, order: AskOrder, timeout_s: float
+    ) -> Result[PolicyAnswer, Failure]:
+        """Put a question to the policy, from here or from a peer."""
+        step = order.step_id
+        if not lane.address:
+            return await self._parts.policy.ask(step, order.worker_ids, timeout_s)
+        if self._peer_client is None:
+            return Error(not_run("no-peers"))
+        request = AskRequest(
+            job=step.job,
+            occurrence=step.occurrence,
+            step=step.step,
+            worker_ids=order.worker_ids,
+            timeout_s=timeout_s,
+        )
+        reply = await self._peer_client.call(lane.address, "Ask", request, timeout_s)
+        if reply.is_error():
+            return reply
+        if reply.ok.failure:
+            return Error(not_run(reply.ok.failure))
+        return Ok(PolicyAnswer(dict(reply.ok.ticket_by_worker), reply.ok.valid_s))
+
+    async def ask_here(self, order: AskOrder, timeout_s: float) -> Any:
+        """Put a peer's question to the policy."""
+        return await self._parts.policy.ask(order.step_id, order.worker_ids, timeout_s)
+
+    # Ownership.
+
+    async def _watch_owner(self) -> None:
+        while not self._leaving:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._look_now.wait(), POLL_S)
+            self._look_now.clear()
+            if self.queues is None:
+                continue
+            try:
+                row = await self._parts.table.read(owner_key(self._settings.slice_name))
+            except (TableUnavailable, TableUnknown) as error:
+                self._log.detail("owner-unread", why=str(error))
+                continue
+            now_s = self._parts.clock.now()
+            self._table_heard_s = now_s
+            self._watch.see(row, now_s)
+            if self._should_claim() and not self._leaving:
+                await self._claim()
+
+    def _should_claim(self) -> bool:
+        watch = self._watch
+        owner = watch.owner
+        if owner is None:
+            return watch.still_s >= self._stagger_s
+        if owner.member:
+            return watch.still_s >= SILENCE_S + self._stagger_s
+        if owner.successor == self._settings.name:
+            return True
+        return watch.still_s >= SUCCESSOR_S + self._stagger_s
+
+    async def _claim(self) -> None:
+        settings = self._settings
+        try:
+            journal = await SliceJournal.claim(
+                self._parts.table,
+                settings.slice_name,
+                settings.name,
+                settings.address,
+                self._watch.row,
+                self._log,
+            )
+        except (TableUnavailable, TableUnknown) as error:
+            self._log.event("claim-failed", why=str(error))
+            return
+        if journal is None:
+            return
+        before = self._watch.owner
+        self._log.event(
+            "claimed",
+            fence=journal.fence,
+            before=before.member if before else "",
+            still_s=round(self._watch.still_s, 3),
+        )
+        self._parts.metrics.count("claims_total")
+        await self._own(journal)
+
+    async def _own(self, journal: SliceJournal) -> None:
+        parts = self._parts
+        owner = SliceOwner(
+            journal,
+            OwnerParts(
+                parts.table,
+                parts.workers,
+                parts.registry,
+                self.ask,
+                parts.clock,
+                parts.unix_ms,
+                parts.log,
+                parts.metrics,
+                self._settings.engine,
+            ),
+            self.queues,
+        )
+        self._owner = owner
+        self._set_lanes(owner)
+        observer = asyncio.get_running_loop().create_task(self._mind(owner, journal))
+        try:
+            why = await owner.run()
+            self._log.event("ownership-ended", fence=journal.fence, why=why)
+        finally:
+            observer.cancel()
+            self._owner = None
+            self._watch = _Watch()
+            self._left.set()
+
+    async def _mind(self, owner: SliceOwner, journal: SliceJournal) -> None:
+        """Keep the counts current, and step down when only this member is cut off."""
+        while True:
+            self._watch.owner = journal.row
+            if owner.silent_s() > STEP_DOWN_S / 2 and await self._others_reach_table():
+                owner.note_deposed("peers reach the table and this member does not")
+            await asyncio.sleep(POLL_S)
+
+    async def _others_reach_table(self) -> bool:
+        looks = [self._look(address, claim=True) for address in self._peers.values()]
+        ages = await asyncio.gather(*looks)
+        return any(age is not None and age < TABLE_IS_NEAR_S for age in ages)
--- /dev/null
+++ b/redwingrun/jobs/placement.py
@@ -0,0 +1,214 @@
+"""Which worker takes which waiting task of a step."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+from attrs import frozen
+
+from redwingrun.jobs.gate import StepGate
+from redwingrun.jobs.spec import StepId, StepSpec, TaskSize
+from redwingrun.jobs.speeds import Speeds
+from redwingrun.jobs.workerpool import Worker
+
+# A worker that hasn't answered for so long gets nothing new.
+SILENT_S = 2.2
+
+
+@frozen
+class Placement:
+    """One choice."""
+
+    index: int
+    worker: Worker
+    ticket: str
+
+
+def reserved_size(step: StepSpec) -> TaskSize:
+    """Return the room that a task of the step takes; fillers take no processor."""
+    if not step.filler:
+        return step.size
+    return TaskSize(0, step.size.memory_mb, step.size.gpus)
+
+
+def usable(worker: Worker, now_s: float) -> bool:
+    """Tell whether anything new may start on the worker now."""
+    return (
+        worker.adopted
+        and not worker.info.draining
+        and now_s - worker.heard_s < SILENT_S
+        and now_s >= worker.avoid_until_s
+    )
+
+
+def suits(step: StepSpec, worker: Worker) -> bool:
+    """Tell whether the worker could ever run a task of the step."""
+    label = step.required_label
+    return not label or label in worker.info.labels
+
+
+@frozen
+class StepView:
+    """What placing a step needs to know of it.
+
+    :param urgent: whether its tasks should get the fastest workers.
+    :param far_factor: how much longer a task takes away from its data.
+    """
+
+    step_id: StepId
+    step: StepSpec
+    urgent: bool
+    gate: StepGate | None
+    far_factor: float
+
+
+class Placer:
+    """Chooses workers for the waiting tasks of one step.
+
+    :param speeds: learned speeds; read only.
+    """
+
+    def __init__(self, speeds: Speeds):
+        self._speeds = speeds
+
+    def place(
+        self,
+        view: StepView,
+        indexes: Sequence[int],
+        workers: Iterable[Worker],
+        now_s: float,
+    ) -> list[Placement]:
+        """Choose workers for as many of the waiting tasks as fit.
+
+        A gang gets a worker for every member or none.
+        """
+        size = reserved_size(view.step)
+        open_workers = self._open_workers(view, size, workers, now_s)
+        ranked = self.ranked(view, open_workers)
+        if view.step.same_rack:
+            return self._in_one_rack(view, indexes, ranked, now_s)
+        chosen = self._fill(view, indexes, ranked, now_s)
+        if view.step.gang and len(chosen) < len(indexes):
+            return []
+        return chosen
+
+    def ranked(self, view: StepView, workers: Iterable[Worker]) -> list[Worker]:
+        """Return workers, best first."""
+        return sorted(workers, key=lambda worker: self._cost(view, worker))
+
+    def _cost(self, view: StepView, worker: Worker) -> float:
+        info = worker.info
+        cost = self._speeds.slowness(info.worker_id, info.kind)
+        if view.step.data_rack and view.step.data_rack != info.rack:
+            cost *= view.far_factor
+        if not view.urgent:
+            # Work that can wait leaves the fast workers to work that can't.
+            cost = max(cost, 1.0) if view.step.data_rack else 1.0
+        return cost - 0.3 * worker.free_share
+
+    def _open_workers(
+        self,
+        view: StepView,
+        size: TaskSize,
+        workers: Iterable[Worker],
+        now_s: float,
+    ) -> list[Worker]:
+        gate = view.gate
+        return [
+            worker
+            for worker in workers
+            if usable(worker, now_s)
+            and suits(view.step, worker)
+            and worker.fits(size)
+            and (
+                gate is None
+                or gate.ticket(worker.worker_id, worker.info.born_ms, now_s)
+            )
+        ]
+
+    def _in_one_rack(
+        self,
+        view: StepView,
+        indexes: Sequence[int],
+        ranked: list[Worker],
+        now_s: float,
+    ) -> list[Placement]:
+        best: list[Placement] = []
+        by_rack: dict[str, list[Worker]] = {}
+        for worker in ranked:
+            by_rack.setdefault(worker.info.rack, []).append(worker)
+        for workers in by_rack.values():
+            chosen = self._fill(view, indexes, workers, now_s)
+            if len(chosen) > len(best):
+                best = chosen
+        if len(best) < len(indexes):
+            everywhere = self._fill(view, indexes, ranked, now_s)
+            best = everywhere if len(everywhere) > len(best) else best
+        if view.step.gang and len(best) < len(indexes):
+            return []
+        return best
+
+    def _fill(
+        self,
+        view: StepView,
+        indexes: Sequence[int],
+        ranked: list[Worker],
+        now_s: float,
+    ) -> list[Placement]:
+        room = [_Room(worker, view) for worker in ranked]
+        chosen: list[Placement] = []
+        spread = view.step.lasting or not view.urgent
+        for index in indexes:
+            best = _next_room(room, spread)
+            if best is None:
+                break
+            best.take()
+            gate = view.gate
+            info = best.worker.info
+            ticket = gate.ticket(info.worker_id, info.born_ms, now_s) if gate else None
+            chosen.append(Placement(index, best.worker, ticket.text if ticket else ""))
+        return chosen
+
+
+def _next_room(room: list[_Room], spread: bool) -> _Room | None:
+    """Return the room for the next task: the emptiest, or the first that fits."""
+    fitting = (item for item in room if item.fits())
+    if spread:
+        return min(fitting, key=lambda item: item.taken_share, default=None)
+    return next(fitting, None)
+
+
+class _Room:
+    """The room of a worker while a step is being placed."""
+
+    def __init__(self, worker: Worker, view: StepView):
+        self.worker = worker
+        self._size = reserved_size(view.step)
+        self._limit = view.step.max_per_worker
+        self._here = worker.tasks_by_step.get(view.step_id, 0)
+        self._taken = 0
+
+    @property
+    def taken_share(self) -> float:
+        """Share of the worker that is in use, with what was chosen so far."""
+        worker = self.worker
+        capacity = worker.info.capacity
+        cpu = worker.cpu_used + self._taken * self._size.cpu_milli
+        memory = worker.memory_used + self._taken * self._size.memory_mb
+        return max(
+            cpu / max(1, capacity.cpu_milli), memory / max(1, capacity.memory_mb)
+        )
+
+    def fits(self) -> bool:
+        """Tell whether one more task fits."""
+        if self._limit and self._here + self._taken >= self._limit:
+            return False
+        count = self._taken + 1
+        size = self._size
+        return self.worker.fits(
+            TaskSize(size.cpu_milli * count, size.memory_mb * count, size.gpus * count)
+        )
+
+    def take(self) -> None:
+        """Reserve the room of one task."""
+        self._taken += 1
--- /dev/null
+++ b/redwingrun/jobs/sliceowner.py
@@ -0,0 +1,445 @@
+"""The owner of a pool slice: runs the engine, stores first, then sends orders."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from attrs import frozen
+from expression import Result
+
+from redwingrun.coordination.clock import Clock
+from redwingrun.coordination.table import (
+    HistoryLost,
+    Row,
+    TableUnavailable,
+    TableUnknown,
+    WatchedTable,
+    Write,
+)
+from redwingrun.coordination.verdict import Failure
+from redwingrun.jobs.engine import Engine, EngineSettings
+from redwingrun.jobs.gate import Ticket
+from redwingrun.jobs.ports import (
+    PolicyAnswer,
+    WorkerChanges,
+    WorkerFault,
+    WorkerPort,
+    WorkerRegistry,
+)
+from redwingrun.jobs.progress import decode_progress, encode_progress
+from redwingrun.jobs.questions import Lane, Lanes
+from redwingrun.jobs.rows import (
+    CANCEL_SUFFIX,
+    jobs_prefix,
+    last_part,
+    progress_key,
+    progress_prefix,
+)
+from redwingrun.jobs.slicejournal import Deposed, SliceJournal
+from redwingrun.jobs.spec import (
+    QueueSet,
+    RunId,
+    decode_submission,
+)
+from redwingrun.jobs.workerlink import LEASE_S, SLOWEST_CLOCK, WorkerLink
+from redwingrun.jobs.workerpool import AskOrder, StartOrder, StopOrder
+from redwingrun.logs import Log
+from redwingrun.metrics import Metrics
+
+# Without other writes the owner's row is renewed this often.
+RENEW_S = 0.4
+TICK_S = 0.1
+FEED_WAIT_S = 1.0
+FEED_RETRY_S = 0.2
+ASK_RETRY_S = 0.1
+ASK_SLACK_S = 1.0
+# A planned stop waits so long for the table to take the hand-over.
+GIVE_UP_S = 1.0
+# A former owner that lost the store stops renewing leases within this time.
+STEP_DOWN_S = 3.0
+# What a former owner may have promised a worker that this one can't reach.
+INHERITED_LEASE_S = STEP_DOWN_S + LEASE_S / SLOWEST_CLOCK + 1.0
+
+
+@frozen
+class OwnerParts:
+    """What an owner works with.
+
+    :param ask: puts a question to the policy through a machine.
+    :param unix_ms: the time of day.
+    """
+
+    table: WatchedTable
+    workers: WorkerPort
+    registry: WorkerRegistry
+    ask: Callable[
+        [Lane, AskOrder, float], Coroutine[Any, Any, Result[PolicyAnswer, Failure]]
+    ]
+    clock: Clock
+    unix_ms: Callable[[], int]
+    log: Log
+    metrics: Metrics
+    settings: EngineSettings
+
+
+class SliceOwner:
+    """Owns a slice from a claim until it is deposed or gives up.
+
+    :param journal: the claim.
+    """
+
+    def __init__(self, journal: SliceJournal, parts: OwnerParts, queues: QueueSet):
+        self._journal = journal
+        self._parts = parts
+        self.engine = Engine(parts.settings)
+        self.engine.set_queues(queues)
+        self.log = parts.log
+        self.lanes = Lanes()
+        self._link_by_worker: dict[str, WorkerLink] = {}
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._kicked = asyncio.Event()
+        self._stored = asyncio.Event()
+        self._durable: dict[str, int] = {}
+        self._deposed = ""
+        self._giving_up: str | None = None
+        self._committed_s = parts.clock.now()
+        self._waiting: dict[str, int] = {}
+
+    # What the links use.
+
+    @property
+    def fence(self) -> int:
+        """The fence of each order."""
+        return self._journal.fence
+
+    def now(self) -> float:
+        """Return steady seconds."""
+        return self._parts.clock.now()
+
+    def kick(self) -> None:
+        """Let the engine plan soon."""
+        self._kicked.set()
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run something until this owner ends."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.log.fault("owner-task-failed", why=repr(task.exception()))
+            self.note_deposed("a part of the owner failed")
+
+    def durable_end(self, worker_id: str) -> int:
+        """Return the number of a worker's last end that is stored."""
+        return self._durable.get(worker_id, 0)
+
+    def forget_durable(self, worker_id: str) -> None:
+        """Begin anew with a worker whose count of ends began anew."""
+        self._durable.pop(worker_id, None)
+
+    async def wait_durable(self, worker_id: str, longest_s: float) -> None:
+        """Wait until the ends taken in so far are stored, but not for ever."""
+        worker = self.engine.worker_by_id.get(worker_id)
+        if worker is None:
+            return
+        until_s = self.now() + longest_s
+        while self.durable_end(worker_id) < worker.seen_end and self.now() < until_s:
+            stored = self._stored
+            try:
+                await asyncio.wait_for(stored.wait(), max(0.01, until_s - self.now()))
+            except TimeoutError:
+                return
+
+    def note_deposed(self, why: str) -> None:
+        """Stop owning the slice."""
+        self._deposed = self._deposed or why
+        self._journal.abandoned = True
+        self.kick()
+
+    def log_order(
+        self, what: str, run_id: RunId, worker_id: str, fault: WorkerFault
+    ) -> None:
+        """Log what came of an order."""
+        task = run_id.task
+        self.log.event(
+            what,
+            job=task.job,
+            task=f"{task.occurrence}.{task.step}.{task.index}",
+            run=run_id.run,
+            worker=worker_id,
+            reason=fault.refusal.value if fault.refusal else fault.failure.reason,
+            verdict=fault.failure.verdict.value,
+        )
+
+    # The life of an owner.
+
+    async def run(self) -> str:
+        """Own the slice; returns why that ended."""
+        try:
+            await self._load()
+            while not self._deposed and self._giving_up is None:
+                await self._cycle()
+            if self._giving_up is not None and not self._deposed:
+                await self._journal.give_up(self._giving_up)
+                return "given up"
+        except Deposed as error:
+            self._deposed = str(error)
+        finally:
+            for task in list(self._tasks):
+                task.cancel()
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+        return self._deposed
+
+    def give_up(self, successor: str) -> None:
+        """Hand the slice to others, after what is being stored."""
+        self._giving_up = successor
+        loop = asyncio.get_running_loop()
+        loop.call_later(GIVE_UP_S, self.note_deposed, "stopped while the table is away")
+        self.kick()
+
+    def silent_s(self) -> float:
+        """Return how long nothing was stored."""
+        return self.now() - self._committed_s
+
+    def set_queues(self, queues: QueueSet) -> None:
+        """Take a newer configuration."""
+        self.engine.set_queues(queues)
+        self.kick()
+
+    async def _load(self) -> None:
+        self.engine.unix_ms = self._parts.unix_ms()
+        version = await self._load_workers()
+        jobs_version = await self._load_jobs()
+        for worker_id in list(self.engine.worker_by_id):
+            self._link(worker_id)
+        self.spawn(self._follow_workers(version))
+        self.spawn(self._follow_jobs(jobs_version))
+        self.log.event(
+            "owner-loaded",
+            fence=self.fence,
+            jobs=len(self.engine.job_by_id),
+            workers=len(self.engine.worker_by_id),
+        )
+
+    async def _load_workers(self) -> int:
+        changes = await self._persist(self._parts.registry.load)
+        self._take_workers(changes)
+        return changes.version
+
+    async def _load_jobs(self) -> int:
+        slice_name = self._journal.slice_name
+        table = self._parts.table
+        progress = await self._persist(
+            lambda: table.snapshot(progress_prefix(slice_name))
+        )
+        progress_by_id = {
+            last_part(row.key): decode_progress(row.value) for row in progress.rows
+        }
+        snapshot = await self._persist(lambda: table.snapshot(jobs_prefix(slice_name)))
+        for row in snapshot.rows:
+            job_id = last_part(row.key)
+            done = progress_by_id.get(job_id)
+            if not job_id.endswith(CANCEL_SUFFIX) and not (
+                done and done.state.is_final
+            ):
+                self._add_job(row, done)
+        for row in snapshot.rows:
+            self._take_cancel(row)
+        return snapshot.version
+
+    def _add_job(self, row: Row, progress: Any) -> None:
+        job_id = last_part(row.key)
+        submission = decode_submission(row.value)
+        self.engine.add_job(job_id, submission, progress, self.now())
+
+    def _take_cancel(self, row: Row) -> None:
+        job_id = last_part(row.key)
+        if job_id.endswith(CANCEL_SUFFIX):
+            self.engine.cancel_job(job_id.removesuffix(CANCEL_SUFFIX))
+
+    async def _persist(self, read: Callable[[], Coroutine[Any, Any, Any]]) -> Any:
+        """Read until the table answers, renewing the claim in between."""
+        while True:
+            try:
+                return await read()
+            except (TableUnavailable, TableUnknown) as error:
+                self.log.event("owner-read-failed", why=str(error))
+                await asyncio.sleep(FEED_RETRY_S)
+                await self._journal.commit((), self._waiting)
+
+    async def _cycle(self) -> None:
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._kicked.wait(), TICK_S)
+        self._kicked.clear()
+        self.engine.unix_ms = self._parts.unix_ms()
+        plan = self.engine.plan(self.now())
+        for stop in plan.stops:
+            self._send_stop(stop)
+        for ask in plan.asks:
+            self.spawn(self._ask(ask))
+        await self._store(plan.changed_jobs)
+        for start in plan.starts:
+            self._send_start(start)
+
+    async def _store(self, changed: frozenset[str]) -> None:
+        numbers = self.engine.end_numbers()
+        pending = any(
+            number > self._durable.get(key, 0) for key, number in numbers.items()
+        )
+        idle = self.now() - self._committed_s < RENEW_S
+        if idle and not changed and not pending:
+            return
+        slice_name = self._journal.slice_name
+        writes = [
+            Write(
+                progress_key(slice_name, job_id),
+                encode_progress(self.engine.job_by_id[job_id].progress),
+            )
+            for job_id in sorted(changed)
+        ]
+        started_s = self.now()
+        if writes or not idle:
+            self._waiting = self.engine.waiting_by_queue()
+            await self._journal.commit(writes, self._waiting)
+            self._committed_s = started_s
+            self._parts.metrics.seconds("commit_s", self.now() - started_s)
+        self._durable.update(numbers)
+        self._stored.set()
+        self._stored = asyncio.Event()
+
+    def _send_start(self, order: StartOrder) -> None:
+        link = self._link_by_worker.get(order.worker_id)
+        if link is None or not self.engine.is_wanted(order):
+            self.engine.withdraw(order)
+            return
+        self.log.detail(
+            "start",
+            job=order.run_id.task.job,
+            step=order.run_id.task.step,
+            index=order.run_id.task.index,
+            run=order.run_id.run,
+            worker=order.worker_id,
+        )
+        self._parts.metrics.count("starts_total")
+        self.spawn(link.start(order))
+
+    def _send_stop(self, order: StopOrder) -> None:
+        link = self._link_by_worker.get(order.worker_id)
+        if link is not None:
+            self.spawn(link.stop(order))
+
+    def _link(self, worker_id: str) -> None:
+        worker = self.engine.worker_by_id.get(worker_id)
+        if worker is None or worker_id in self._link_by_worker:
+            return
+        link = WorkerLink(self, self._parts.workers, worker_id)
+        self._link_by_worker[worker_id] = link
+        self.spawn(self._run_link(worker_id, link))
+
+    async def _run_link(self, worker_id: str, link: WorkerLink) -> None:
+        try:
+            await link.run()
+        finally:
+            self._link_by_worker.pop(worker_id, None)
+            self.forget_durable(worker_id)
+
+    def _take_workers(self, changes: WorkerChanges) -> None:
+        for info in changes.workers:
+            self.engine.see_worker(info, self.now() + INHERITED_LEASE_S)
+        if changes.whole:
+            listed = {info.worker_id for info in changes.workers}
+            gone = [key for key in self.engine.worker_by_id if key not in listed]
+        else:
+            gone = list(changes.gone)
+        for worker_id in gone:
+            self.engine.unlist_worker(worker_id)
+
+    async def _follow_workers(self, version: int) -> None:
+        registry = self._parts.registry
+        while True:
+            try:
+                changes = await registry.changes(version, FEED_WAIT_S)
+            except HistoryLost:
+                changes = await self._reload(registry.load)
+            except (TableUnavailable, TableUnknown) as error:
+                self.log.detail("registry-feed-failed", why=str(error))
+                await asyncio.sleep(FEED_RETRY_S)
+                continue
+            if changes is None:
+                continue
+            version = changes.version
+            self._take_workers(changes)
+            for info in changes.workers:
+                self._link(info.worker_id)
+            if changes.workers or changes.gone:
+                self.kick()
+
+    async def _follow_jobs(self, version: int) -> None:
+        prefix = jobs_prefix(self._journal.slice_name)
+        table = self._parts.table
+        while True:
+            try:
+                changes = await table.changes(prefix, version, FEED_WAIT_S)
+            except HistoryLost:
+                changes = await self._reload(lambda: table.snapshot(prefix))
+            except (TableUnavailable, TableUnknown) as error:
+                self.log.detail("jobs-feed-failed", why=str(error))
+                await asyncio.sleep(FEED_RETRY_S)
+                continue
+            if changes is None:
+                continue
+            version = changes.version
+            self._take_jobs(changes.rows)
+
+    async def _reload(self, read: Callable[[], Coroutine[Any, Any, Any]]) -> Any:
+        try:
+            return await read()
+        except (TableUnavailable, TableUnknown) as error:
+            self.log.event("reload-failed", why=str(error))
+            await asyncio.sleep(FEED_RETRY_S)
+            return None
+
+    def _take_jobs(self, rows: tuple[Row, ...]) -> None:
+        for row in rows:
+            if not last_part(row.key).endswith(CANCEL_SUFFIX):
+                self._add_job(row, None)
+        for row in rows:
+            self._take_cancel(row)
+        if rows:
+            self.kick()
+
+    async def _ask(self, order: AskOrder) -> None:
+        now_s = self.now()
+        lane = self.lanes.choose(order.decide_s, now_s)
+        waits_s = max(0.0, lane.busy_until_s - now_s)
+        answer = await self._parts.ask(lane, order, waits_s + ASK_SLACK_S)
+        self.engine.question_ended(order)
+        self._parts.metrics.seconds("policy_s", self.now() - now_s)
+        if answer.is_error():
+            self.lanes.failed(lane, self.now())
+            self.log.event(
+                "policy-failed",
+                job=order.step_id.job,
+                step=order.step_id.step,
+                via=lane.address,
+                reason=answer.error.reason,
+            )
+            self.engine.policy_failed(order, self.now() + ASK_RETRY_S)
+        else:
+            self.engine.policy_answered(order, self._tickets(answer.ok))
+        self.kick()
+
+    def _tickets(self, answer: PolicyAnswer) -> dict[str, Ticket]:
+        expires_s = self.now() + answer.valid_s
+        tickets = {}
+        for worker_id, text in answer.ticket_by_worker.items():
+            worker = self.engine.worker_by_id.get(worker_id)
+            if worker is not None:
+                tickets[worker_id] = Ticket(text, worker.info.born_ms, expires_s)
+        return tickets
--- a/redwingrun/logs.py
+++ b/redwingrun/logs.py
@@ -30,9 +30,9 @@
         self._level = _LEVEL_BY_NAME[level_name]
         self._fields = {"daemon": daemon}
 
-    def open(self) -> None:
-        """Write to standard error from now on."""
-        eliot.to_file(sys.stderr)
+    def open(self, to_output: bool = False) -> None:
+        """Write to standard error, or to standard output, from now on."""
+        eliot.to_file(sys.stdout if to_output else sys.stderr)
 
     def fault(self, message: str, **fields: object) -> None:
         """Log what an operator should look at."""
--- a/redwingrun/peers.py
+++ b/redwingrun/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from expression import Error, Ok, Result
@@ -14,7 +15,7 @@
 
 from redwingrun.auth import same_secret
 from redwingrun.coordination.verdict import Failure, may_have_run, not_run
-from redwingrun.peer_grpc import PeerBase, PeerStub
+from redwingrun.peer_grpc import PeerStub
 
 SECRET_METADATA = "x-peer-secret"
 
@@ -23,9 +24,11 @@
     """Keeps one connection to each peer.
 
     :param secret: shown to the peer with each call.
+    :param stub: the generated client of the service that peers serve.
     """
 
-    def __init__(self, secret: str):
+    def __init__(self, secret: str, stub: Callable[[Channel], Any] = PeerStub):
+        self._stub = stub
         self._metadata = {SECRET_METADATA: secret}
         self._channel_by_address: dict[str, Channel] = {}
 
@@ -33,7 +36,7 @@
         self, address: str, method: str, message: Any, timeout_s: float
     ) -> Result[Any, Failure]:
         """Call ``method`` of the peer at ``address`` (IP:port)."""
-        stub = PeerStub(self._channel(address))
+        stub = self._stub(self._channel(address))
         bound: UnaryUnaryMethod = getattr(stub, method)
         progress = _Progress()
         try:
@@ -108,7 +111,7 @@
 class PeerServer:
     """Serves the peers' calls; refuses whoever lacks the secret."""
 
-    def __init__(self, service: PeerBase, secret: str):
+    def __init__(self, service: Any, secret: str):
         self._secret = secret
         self._server = Server([service])
         listen(self._server, RecvRequest, self._authenticate)
--- /dev/null
+++ b/redwingrun/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names, formats and calls, and no decision."""
--- /dev/null
+++ b/redwingrun/platform/policy.py
@@ -0,0 +1,48 @@
+"""The service that knows which minions may run a step."""
+
+from __future__ import annotations
+
+import orjson
+from expression import Error, Ok, Result
+
+from redwingrun.coordination.verdict import Failure, not_run
+from redwingrun.httpclient import Call, HttpClient
+from redwingrun.jobs.ports import PolicyAnswer, PolicyPort
+from redwingrun.jobs.spec import StepId
+from redwingrun.platform.calls import JSON_HEADERS, decoded
+
+OK_STATUS = 200
+MS_PER_S = 1000
+DEFAULT_VALID_MS = 1000
+
+
+class PlatformPolicy(PolicyPort):
+    """Asks the advice service.
+
+    :param address: IP and port; empty when the deployment has none.
+    """
+
+    def __init__(self, client: HttpClient, address: str):
+        self._client = client
+        self._address = address
+
+    async def ask(
+        self, step_id: StepId, worker_ids: tuple[str, ...], timeout_s: float
+    ) -> Result[PolicyAnswer, Failure]:
+        """Ask which of the workers may run a step."""
+        name = f"{step_id.job}.{step_id.occurrence}.{step_id.step}"
+        body = orjson.dumps({"stepId": name, "workers": list(worker_ids)})
+        url = f"http://{self._address}/-/advise"
+        call = Call("POST", url, timeout_s, body, JSON_HEADERS)
+        reply = await self._client.send(call)
+        if reply.is_error():
+            return reply
+        answer = decoded(reply.ok.status, reply.ok.body)
+        if answer.is_error():
+            return answer
+        if answer.ok.status != OK_STATUS:
+            return Error(not_run(f"status-{answer.ok.status}"))
+        plain = answer.ok.body
+        tickets = {row[0]: row[1] for row in plain.get("good") or []}
+        valid_s = plain.get("validMs", DEFAULT_VALID_MS) / MS_PER_S
+        return Ok(PolicyAnswer(tickets, valid_s))
--- a/redwingrun/taskcalls.py
+++ b/redwingrun/taskcalls.py
@@ -21,7 +21,14 @@
 PAUSE_S = 0.25
 # Answers that another owner, or the same one a little later, may better.
 PASSING_REASONS = frozenset(
-    {"not-owner", "no-owner", "not-connected", "peer-lost", "timeout"}
+    {
+        "not-owner",
+        "no-owner",
+        "not-connected",
+        "connection-refused",
+        "peer-lost",
+        "timeout",
+    }
 )
 
 
