Jobs that a former owner finished stay finished when everything is read again

Cause: a new owner took only unfinished jobs in. Ruled out: two owners at once; a progress row that was missing. Change: the engine keeps the ids of finished jobs. The members' calls to each other stand behind an abstract class, so that whole members run in virtual time. Conclusion: kept as a test of shipping members in virtual time (tests/jobs/world).

--- a/redwingrun/jobs/engine.py
+++ b/redwingrun/jobs/engine.py
@@ -117,6 +117,7 @@
         self._stops: list[StopOrder] = []
         self._changed: set[str] = set()
         self._scheduled: set[str] = set()
+        self._finished: set[str] = set()
         self.job_by_id: dict[str, Job] = {}
         self.worker_by_id: dict[str, Worker] = {}
         self._long_questions = 0
@@ -139,7 +140,7 @@
         now_s: float,
     ) -> None:
         """Take a job, new or as a former owner left it."""
-        if job_id in self.job_by_id:
+        if job_id in self.job_by_id or job_id in self._finished:
             return
         fallback = Queue(submission.queue, pool="")
         queue = self._queues.queue_by_name.get(submission.queue, fallback)
@@ -162,6 +163,10 @@
         for occurrence in job.progress.tasks_by_occurrence:
             self._open(job, occurrence)
 
+    def note_finished(self, job_id: str) -> None:
+        """Take a job that a former owner finished; its row may be read again."""
+        self._finished.add(job_id)
+
     def cancel_job(self, job_id: str) -> None:
         """End a job at its client's wish; a finished one stays as it is."""
         job = self.job_by_id.get(job_id)
@@ -173,6 +178,7 @@
     def forget_job(self, job_id: str) -> None:
         """Drop a finished job whose rows are gone."""
         self.job_by_id.pop(job_id, None)
+        self._finished.discard(job_id)
 
     def see_worker(self, info: WorkerInfo, lapse_s: float) -> None:
         """Take a worker's registration.
--- a/redwingrun/jobs/member.py
+++ b/redwingrun/jobs/member.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from attrs import define, frozen
-from expression import Error, Ok, Result
+from expression import Result
 
 from redwingrun.coordination.clock import Clock
 from redwingrun.coordination.codec import decode, encode
@@ -24,12 +24,10 @@
     WatchedTable,
     Write,
 )
-from redwingrun.coordination.verdict import Failure, not_run
+from redwingrun.coordination.verdict import Failure
 from redwingrun.jobs.engine import EngineSettings
 from redwingrun.jobs.intake import Intake
-from redwingrun.jobs.jobpeer_grpc import JobPeerStub
-from redwingrun.jobs.jobpeer_pb2 import AskRequest, LookRequest
-from redwingrun.jobs.jobpeerservice import JobPeerService
+from redwingrun.jobs.peerlinks import PeerLinks
 from redwingrun.jobs.ports import (
     PolicyAnswer,
     PolicyPort,
@@ -50,7 +48,6 @@
 from redwingrun.jobs.workerpool import AskOrder
 from redwingrun.logs import Log
 from redwingrun.metrics import Metrics
-from redwingrun.peers import PeerClient, PeerServer
 
 POLL_S = 0.45
 # An owner whose row stands still for so long is taken to be gone.
@@ -63,7 +60,6 @@
 QUEUES_WAIT_S = 1.0
 RETRY_S = 0.2
 MEMBERS_S = 3.0
-LOOK_TIMEOUT_S = 0.6
 TABLE_IS_NEAR_S = 1.0
 
 
@@ -80,21 +76,14 @@
     """How a member is set up.
 
     :param name: unique among all members.
-    :param ip: address that peers reach.
-    :param port: port for peers.
+    :param address: where peers reach the member.
     """
 
     name: str
-    ip: str
-    port: int
+    address: str
     slice_name: str = "s0"
     engine: EngineSettings = EngineSettings()
 
-    @property
-    def address(self) -> str:
-        """Where peers reach the member."""
-        return f"{self.ip}:{self.port}"
-
 
 @frozen
 class MemberParts:
@@ -105,6 +94,7 @@
     workers: WorkerPort
     registry: WorkerRegistry
     policy: PolicyPort
+    peers: PeerLinks
     clock: Clock
     unix_ms: Callable[[], int]
     log: Log
@@ -150,8 +140,6 @@
         self._leaving = False
         self._left = asyncio.Event()
         self._peers: dict[str, str] = {}
-        self._peer_client: PeerClient | None = None
-        self._peer_server: PeerServer | None = None
         self._table_heard_s = 0.0
         self._tasks: list[asyncio.Task[Any]] = []
         digest = zlib.crc32(settings.name.encode())
@@ -197,15 +185,14 @@
             owner.give_up(successor)
             await self._left.wait()
             if successor:
-                await self._look(self._peers[successor], claim=True)
+                await self._parts.peers.look(self._peers[successor], claim=True)
 
     async def close(self) -> None:
         """End everything that still runs."""
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        if self._peer_client is not None:
-            self._peer_client.close()
+        await self._parts.peers.close()
 
     # Configuration.
 
@@ -251,9 +238,7 @@
     async def _join(self) -> None:
         """Make this member known and keep the list of the others."""
         secret = await self._until_done(self._shared_secret)
-        self._peer_client = PeerClient(secret, JobPeerStub)
-        self._peer_server = PeerServer(JobPeerService(self), secret)
-        await self._peer_server.start(self._settings.ip, self._settings.port)
+        await self._parts.peers.open(self, secret)
         prefix = node_prefix(self._settings.slice_name)
         row = MemberRow(self._settings.name, self._settings.address)
         write = Write(prefix + row.name, encode(row))
@@ -305,15 +290,6 @@
         owner.lanes.set_peers(list(self._peers.values()))
         owner.engine.ask_lanes = len(owner.lanes.lanes)
 
-    async def _look(self, address: str, claim: bool) -> float | None:
-        """Ask a peer since when the table has not answered it."""
-        if self._peer_client is None:
-            return None
-        reply = await self._peer_client.call(
-            address, "Look", LookRequest(claim=claim), LOOK_TIMEOUT_S
-        )
-        return reply.ok.table_silent_s if reply.is_ok() else None
-
     def look_now(self) -> None:
         """Read the owner's row at once."""
         self._look_now.set()
@@ -325,21 +301,7 @@
         step = order.step_id
         if not lane.address:
             return await self._parts.policy.ask(step, order.worker_ids, timeout_s)
-        if self._peer_client is None:
-            return Error(not_run("no-peers"))
-        request = AskRequest(
-            job=step.job,
-            occurrence=step.occurrence,
-            step=step.step,
-            worker_ids=order.worker_ids,
-            timeout_s=timeout_s,
-        )
-        reply = await self._peer_client.call(lane.address, "Ask", request, timeout_s)
-        if reply.is_error():
-            return reply
-        if reply.ok.failure:
-            return Error(not_run(reply.ok.failure))
-        return Ok(PolicyAnswer(dict(reply.ok.ticket_by_worker), reply.ok.valid_s))
+        return await self._parts.peers.ask(lane.address, order, timeout_s)
 
     async def ask_here(self, order: AskOrder, timeout_s: float) -> Any:
         """Put a peer's question to the policy."""
@@ -440,6 +402,7 @@
             await asyncio.sleep(POLL_S)
 
     async def _others_reach_table(self) -> bool:
-        looks = [self._look(address, claim=True) for address in self._peers.values()]
+        peers = self._parts.peers
+        looks = [peers.look(address, claim=True) for address in self._peers.values()]
         ages = await asyncio.gather(*looks)
         return any(age is not None and age < TABLE_IS_NEAR_S for age in ages)
--- a/redwingrun/platform/__main__.py
+++ b/redwingrun/platform/__main__.py
@@ -14,6 +14,7 @@
 from redwingrun.httpclient import HttpClient
 from redwingrun.jobs.engine import EngineSettings
 from redwingrun.jobs.member import Member, MemberParts, MemberSettings
+from redwingrun.jobs.peerlinks import GrpcPeerLinks
 from redwingrun.logs import Log
 from redwingrun.metrics import Metrics
 from redwingrun.platform.calls import Service
@@ -81,16 +82,15 @@
             PlatformWorkers(HttpClient("", max_clients=400)),
             PlatformRegistry(table, log),
             PlatformPolicy(HttpClient(""), settings.advice),
+            GrpcPeerLinks(settings.ip, settings.peer_port),
             self._clock,
             unix_ms,
             log,
             metrics,
         )
         engine = EngineSettings(settings.bounds.far_factor, settings.bounds.early_s)
-        member = MemberSettings(
-            settings.node, settings.ip, settings.peer_port, engine=engine
-        )
-        return Member(member, parts)
+        address = f"{settings.ip}:{settings.peer_port}"
+        return Member(MemberSettings(settings.node, address, engine=engine), parts)
 
     async def run(self) -> None:
         """Serve until the request to stop, then leave in good order."""
--- /dev/null
+++ b/tests/jobs/test_takeover.py
@@ -0,0 +1,48 @@
+"""A new owner goes on where the old one was, from the table and the workers alone."""
+
+from __future__ import annotations
+
+import pytest
+
+from redwingrun.jobs.progress import JobState
+from tests.jobs.world import World, job, job_id, make_world, step
+
+
+@pytest.fixture
+def world():
+    """Return a world with three members and three minions."""
+    made = make_world()
+    yield made
+    made.close()
+
+
+def test_a_job_of_two_steps_completes(world: World):
+    """Steps run in their order and the state is told."""
+    world.submit(job_id(1), job(step(3, 0.5), step(2, 0.5, after=(0,))))
+    world.run(3.0)
+    assert world.state(job_id(1)) is JobState.COMPLETED
+    assert world.breaches == []
+
+
+def test_a_finished_job_stays_finished_when_the_history_is_lost(world: World):
+    """After a takeover, reading everything again makes no finished job new."""
+    world.submit(job_id(1), job(step(3, 0.5)))
+    world.run(2.0)
+    world.kill(world.owner_name())
+    world.run(5.0)
+    world.history_from = world.rows.version + 1
+    world.submit(job_id(2), job(step(1, 0.5)))
+    world.run(3.0)
+    assert world.state(job_id(2)) is JobState.COMPLETED
+    assert world.breaches == []
+
+
+def test_work_goes_on_when_the_owner_is_killed(world: World):
+    """Tasks that run keep running, and the next step starts under the new owner."""
+    world.submit(job_id(1), job(step(3, 4.0), step(2, 0.5, after=(0,))))
+    world.run(1.0)
+    world.kill(world.owner_name())
+    world.run(8.0)
+    assert world.state(job_id(1)) is JobState.COMPLETED
+    assert len(world.starts) == 5
+    assert world.breaches == []
--- /dev/null
+++ b/tests/jobs/world.py
@@ -0,0 +1,666 @@
+"""A slice in virtual time: members, table, minions and policy, with a judge.
+
+The members are the shipping code. The minions follow the platform's pages: leases on
+their own clocks, fences, run numbers, ends kept until they are acknowledged. The judge
+sees every start and end, and keeps what breaks a promise.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from typing import Any
+
+from attrs import define, evolve, field
+from expression import Error, Ok, Result
+
+from redwingrun.coordination.table import Changes, HistoryLost, Snapshot, WatchedTable
+from redwingrun.coordination.verdict import Failure, may_have_run, not_run
+from redwingrun.jobs.engine import EngineSettings
+from redwingrun.jobs.member import Member, MemberParts, MemberSettings
+from redwingrun.jobs.peerlinks import PeerLinks
+from redwingrun.jobs.ports import (
+    HoldCall,
+    PolicyAnswer,
+    PolicyPort,
+    QueueChange,
+    QueueSource,
+    WorkerAddress,
+    WorkerChanges,
+    WorkerFault,
+    WorkerPort,
+    WorkerRegistry,
+)
+from redwingrun.jobs.progress import JobState
+from redwingrun.jobs.spec import (
+    JobSpec,
+    Queue,
+    QueueSet,
+    RunId,
+    StepId,
+    StepSpec,
+    Submission,
+    TaskId,
+    TaskSize,
+    encode_submission,
+)
+from redwingrun.jobs.workerpool import (
+    AskOrder,
+    EndKind,
+    Refusal,
+    RunEnd,
+    Sighting,
+    StartOrder,
+    StopOrder,
+    WorkerInfo,
+    WorkerReport,
+)
+from redwingrun.logs import Log
+from redwingrun.metrics import Metrics
+from tests.helpers import (
+    OK,
+    FakeTable,
+    LoopClock,
+    Process,
+    Rows,
+    VirtualLoop,
+    close_loop,
+)
+
+HOP_S = 0.002
+ORDER_TIMEOUT_S = 0.6
+STOP_TAKES_S = 0.3
+GANG_WAITS_S = 3.0
+CHECKPOINT_S = 1.0
+POLL_STEP_S = 0.02
+QUEUE = "checks"
+POOL = "walls"
+
+
+class QuietLog(Log):
+    """Keeps the last lines, so that a failed search can be read."""
+
+    def __init__(self, name: str, world: World):
+        super().__init__(name, "normal")
+        self._name = name
+        self._world = world
+
+    def _write(self, level: Any, message: str, fields: dict[str, object]) -> None:
+        if message.endswith("-task-failed"):
+            self._world.breaches.append(f"CODE: {fields}")
+        self._world.lines.append((self._world.loop.time(), self._name, message, fields))
+
+
+class WorldTable(FakeTable, WatchedTable):
+    """A process's view of the rows, with a feed."""
+
+    def __init__(self, world: World, process: Process):
+        super().__init__(world.rows, process)
+        self._world = world
+
+    async def snapshot(self, prefix: str) -> Snapshot:
+        """Return all rows under a prefix."""
+        version = self._rows.version
+        return Snapshot(await self.scan(prefix), version)
+
+    async def changes(self, prefix: str, after: int, wait_s: float) -> Changes:
+        """Return the changes after a version."""
+        until_s = self._world.loop.time() + wait_s
+        while True:
+            await self._process.gate()
+            await self._before(self._process.table_mode)
+            if after < self._world.history_from:
+                raise HistoryLost
+            rows = [
+                row
+                for row in self._rows.by_key.values()
+                if row.version > after and row.key.startswith(prefix)
+            ]
+            if rows or self._world.loop.time() >= until_s:
+                rows.sort(key=lambda row: row.version)
+                return Changes(tuple(rows), (), self._rows.version)
+            await asyncio.sleep(POLL_STEP_S)
+
+
+@define
+class MinionRun:
+    """A run on a minion."""
+
+    run_id: RunId
+    started_s: float
+    works_s: float
+    saved_s: float
+    fails: bool
+    stopping_s: float | None = None
+    alone_s: float | None = None
+
+
+@define
+class Minion:
+    """A minion as the platform's pages describe it."""
+
+    world: World
+    info: WorkerInfo
+    rate: float = 1.0
+    up: bool = True
+    life_s: float = 0.0
+    fence: int = 0
+    deadline_ms: float = 0
+    runs: dict[RunId, MinionRun] = field(factory=dict)
+    ends: list[RunEnd] = field(factory=list)
+    next_end: int = 1
+    highest_ended: dict[TaskId, int] = field(factory=dict)
+    hangs: bool = False
+    cut: set[str] = field(factory=set)
+
+    def clock_ms(self) -> float:
+        """The minion's steady clock."""
+        return (self.world.loop.time() - self.life_s) * self.rate * 1000
+
+    def crash(self) -> None:
+        """Die: nothing runs, nothing answers."""
+        for run_id in list(self.runs):
+            self.world.judge_gone(run_id, self)
+        self.runs.clear()
+        self.up = False
+
+    def start_again(self) -> None:
+        """Begin a new life under the old id."""
+        self.life_s = self.world.loop.time()
+        self.fence = 0
+        self.deadline_ms = 0
+        self.ends.clear()
+        self.next_end = 1
+        self.highest_ended.clear()
+        self.up = True
+        self.info = evolve(self.info, born_ms=int(self.world.loop.time() * 1000))
+
+    def settle(self) -> None:
+        """Let time do its work: ends, lapses, stops."""
+        now_s = self.world.loop.time()
+        if self.runs and self.clock_ms() > self.deadline_ms:
+            for run in list(self.runs.values()):
+                self._end(run, EndKind.LAPSED)
+        for run in list(self.runs.values()):
+            if run.run_id not in self.runs:
+                continue
+            if run.stopping_s is not None and now_s >= run.stopping_s:
+                self._end(run, EndKind.STOPPED)
+            elif not self.hangs and now_s >= run.started_s + run.works_s:
+                self._end(run, EndKind.FAILED if run.fails else EndKind.DONE)
+
+    def _end(self, run: MinionRun, kind: EndKind) -> None:
+        del self.runs[run.run_id]
+        task = run.run_id.task
+        before = self.highest_ended.get(task, 0)
+        self.highest_ended[task] = max(before, run.run_id.run)
+        self.ends.append(RunEnd(self.next_end, run.run_id, kind, ""))
+        self.next_end += 1
+        self.world.judge_end(run.run_id, kind, self)
+
+    def start(
+        self, order: StartOrder, fence: int, deadline_ms: float
+    ) -> Refusal | None:
+        """Carry out a start."""
+        self.settle()
+        if fence < self.fence:
+            return Refusal.FENCE
+        self.fence = fence
+        self.deadline_ms = max(self.deadline_ms, deadline_ms)
+        if order.run_id in self.runs:
+            return None
+        if order.run_id.run <= self.highest_ended.get(order.run_id.task, 0):
+            return Refusal.OLD
+        if any(run_id.task == order.run_id.task for run_id in self.runs):
+            return Refusal.OLD
+        if self.clock_ms() >= self.deadline_ms:
+            return Refusal.LATE
+        spec = self.world.step_of(order.run_id.task)
+        run = MinionRun(
+            order.run_id,
+            self.world.loop.time(),
+            spec.estimate_ms / 1000,
+            0.0,
+            fails=self.world.fails(order.run_id.task, self),
+        )
+        self.runs[order.run_id] = run
+        self.world.judge_start(order.run_id, self)
+        return None
+
+    def stop(self, order: StopOrder, fence: int) -> Refusal | None:
+        """Carry out a stop."""
+        self.settle()
+        if fence < self.fence:
+            return Refusal.FENCE
+        self.fence = fence
+        task = order.run_id.task
+        before = self.highest_ended.get(task, 0)
+        self.highest_ended[task] = max(before, order.run_id.run)
+        for run_id, run in self.runs.items():
+            if run_id.task == task and run_id.run <= order.run_id.run:
+                run.stopping_s = run.stopping_s or self.world.loop.time() + STOP_TAKES_S
+        return None
+
+    def hold(self, call: HoldCall) -> Refusal | None:
+        """Take a hold's lease and acknowledgement."""
+        self.settle()
+        if call.fence < self.fence:
+            return Refusal.FENCE
+        self.fence = call.fence
+        if call.deadline_ms is not None:
+            self.deadline_ms = max(self.deadline_ms, call.deadline_ms)
+        for end in self.ends:
+            if end.number <= call.seen_end:
+                self.world.judge_noted(end)
+        self.ends = [end for end in self.ends if end.number > call.seen_end]
+        return None
+
+    def report(self) -> WorkerReport:
+        """Return the lists."""
+        now_s = self.world.loop.time()
+        running = tuple(
+            Sighting(
+                run.run_id,
+                "",
+                0
+                if self.hangs
+                else round(100 * (now_s - run.started_s) / max(0.001, run.works_s)),
+            )
+            for run in self.runs.values()
+        )
+        return WorkerReport(
+            self.clock_ms(), running, tuple(self.ends), self.info.born_ms
+        )
+
+
+class WorldWorkers(WorkerPort):
+    """A process's calls to minions."""
+
+    def __init__(self, world: World, process: Process):
+        self._world = world
+        self._process = process
+
+    async def _reach(self, target: WorkerAddress) -> Minion | None:
+        await self._process.gate()
+        await asyncio.sleep(HOP_S)
+        minion = self._world.minion_by_id[target.worker_id]
+        if not minion.up or self._process.name in minion.cut:
+            return None
+        return minion
+
+    async def _order(
+        self, target: WorkerAddress, act: Callable[[Minion], Refusal | None]
+    ) -> Result[float, WorkerFault]:
+        minion = await self._reach(target)
+        if minion is None:
+            return await self._silent(target)
+        late_s = self._world.order_late_s()
+        if late_s:
+            self._world.loop.call_later(late_s, self._late, minion, act)
+            return await self._silent(target)
+        refusal = act(minion)
+        if self._world.answer_is_lost():
+            return await self._silent(target)
+        await asyncio.sleep(HOP_S)
+        await self._process.gate()
+        if refusal is not None:
+            return Error(WorkerFault(not_run(refusal.value), refusal))
+        return Ok(minion.clock_ms())
+
+    def _late(self, minion: Minion, act: Callable[[Minion], Refusal | None]) -> None:
+        if minion.up:
+            act(minion)
+
+    async def _silent(self, target: WorkerAddress) -> Result[Any, WorkerFault]:
+        minion = self._world.minion_by_id[target.worker_id]
+        if not minion.up:
+            return Error(WorkerFault(not_run("connection-refused"), dead=True))
+        await asyncio.sleep(ORDER_TIMEOUT_S)
+        await self._process.gate()
+        return Error(WorkerFault(may_have_run("timeout")))
+
+    async def start(
+        self, target: WorkerAddress, order: StartOrder, fence: int, deadline_ms: float
+    ) -> Result[float, WorkerFault]:
+        """Start a run."""
+        return await self._order(target, lambda m: m.start(order, fence, deadline_ms))
+
+    async def stop(
+        self, target: WorkerAddress, order: StopOrder, fence: int
+    ) -> Result[float, WorkerFault]:
+        """Stop a run."""
+        return await self._order(target, lambda m: m.stop(order, fence))
+
+    async def pace(
+        self, target: WorkerAddress, run_id: RunId, percent: int, fence: int
+    ) -> Result[float, WorkerFault]:
+        """Do nothing: the world has no fillers."""
+        return await self._order(target, lambda m: None)
+
+    async def hold(
+        self, target: WorkerAddress, call: HoldCall
+    ) -> Result[WorkerReport, WorkerFault]:
+        """Renew leases and return the lists."""
+        minion = await self._reach(target)
+        if minion is None:
+            return await self._silent(target)
+        refusal = minion.hold(call)
+        until_s = self._world.loop.time() + call.wait_s
+        while refusal is None and self._world.loop.time() < until_s:
+            if minion.ends or not minion.up:
+                break
+            await asyncio.sleep(POLL_STEP_S)
+            minion.settle()
+        if not minion.up or self._process.name in minion.cut:
+            return await self._silent(target)
+        report = minion.report()
+        await asyncio.sleep(HOP_S)
+        await self._process.gate()
+        if refusal is not None:
+            return Error(WorkerFault(not_run(refusal.value), refusal))
+        return Ok(report)
+
+
+class WorldRegistry(WorkerRegistry):
+    """The minions that are up."""
+
+    def __init__(self, world: World, process: Process):
+        self._world = world
+        self._process = process
+
+    async def load(self) -> WorkerChanges:
+        """Return all."""
+        await self._process.gate()
+        await asyncio.sleep(HOP_S)
+        infos = tuple(
+            minion.info for minion in self._world.minion_by_id.values() if minion.up
+        )
+        return WorkerChanges(infos, (), 0, whole=True)
+
+    async def changes(self, after: int, wait_s: float) -> WorkerChanges:
+        """Return all, a while later."""
+        await asyncio.sleep(wait_s)
+        return await self.load()
+
+
+class WorldQueues(QueueSource):
+    """One configuration for ever."""
+
+    def __init__(self, world: World):
+        self._world = world
+
+    async def load(self) -> QueueChange:
+        """Return it."""
+        return QueueChange(self._world.queues, 1)
+
+    async def changes(self, after: int, wait_s: float) -> QueueChange:
+        """Return nothing newer."""
+        await asyncio.sleep(wait_s)
+        return QueueChange(None, 1)
+
+
+class WorldPolicy(PolicyPort):
+    """Allows every worker."""
+
+    async def ask(
+        self, step_id: StepId, worker_ids: tuple[str, ...], timeout_s: float
+    ) -> Result[PolicyAnswer, Failure]:
+        """Answer after a while."""
+        await asyncio.sleep(0.03)
+        return Ok(PolicyAnswer(dict.fromkeys(worker_ids, "t"), 2.0))
+
+
+class WorldPeers(PeerLinks):
+    """Members call each other directly, while both run."""
+
+    def __init__(self, world: World, process: Process):
+        self._world = world
+        self._process = process
+
+    async def open(self, member: Member, secret: str) -> None:
+        """Be reachable."""
+        self._world.open_member[self._process.name] = member
+
+    async def close(self) -> None:
+        """Be gone."""
+        self._world.open_member.pop(self._process.name, None)
+
+    async def _reach(self, address: str) -> Member | None:
+        await self._process.gate()
+        await asyncio.sleep(HOP_S)
+        process = self._world.process_by_name.get(address)
+        if process is None or not process.paused.is_set():
+            return None
+        return self._world.open_member.get(address)
+
+    async def ask(
+        self, address: str, order: AskOrder, timeout_s: float
+    ) -> Result[PolicyAnswer, Failure]:
+        """Have a peer ask."""
+        member = await self._reach(address)
+        if member is None:
+            return Error(not_run("peer-lost"))
+        return await member.ask_here(order, timeout_s)
+
+    async def look(self, address: str, claim: bool) -> float | None:
+        """Look at a peer."""
+        member = await self._reach(address)
+        if member is None:
+            return None
+        if claim:
+            member.look_now()
+        return member.table_silent_s()
+
+
+@define
+class World:
+    """Everything, and what went wrong."""
+
+    loop: VirtualLoop
+    rows: Rows = field(factory=Rows)
+    queues: QueueSet = field(factory=lambda: make_queues())
+    history_from: int = 0
+    minion_by_id: dict[str, Minion] = field(factory=dict)
+    process_by_name: dict[str, Process] = field(factory=dict)
+    member_by_name: dict[str, Member] = field(factory=dict)
+    open_member: dict[str, Member] = field(factory=dict)
+    submissions: dict[str, Submission] = field(factory=dict)
+    poison: set[str] = field(factory=set)
+    late_orders: list[float] = field(factory=list)
+    lost_answers: int = 0
+    live: dict[TaskId, dict[RunId, str]] = field(factory=dict)
+    done: set[TaskId] = field(factory=set)
+    noted_done: set[TaskId] = field(factory=set)
+    failures: dict[TaskId, int] = field(factory=dict)
+    starts: list[tuple[float, RunId, str]] = field(factory=list)
+    breaches: list[str] = field(factory=list)
+    lines: list[tuple] = field(factory=list)
+    _numbers: Any = field(factory=lambda: itertools.count(1))
+
+    # Setting up.
+
+    def add_minion(self, cpu_milli: int = 8000, rate: float = 1.0) -> Minion:
+        """Add a minion that is up."""
+        number = next(self._numbers)
+        info = WorkerInfo(
+            f"i-{number}",
+            f"10.0.0.{number}:1",
+            POOL,
+            capacity=TaskSize(cpu_milli, 64_000, 0),
+            born_ms=1000 + number,
+            rack=f"r{number % 2}",
+        )
+        minion = Minion(self, info, rate, life_s=self.loop.time())
+        self.minion_by_id[info.worker_id] = minion
+        return minion
+
+    def add_member(self, name: str) -> Member:
+        """Start a member."""
+        process = Process(name)
+        self.process_by_name[name] = process
+        parts = MemberParts(
+            WorldTable(self, process),
+            WorldQueues(self),
+            WorldWorkers(self, process),
+            WorldRegistry(self, process),
+            WorldPolicy(),
+            WorldPeers(self, process),
+            LoopClock(self.loop),
+            lambda: int(self.loop.time() * 1000),
+            QuietLog(name, self),
+            Metrics(),
+        )
+        member = Member(MemberSettings(name, name, engine=EngineSettings()), parts)
+        self.member_by_name[name] = member
+        member.start()
+        return member
+
+    def kill(self, name: str) -> None:
+        """End a member at once."""
+        process = self.process_by_name.pop(name)
+        process.paused.clear()
+        member = self.member_by_name.pop(name)
+        self.loop.run_until_complete(member.close())
+
+    def owner_name(self) -> str | None:
+        """Return the member that owns the slice."""
+        owners = [name for name, item in self.member_by_name.items() if item.is_owner]
+        return owners[0] if len(owners) == 1 else None
+
+    def run(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+    def submit(self, job_id: str, spec: JobSpec) -> None:
+        """Store a submission, as any member would."""
+        submission = Submission(QUEUE, spec, int(self.loop.time() * 1000))
+        self.submissions[job_id] = submission
+        member = next(iter(self.member_by_name.values()))
+        self.loop.run_until_complete(
+            member.intake.submit(job_id, encode_submission(submission), 3.0)
+        )
+
+    def state(self, job_id: str) -> JobState | None:
+        """Ask a healthy member for a job's state."""
+        names = [n for n, p in self.process_by_name.items() if p.table_mode == OK]
+        member = self.member_by_name[names[0]]
+        result = self.loop.run_until_complete(member.intake.state(job_id, 3.0))
+        return result.default_value(None)
+
+    def close(self) -> None:
+        """End everything."""
+        for name in list(self.member_by_name):
+            self.kill(name)
+        close_loop(self.loop)
+
+    # What the minions ask.
+
+    def step_of(self, task: TaskId) -> StepSpec:
+        """Return the step of a task."""
+        return self.submissions[task.job].spec.steps[task.step]
+
+    def fails(self, task: TaskId, minion: Minion) -> bool:
+        """Tell whether a run will fail by its own fault."""
+        return task.job in self.poison
+
+    def order_late_s(self) -> float:
+        """Return by how much the next order is carried out late; 0 for at once."""
+        return self.late_orders.pop(0) if self.late_orders else 0.0
+
+    def answer_is_lost(self) -> bool:
+        """Tell whether the next order's answer is lost."""
+        if not self.lost_answers:
+            return False
+        self.lost_answers -= 1
+        return True
+
+    # The judge.
+
+    def judge_start(self, run_id: RunId, minion: Minion) -> None:
+        """Check a start against everything before it."""
+        self.starts.append((self.loop.time(), run_id, minion.info.worker_id))
+        for other in self.minion_by_id.values():
+            if other.up:
+                other.settle()
+        live = self.live.setdefault(run_id.task, {})
+        if live:
+            self.breaches.append(f"TWICE at the same time: {run_id} beside {live}")
+        if run_id.task in self.noted_done:
+            self.breaches.append(f"TWICE after done: {run_id}")
+        live[run_id] = minion.info.worker_id
+        submission = self.submissions.get(run_id.task.job)
+        if submission is None:
+            self.breaches.append(f"UNASKED: {run_id}")
+            return
+        self._judge_order(run_id, submission.spec)
+        attempts = self.queues.queue_by_name[QUEUE].attempts
+        if self.failures.get(run_id.task, 0) >= attempts:
+            self.breaches.append(f"BUDGET: {run_id}")
+        used = sum(self.step_of(key.task).size.cpu_milli for key in minion.runs)
+        if used > minion.info.capacity.cpu_milli:
+            self.breaches.append(f"LIMIT: {minion.info.worker_id} has {used}")
+
+    def _judge_order(self, run_id: RunId, spec: JobSpec) -> None:
+        task = run_id.task
+        for other in spec.steps[task.step].after:
+            for index in range(spec.steps[other].tasks):
+                before = evolve(task, step=other, index=index)
+                if before not in self.done:
+                    self.breaches.append(f"ORDER: {run_id} before {before}")
+
+    def judge_end(self, run_id: RunId, kind: EndKind, minion: Minion) -> None:
+        """Take an end."""
+        self.judge_gone(run_id, minion)
+        if kind is EndKind.DONE:
+            self.done.add(run_id.task)
+        if kind is EndKind.FAILED:
+            count = self.failures.get(run_id.task, 0)
+            self.failures[run_id.task] = count + 1
+
+    def judge_gone(self, run_id: RunId, minion: Minion) -> None:
+        """Take the end of a run that may have no end listed."""
+        self.live.get(run_id.task, {}).pop(run_id, None)
+
+    def judge_noted(self, end: RunEnd) -> None:
+        """Take an acknowledged end: it stands for good."""
+        if end.kind is EndKind.DONE:
+            self.noted_done.add(end.run_id.task)
+
+
+def make_queues(attempts: int = 3, gated: bool = False) -> QueueSet:
+    """Return a configuration with one queue."""
+    queue = Queue(QUEUE, POOL, attempts=attempts, gated=gated, decide_ms=30)
+    return QueueSet(1, {QUEUE: queue})
+
+
+def make_world(members: int = 3, minions: int = 3) -> World:
+    """Return a world whose slice is owned."""
+    loop = VirtualLoop()
+    asyncio.set_event_loop(loop)
+    world = World(loop)
+    for _ in range(minions):
+        world.add_minion()
+
+    async def start() -> None:
+        for number in range(members):
+            world.add_member(f"m{number}")
+
+    loop.run_until_complete(start())
+    world.run(2.0)
+    return world
+
+
+def job(*steps: StepSpec) -> JobSpec:
+    """Return a job of these steps."""
+    return JobSpec("payload", steps)
+
+
+def step(tasks: int = 3, seconds: float = 1.0, **more: Any) -> StepSpec:
+    """Return a step of tasks that take a core each."""
+    return StepSpec(tasks, TaskSize(1000, 100), estimate_ms=seconds * 1000, **more)
+
+
+def job_id(number: int) -> str:
+    """Return an id as clients choose them."""
+    return f"{number:016x}"
