--- a/redwingrun/jobs/sliceowner.py
+++ b/redwingrun/jobs/sliceowner.py
@@ -245,9 +245,9 @@
         for row in snapshot.rows:
             job_id = last_part(row.key)
             done = progress_by_id.get(job_id)
-            if not job_id.endswith(CANCEL_SUFFIX) and not (
-                done and done.state.is_final
-            ):
+            if done is not None and done.state.is_final:
+                self.engine.note_finished(job_id)
+            elif not job_id.endswith(CANCEL_SUFFIX):
                 self._add_job(row, done)
         for row in snapshot.rows:
             self._take_cancel(row)
