What ran on a worker that left together with the owner is started again

Ruled out: a missing capacity; a step that waited for another. Change: such runs lapse with the longest lease that a former owner can have promised.

--- a/redwingrun/jobs/engine.py
+++ b/redwingrun/jobs/engine.py
@@ -123,6 +123,8 @@
         self._long_questions = 0
         self.ask_lanes = 1
         self.unix_ms = 0
+        # Steady time at which all that a former owner started has lapsed.
+        self.inherited_lapse_s = 0.0
 
     # What the owner tells the engine.
 
@@ -180,15 +182,12 @@
         self.job_by_id.pop(job_id, None)
         self._finished.discard(job_id)
 
-    def see_worker(self, info: WorkerInfo, lapse_s: float) -> None:
-        """Take a worker's registration.
-
-        :param lapse_s: steady time at which runs that a former owner started
-            there have certainly lapsed; used for a worker not known before.
-        """
+    def see_worker(self, info: WorkerInfo) -> None:
+        """Take a worker's registration."""
         worker = self.worker_by_id.get(info.worker_id)
         if worker is None:
-            self.worker_by_id[info.worker_id] = Worker(info, lapse_s=lapse_s)
+            worker = Worker(info, lapse_s=self.inherited_lapse_s)
+            self.worker_by_id[info.worker_id] = worker
             return
         if worker.info.born_ms:
             # A new life is settled by whoever hears it first from the worker itself.
@@ -348,9 +347,9 @@
     def _adopt_run(self, job: Job, run_id: RunId, worker_id: str, now_s: float) -> None:
         worker = self.worker_by_id.get(worker_id)
         if worker is None:
-            # Not registered: it is asked for by nobody, so its lease decides.
+            # Not registered, so not asked: what ran there ends with its lease.
             worker = Worker(WorkerInfo(worker_id, "", job.queue.pool), listed=False)
-            worker.lapse_s = math.inf
+            worker.lapse_s = self.inherited_lapse_s
             self.worker_by_id[worker_id] = worker
         # The worker refuses the former owner's orders once it has seen our fence,
         # so the first list that it gives us is the truth.
--- a/redwingrun/jobs/sliceowner.py
+++ b/redwingrun/jobs/sliceowner.py
@@ -214,6 +214,7 @@
 
     async def _load(self) -> None:
         self.engine.unix_ms = self._parts.unix_ms()
+        self.engine.inherited_lapse_s = self.now() + INHERITED_LEASE_S
         version = await self._load_workers()
         jobs_version = await self._load_jobs()
         for worker_id in list(self.engine.worker_by_id):
@@ -351,7 +352,7 @@
 
     def _take_workers(self, changes: WorkerChanges) -> None:
         for info in changes.workers:
-            self.engine.see_worker(info, self.now() + INHERITED_LEASE_S)
+            self.engine.see_worker(info)
         if changes.whole:
             listed = {info.worker_id for info in changes.workers}
             gone = [key for key in self.engine.worker_by_id if key not in listed]
--- a/tests/jobs/test_takeover.py
+++ b/tests/jobs/test_takeover.py
@@ -46,3 +46,14 @@
     assert world.state(job_id(1)) is JobState.COMPLETED
     assert len(world.starts) == 5
     assert world.breaches == []
+
+
+def test_work_on_a_worker_that_left_with_the_owner_is_started_again(world: World):
+    """A worker that the new owner never sees keeps its tasks only for a lease."""
+    world.submit(job_id(1), job(step(6, 4.0)))
+    world.run(1.0)
+    world.minion_by_id["i-1"].crash()
+    world.kill(world.owner_name())
+    world.run(25.0)
+    assert world.state(job_id(1)) is JobState.COMPLETED
+    assert world.breaches == []
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -314,6 +314,8 @@
 
     async def _silent(self, target: WorkerAddress) -> Result[Any, WorkerFault]:
         minion = self._world.minion_by_id[target.worker_id]
+        if not target.address:
+            return Error(WorkerFault(not_run("not-connected")))
         if not minion.up:
             return Error(WorkerFault(not_run("connection-refused"), dead=True))
         await asyncio.sleep(ORDER_TIMEOUT_S)
