Silent workers lapse, submissions have parts of their own, refused members relay

Now only an answer renews. - Leaving workers that a new owner found already draining kept their lasting tasks. - Slow table: a part takes its transactions one after the other, so 12 submissions a second filled the owner's part and got 429. Figures: test_takeover and test_troubles: two cases fail before and pass after (silent worker, draining worker); the others were written with the change.

--- a/redwingrun/jobs/engine.py
+++ b/redwingrun/jobs/engine.py
@@ -62,6 +62,10 @@
 # A worker on which the runs of so many jobs failed in a row is left alone.
 SUSPECT_JOBS = 3
 SUSPECT_S = 6.0
+# A task whose progress stands still for so long, and this share of its estimate.
+STUCK_S = 2.2
+STUCK_SHARE = 0.15
+LOOK_EVERY_S = 0.4
 
 
 @frozen
@@ -121,6 +125,7 @@
         self.job_by_id: dict[str, Job] = {}
         self.worker_by_id: dict[str, Worker] = {}
         self._long_questions = 0
+        self._looked_s = 0.0
         self.ask_lanes = 1
         self.unix_ms = 0
         # Steady time at which all that a former owner started has lapsed.
@@ -192,10 +197,9 @@
         if worker.info.born_ms:
             # A new life is settled by whoever hears it first from the worker itself.
             info = evolve(info, born_ms=worker.info.born_ms)
-        started_draining = info.draining and not worker.info.draining
         worker.info = info
         worker.listed = True
-        if started_draining:
+        if info.draining:
             self._evacuate(worker)
 
     def unlist_worker(self, worker_id: str) -> None:
@@ -238,6 +242,8 @@
             worker.info = evolve(worker.info, born_ms=report.born_ms)
         worker.adopted = True
         worker.heard_s = now_s
+        if worker.info.draining:
+            self._evacuate(worker)
         ended = {end.run_id for end in report.ends}
         for end in report.ends:
             if end.number > worker.seen_end:
@@ -309,6 +315,9 @@
     def plan(self, now_s: float) -> Plan:
         """Decide what to do now."""
         self._open_due()
+        if now_s - self._looked_s > LOOK_EVERY_S:
+            self._looked_s = now_s
+            self._stop_stuck(now_s)
         starts: list[StartOrder] = []
         asks: list[AskOrder] = []
         for step in sorted(self._open_step_by_id.values(), key=lambda s: s.order):
@@ -402,6 +411,24 @@
             if step.lasting or step.checkpointed:
                 self._stop(run_id, worker)
 
+    def _stop_stuck(self, now_s: float) -> None:
+        """Stop tasks that stand still; the next run goes elsewhere."""
+        for worker in self.worker_by_id.values():
+            for run_id, run in list(worker.run_by_id.items()):
+                if run.phase is RunPhase.ALIVE and self._is_stuck(run, now_s):
+                    worker.avoid_until_s = now_s + SUSPECT_S
+                    self._stop(run_id, worker)
+
+    def _is_stuck(self, run: Run, now_s: float) -> bool:
+        job = self.job_by_id.get(run.run_id.task.job)
+        if job is None or job.is_final or run.is_filler:
+            return False
+        step = job.step(run.run_id.task.step_id)
+        if step.lasting or (step.gang and not run.percent):
+            return False
+        patience_s = STUCK_S + STUCK_SHARE * step.estimate_ms / MS_PER_S
+        return now_s - run.percent_changed_s > patience_s
+
     def _take_end(self, worker: Worker, end: RunEnd, now_s: float) -> None:
         run = self._drop_run(worker, end.run_id)
         job = self.job_by_id.get(end.run_id.task.job)
--- a/redwingrun/jobs/jobpeerservice.py
+++ b/redwingrun/jobs/jobpeerservice.py
@@ -12,6 +12,9 @@
 from redwingrun.jobs.spec import StepId
 from redwingrun.jobs.workerpool import AskOrder
 
+# A member that the table has not answered for so long passes nothing on to it.
+TABLE_IS_NEAR_S = 1.0
+
 if TYPE_CHECKING:
     from redwingrun.jobs.member import Member
 
@@ -45,6 +48,8 @@
 
     async def _relayed(self, request: object) -> RelayReply:
         intake = self._member.intake
+        if self._member.table_silent_s() > TABLE_IS_NEAR_S:
+            return RelayReply(verdict=Verdict.NOT_RUN.value, reason="table-away")
         if request.verb == "submit":
             result = await intake.submit(
                 request.job, request.submission, request.timeout_s
--- a/redwingrun/jobs/member.py
+++ b/redwingrun/jobs/member.py
@@ -27,6 +27,8 @@
 from redwingrun.coordination.verdict import Failure
 from redwingrun.jobs.engine import EngineSettings
 from redwingrun.jobs.intake import Intake
+from redwingrun.jobs.jobpeerservice import TABLE_IS_NEAR_S
+from redwingrun.jobs.jobservice import JobService
 from redwingrun.jobs.peerlinks import PeerLinks
 from redwingrun.jobs.ports import (
     PolicyAnswer,
@@ -52,6 +54,9 @@
 POLL_S = 0.45
 # An owner whose row stands still for so long is taken to be gone.
 SILENCE_S = 1.4
+# While the table is slow the owner's renewals are slow, too.
+SILENCE_READS = 5
+READ_WEIGHT = 0.4
 # Members claim one after the other, by a hash of their names.
 STAGGER_STEPS = 8
 STAGGER_S = 0.06
@@ -60,7 +65,6 @@
 QUEUES_WAIT_S = 1.0
 RETRY_S = 0.2
 MEMBERS_S = 3.0
-TABLE_IS_NEAR_S = 1.0
 
 
 @frozen
@@ -134,6 +138,7 @@
         self._log = parts.log
         self.queues: QueueSet | None = None
         self.intake = Intake(parts.table, settings.slice_name, parts.clock)
+        self.jobs = JobService(self.intake, parts.peers, self, parts.clock, parts.log)
         self._owner: SliceOwner | None = None
         self._watch = _Watch()
         self._look_now = asyncio.Event()
@@ -141,6 +146,7 @@
         self._left = asyncio.Event()
         self._peers: dict[str, str] = {}
         self._table_heard_s = 0.0
+        self._read_s = 0.0
         self._tasks: list[asyncio.Task[Any]] = []
         digest = zlib.crc32(settings.name.encode())
         self._stagger_s = STAGGER_S * (digest % STAGGER_STEPS)
@@ -159,6 +165,10 @@
         """Return how long the table has not answered."""
         return self._parts.clock.now() - self._table_heard_s
 
+    def peer_addresses(self) -> list[str]:
+        """Return where the other members can be reached."""
+        return list(self._peers.values())
+
     def waiting(self, queue: str) -> int | None:
         """Return how many of a queue's jobs have not begun; ``None`` if unknown."""
         owner = self._watch.owner
@@ -316,6 +326,7 @@
             self._look_now.clear()
             if self.queues is None:
                 continue
+            asked_s = self._parts.clock.now()
             try:
                 row = await self._parts.table.read(owner_key(self._settings.slice_name))
             except (TableUnavailable, TableUnknown) as error:
@@ -323,6 +334,7 @@
                 continue
             now_s = self._parts.clock.now()
             self._table_heard_s = now_s
+            self._read_s += READ_WEIGHT * (now_s - asked_s - self._read_s)
             self._watch.see(row, now_s)
             if self._should_claim() and not self._leaving:
                 await self._claim()
@@ -333,7 +345,8 @@
         if owner is None:
             return watch.still_s >= self._stagger_s
         if owner.member:
-            return watch.still_s >= SILENCE_S + self._stagger_s
+            silence_s = SILENCE_S + SILENCE_READS * self._read_s
+            return watch.still_s >= silence_s + self._stagger_s
         if owner.successor == self._settings.name:
             return True
         return watch.still_s >= SUCCESSOR_S + self._stagger_s
--- a/redwingrun/jobs/peerlinks.py
+++ b/redwingrun/jobs/peerlinks.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from enum import Enum
 from typing import TYPE_CHECKING
 
+from attrs import frozen
 from expression import Error, Ok, Result
 
-from redwingrun.coordination.verdict import Failure, not_run
+from redwingrun.coordination.verdict import Failure, Verdict, not_run
 from redwingrun.jobs.jobpeer_grpc import JobPeerStub
-from redwingrun.jobs.jobpeer_pb2 import AskRequest, LookRequest
+from redwingrun.jobs.jobpeer_pb2 import AskRequest, LookRequest, RelayRequest
 from redwingrun.jobs.jobpeerservice import JobPeerService
 from redwingrun.jobs.ports import PolicyAnswer
+from redwingrun.jobs.progress import JobState
 from redwingrun.jobs.workerpool import AskOrder
 from redwingrun.peers import PeerClient, PeerServer
 
@@ -21,6 +24,37 @@
 LOOK_TIMEOUT_S = 0.6
 
 
+class RelayVerb(Enum):
+    """What a client asked for."""
+
+    SUBMIT = "submit"
+    STATE = "state"
+    CANCEL = "cancel"
+
+
+@frozen
+class RelayCall:
+    """A client's request on its way to a peer.
+
+    :param submission: the encoded submission; empty for other verbs.
+    """
+
+    verb: RelayVerb
+    job_id: str
+    submission: str = ""
+
+
+@frozen
+class RelayAnswer:
+    """What a peer found.
+
+    :param known: whether there is such a job.
+    """
+
+    known: bool
+    state: JobState
+
+
 class PeerLinks(ABC):
     """How a member reaches the others, and they reach it."""
 
@@ -38,6 +72,12 @@
     ) -> Result[PolicyAnswer, Failure]:
         """Have a peer put a question to the placement policy."""
 
+    @abstractmethod
+    async def relay(
+        self, address: str, call: RelayCall, timeout_s: float
+    ) -> Result[RelayAnswer, Failure]:
+        """Have a peer carry out a client's request."""
+
     @abstractmethod
     async def look(self, address: str, claim: bool) -> float | None:
         """Return since when the table has not answered a peer, in seconds.
@@ -92,6 +132,26 @@
             return Error(not_run(reply.ok.failure))
         return Ok(PolicyAnswer(dict(reply.ok.ticket_by_worker), reply.ok.valid_s))
 
+    async def relay(
+        self, address: str, call: RelayCall, timeout_s: float
+    ) -> Result[RelayAnswer, Failure]:
+        """Have a peer carry out a client's request."""
+        if self._client is None:
+            return Error(not_run("no-peers"))
+        request = RelayRequest(
+            verb=call.verb.value,
+            job=call.job_id,
+            submission=call.submission,
+            timeout_s=timeout_s,
+        )
+        reply = await self._client.call(address, "Relay", request, timeout_s)
+        if reply.is_error():
+            return reply
+        found = reply.ok
+        if found.verdict != Verdict.ANSWERED.value:
+            return Error(Failure(Verdict(found.verdict), found.reason))
+        return Ok(RelayAnswer(found.known, JobState(found.state)))
+
     async def look(self, address: str, claim: bool) -> float | None:
         """Return since when the table has not answered a peer, in seconds."""
         if self._client is None:
--- a/redwingrun/jobs/sliceowner.py
+++ b/redwingrun/jobs/sliceowner.py
@@ -14,6 +14,7 @@
 from redwingrun.coordination.table import (
     HistoryLost,
     Row,
+    Snapshot,
     TableUnavailable,
     TableUnknown,
     WatchedTable,
@@ -34,6 +35,7 @@
 from redwingrun.jobs.rows import (
     CANCEL_SUFFIX,
     jobs_prefix,
+    jobs_prefixes,
     last_part,
     progress_key,
     progress_prefix,
@@ -242,7 +244,7 @@
         progress_by_id = {
             last_part(row.key): decode_progress(row.value) for row in progress.rows
         }
-        snapshot = await self._persist(lambda: table.snapshot(jobs_prefix(slice_name)))
+        snapshot = await self._persist(self._all_jobs)
         for row in snapshot.rows:
             job_id = last_part(row.key)
             done = progress_by_id.get(job_id)
@@ -254,6 +256,14 @@
             self._take_cancel(row)
         return snapshot.version
 
+    async def _all_jobs(self) -> Snapshot:
+        """Read the submissions of all parts."""
+        prefixes = jobs_prefixes(self._journal.slice_name)
+        table = self._parts.table
+        parts = await asyncio.gather(*(table.snapshot(prefix) for prefix in prefixes))
+        rows = tuple(row for part in parts for row in part.rows)
+        return Snapshot(rows, min(part.version for part in parts))
+
     def _add_job(self, row: Row, progress: Any) -> None:
         job_id = last_part(row.key)
         submission = decode_submission(row.value)
@@ -388,7 +398,7 @@
             try:
                 changes = await table.changes(prefix, version, FEED_WAIT_S)
             except HistoryLost:
-                changes = await self._reload(lambda: table.snapshot(prefix))
+                changes = await self._reload(self._all_jobs)
             except (TableUnavailable, TableUnknown) as error:
                 self.log.detail("jobs-feed-failed", why=str(error))
                 await asyncio.sleep(FEED_RETRY_S)
--- a/redwingrun/jobs/workerlink.py
+++ b/redwingrun/jobs/workerlink.py
@@ -49,6 +49,7 @@
         self._worker_id = worker_id
         self._clock_ms: float | None = None
         self._clock_read_s = 0.0
+        self._last_deadline_ms: float | None = None
         self._unanswered: dict[RunId, float] = {}
         self._in_flight: set[RunId] = set()
         self._failures = 0
@@ -67,7 +68,9 @@
         sent_s = owner.now()
         durable = min(owner.durable_end(self._worker_id), worker.seen_end)
         wait_s = self._wait_s(worker, durable)
-        call = HoldCall(owner.fence, durable, self._deadline_ms(worker), wait_s)
+        # What a silent worker runs must lapse some time: it is only asked.
+        deadline_ms = None if self._failures else self._deadline_ms(worker)
+        call = HoldCall(owner.fence, durable, deadline_ms, wait_s)
         answer = await self._port.hold(self._target(worker), call)
         if answer.is_error():
             await self._hold_failed(worker, answer.error)
@@ -105,7 +108,12 @@
         since_s = self._owner.now() - self._clock_read_s
         lapse_s = (since_s + LEASE_S) / SLOWEST_CLOCK + LAPSE_MARGIN_S
         worker.lapse_s = max(worker.lapse_s, self._clock_read_s + lapse_s)
-        return round(self._clock_ms + (since_s + LEASE_S) * MS_PER_S)
+        self._last_deadline_ms = round(self._clock_ms + (since_s + LEASE_S) * MS_PER_S)
+        return self._last_deadline_ms
+
+    def _order_deadline_ms(self, worker: Worker) -> float | None:
+        """Return the lease for a start; a silent worker's is not renewed."""
+        return self._last_deadline_ms if self._failures else self._deadline_ms(worker)
 
     async def _hold_failed(self, worker: Worker, fault: WorkerFault) -> None:
         owner = self._owner
@@ -173,7 +181,7 @@
             if attempts and not owner.engine.is_wanted(order):
                 await self.stop(StopOrder(order.run_id, self._worker_id))
                 return
-            deadline_ms = self._deadline_ms(worker)
+            deadline_ms = self._order_deadline_ms(worker)
             if deadline_ms is None:
                 owner.engine.withdraw(order)
                 return
--- a/redwingrun/platform/front.py
+++ b/redwingrun/platform/front.py
@@ -147,7 +147,7 @@
             return
         submission = Submission(self.address.queue, spec, self.parts.unix_ms())
         started_s = self.parts.clock.now()
-        result = await self.parts.member.intake.submit(
+        result = await self.parts.member.jobs.submit(
             job_id, encode_submission(submission), self._timeout_s()
         )
         if result.is_error():
@@ -162,7 +162,7 @@
         job_id = self._job_id()
         if job_id is None:
             return
-        result = await self.parts.member.intake.cancel(job_id, self._timeout_s())
+        result = await self.parts.member.jobs.cancel(job_id, self._timeout_s())
         if result.is_error():
             self.refuse(result.error, job_id)
             return
@@ -177,7 +177,7 @@
         job_id = self._job_id()
         if job_id is None:
             return
-        result = await self.parts.member.intake.state(job_id, self._timeout_s())
+        result = await self.parts.member.jobs.state(job_id, self._timeout_s())
         if result.is_error():
             self.refuse(result.error, job_id)
         elif result.ok is None:
--- a/redwingrun/platform/table.py
+++ b/redwingrun/platform/table.py
@@ -125,7 +125,7 @@
 
     async def changes(self, prefix: str, after: int, wait_s: float) -> Changes:
         """Return the changes after a version, waiting for the first one."""
-        table, _, _ = split_key(prefix)
+        table = prefix.partition("/")[0]
         query = {"table": table, "after": after, "waitMs": int(wait_s * MS_PER_S)}
         answer = await self._get("/-/rows-feed", query, wait_s)
         rows: list[Row] = []
--- a/tests/jobs/test_takeover.py
+++ b/tests/jobs/test_takeover.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+from attrs import evolve
 
 from redwingrun.jobs.progress import JobState
 from tests.jobs.world import World, job, job_id, make_world, step
@@ -57,3 +58,26 @@
     world.run(25.0)
     assert world.state(job_id(1)) is JobState.COMPLETED
     assert world.breaches == []
+
+
+def test_work_on_a_worker_that_falls_silent_is_started_again(world: World):
+    """Asking a silent worker again and again does not renew what runs there."""
+    world.submit(job_id(1), job(step(6, 4.0)))
+    world.run(1.0)
+    world.minion_by_id["i-1"].cut.update(world.member_by_name)
+    world.run(20.0)
+    assert world.state(job_id(1)) is JobState.COMPLETED
+    assert world.breaches == []
+
+
+def test_work_on_a_leaving_worker_moves_although_the_owner_is_new(world: World):
+    """Lasting tasks leave a draining worker that a new owner finds so."""
+    world.submit(job_id(1), job(step(3, 1000.0, lasting=True)))
+    world.run(1.0)
+    world.kill(world.owner_name())
+    for minion in list(world.minion_by_id.values())[:2]:
+        minion.info = evolve(minion.info, draining=True)
+    world.run(6.0)
+    where = {worker for runs in world.live.values() for worker in runs.values()}
+    assert where == {"i-3"}
+    assert world.breaches == []
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -15,11 +15,17 @@
 from attrs import define, evolve, field
 from expression import Error, Ok, Result
 
-from redwingrun.coordination.table import Changes, HistoryLost, Snapshot, WatchedTable
+from redwingrun.coordination.table import (
+    Changes,
+    HistoryLost,
+    Snapshot,
+    TableUnavailable,
+    WatchedTable,
+)
 from redwingrun.coordination.verdict import Failure, may_have_run, not_run
 from redwingrun.jobs.engine import EngineSettings
 from redwingrun.jobs.member import Member, MemberParts, MemberSettings
-from redwingrun.jobs.peerlinks import PeerLinks
+from redwingrun.jobs.peerlinks import PeerLinks, RelayAnswer, RelayCall, RelayVerb
 from redwingrun.jobs.ports import (
     HoldCall,
     PolicyAnswer,
@@ -59,6 +65,7 @@
 from redwingrun.logs import Log
 from redwingrun.metrics import Metrics
 from tests.helpers import (
+    DOWN,
     OK,
     FakeTable,
     LoopClock,
@@ -389,16 +396,21 @@
 class WorldQueues(QueueSource):
     """One configuration for ever."""
 
-    def __init__(self, world: World):
+    def __init__(self, world: World, process: Process):
         self._world = world
+        self._process = process
 
     async def load(self) -> QueueChange:
         """Return it."""
+        await self._process.gate()
         return QueueChange(self._world.queues, 1)
 
     async def changes(self, after: int, wait_s: float) -> QueueChange:
         """Return nothing newer."""
         await asyncio.sleep(wait_s)
+        await self._process.gate()
+        if self._process.table_mode == DOWN:
+            raise TableUnavailable(DOWN)
         return QueueChange(None, 1)
 
 
@@ -445,6 +457,24 @@
             return Error(not_run("peer-lost"))
         return await member.ask_here(order, timeout_s)
 
+    async def relay(
+        self, address: str, call: RelayCall, timeout_s: float
+    ) -> Result[RelayAnswer, Failure]:
+        """Have a peer carry out a request."""
+        member = await self._reach(address)
+        if member is None or member.table_silent_s() > 1.0:
+            return Error(not_run("peer-lost"))
+        if call.verb is RelayVerb.SUBMIT:
+            done = await member.intake.submit(call.job_id, call.submission, timeout_s)
+            return done.map(lambda _: RelayAnswer(True, JobState.QUEUED))
+        if call.verb is RelayVerb.CANCEL:
+            done = await member.intake.cancel(call.job_id, timeout_s)
+            return done.map(lambda known: RelayAnswer(known, JobState.QUEUED))
+        done = await member.intake.state(call.job_id, timeout_s)
+        return done.map(
+            lambda state: RelayAnswer(state is not None, state or JobState.QUEUED)
+        )
+
     async def look(self, address: str, claim: bool) -> float | None:
         """Look at a peer."""
         member = await self._reach(address)
@@ -503,7 +533,7 @@
         self.process_by_name[name] = process
         parts = MemberParts(
             WorldTable(self, process),
-            WorldQueues(self),
+            WorldQueues(self, process),
             WorldWorkers(self, process),
             WorldRegistry(self, process),
             WorldPolicy(),
@@ -540,7 +570,7 @@
         self.submissions[job_id] = submission
         member = next(iter(self.member_by_name.values()))
         self.loop.run_until_complete(
-            member.intake.submit(job_id, encode_submission(submission), 3.0)
+            member.jobs.submit(job_id, encode_submission(submission), 3.0)
         )
 
     def state(self, job_id: str) -> JobState | None:
