--- a/redwingrun/jobs/engine.py
+++ b/redwingrun/jobs/engine.py
@@ -220,13 +220,27 @@
         if not worker.listed:
             del self.worker_by_id[worker_id]
 
-    def start_new_life(self, worker_id: str, born_ms: int) -> None:
-        """Note that a worker has begun anew; nothing of before runs there."""
+    def start_new_life(
+        self, worker_id: str, report: WorkerReport, sent_s: float
+    ) -> None:
+        """Note that a worker has begun anew.
+
+        What ran in its former life is gone. An order that was under way may have
+        reached the new one: it is stopped, unless the worker has answered it since.
+
+        :param sent_s: steady time at which the new life's lists were asked for.
+        """
         worker = self.worker_by_id.get(worker_id)
         if worker is None:
             return
-        self._end_life(worker)
-        worker.info = evolve(worker.info, born_ms=born_ms)
+        worker.seen_end = 0
+        worker.info = evolve(worker.info, born_ms=report.born_ms)
+        running = {sighting.run_id for sighting in report.running}
+        for run_id, run in list(worker.run_by_id.items()):
+            if run.settled_s is None:
+                self._stop(run_id, worker)
+            elif run_id not in running and run.settled_s < sent_s:
+                self._lose_run(worker, run_id)
 
     def take_report(
         self, worker_id: str, report: WorkerReport, sent_s: float, now_s: float
--- a/redwingrun/jobs/workerlink.py
+++ b/redwingrun/jobs/workerlink.py
@@ -51,7 +51,6 @@
         self._clock_read_s = 0.0
         self._last_deadline_ms: float | None = None
         self._unanswered: dict[RunId, float] = {}
-        self._in_flight: set[RunId] = set()
         self._failures = 0
         self._dead_answers = 0
 
@@ -80,8 +79,7 @@
         self._dead_answers = 0
         self._read_clock(report.clock_ms)
         if self._is_new_life(worker, report):
-            await self._settle_new_life(worker, report)
-            return
+            await self._settle_new_life(worker, report, sent_s)
         owner.engine.take_report(self._worker_id, report, sent_s, owner.now())
         owner.kick()
         if report.ends:
@@ -142,15 +140,18 @@
         known = worker.info.born_ms
         return bool(report.born_ms and known and report.born_ms != known)
 
-    async def _settle_new_life(self, worker: Worker, report: WorkerReport) -> None:
+    async def _settle_new_life(
+        self, worker: Worker, report: WorkerReport, sent_s: float
+    ) -> None:
         """Stop what late orders to the former life could still start in this one."""
         owner = self._owner
         owner.log.event("worker-reborn", worker=self._worker_id, born_ms=report.born_ms)
         owner.forget_durable(self._worker_id)
-        for run_id in self._recent_orders():
-            await self._stop_surely(worker, StopOrder(run_id, self._worker_id))
-        owner.engine.start_new_life(self._worker_id, report.born_ms)
+        owner.engine.start_new_life(self._worker_id, report, sent_s)
         owner.kick()
+        for run_id in self._recent_orders():
+            if run_id not in worker.run_by_id:
+                await self._stop_surely(worker, StopOrder(run_id, self._worker_id))
 
     async def _stop_surely(self, worker: Worker, order: StopOrder) -> None:
         owner = self._owner
@@ -168,7 +169,7 @@
             for run_id, sent_s in self._unanswered.items()
             if sent_s > oldest_s
         }
-        return [*self._unanswered, *self._in_flight]
+        return list(self._unanswered)
 
     async def start(self, order: StartOrder) -> None:
         """Bring a start to the worker until it is certain what came of it."""
@@ -185,11 +186,9 @@
             if deadline_ms is None:
                 owner.engine.withdraw(order)
                 return
-            self._in_flight.add(order.run_id)
             answer = await self._port.start(
                 self._target(worker), order, owner.fence, deadline_ms
             )
-            self._in_flight.discard(order.run_id)
             if self._start_is_settled(order, answer, attempts):
                 return
             attempts += 1
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import itertools
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -194,7 +195,9 @@
                 continue
             if run.stopping_s is not None and now_s >= run.stopping_s:
                 self._end(run, EndKind.STOPPED)
-            elif not self.hangs and now_s >= run.started_s + run.works_s:
+            elif self.world.is_alone(run, now_s):
+                self._end(run, EndKind.ALONE)
+            elif not self.hangs and self.world.has_worked(run, now_s):
                 self._end(run, EndKind.FAILED if run.fails else EndKind.DONE)
 
     def _end(self, run: MinionRun, kind: EndKind) -> None:
@@ -205,6 +208,19 @@
         self.ends.append(RunEnd(self.next_end, run.run_id, kind, ""))
         self.next_end += 1
         self.world.judge_end(run.run_id, kind, self)
+        if kind is not EndKind.BROKEN and self.world.step_of(task).gang:
+            others = EndKind.DONE if kind is EndKind.DONE else EndKind.BROKEN
+            self.world.end_gang(run.run_id, others)
+
+    def end_as_member(self, run: MinionRun, kind: EndKind) -> None:
+        """End a run because another member of its gang ended."""
+        del self.runs[run.run_id]
+        task = run.run_id.task
+        before = self.highest_ended.get(task, 0)
+        self.highest_ended[task] = max(before, run.run_id.run)
+        self.ends.append(RunEnd(self.next_end, run.run_id, kind, ""))
+        self.next_end += 1
+        self.world.judge_end(run.run_id, kind, self)
 
     def start(
         self, order: StartOrder, fence: int, deadline_ms: float
@@ -498,6 +514,8 @@
     member_by_name: dict[str, Member] = field(factory=dict)
     open_member: dict[str, Member] = field(factory=dict)
     submissions: dict[str, Submission] = field(factory=dict)
+    accepted: set[str] = field(factory=set)
+    gang_ready_s: dict[tuple[StepId, int], float] = field(factory=dict)
     poison: set[str] = field(factory=set)
     late_orders: list[float] = field(factory=list)
     lost_answers: int = 0
@@ -568,10 +586,15 @@
         """Store a submission, as any member would."""
         submission = Submission(QUEUE, spec, int(self.loop.time() * 1000))
         self.submissions[job_id] = submission
-        member = next(iter(self.member_by_name.values()))
-        self.loop.run_until_complete(
+        names = [n for n, p in self.process_by_name.items() if p.paused.is_set()]
+        if not names:
+            return
+        member = self.member_by_name[names[0]]
+        result = self.loop.run_until_complete(
             member.jobs.submit(job_id, encode_submission(submission), 3.0)
         )
+        if result.is_ok():
+            self.accepted.add(job_id)
 
     def state(self, job_id: str) -> JobState | None:
         """Ask a healthy member for a job's state."""
@@ -596,6 +619,29 @@
         """Tell whether a run will fail by its own fault."""
         return task.job in self.poison
 
+    def has_worked(self, run: MinionRun, now_s: float) -> bool:
+        """Tell whether a run has worked for as long as it takes."""
+        since_s = run.started_s
+        if self.step_of(run.run_id.task).gang:
+            key = (run.run_id.task.step_id, run.run_id.run)
+            since_s = self.gang_ready_s.get(key, math.inf)
+        return now_s >= since_s + run.works_s
+
+    def is_alone(self, run: MinionRun, now_s: float) -> bool:
+        """Tell whether a gang's member has waited too long for the others."""
+        key = (run.run_id.task.step_id, run.run_id.run)
+        if not self.step_of(run.run_id.task).gang or key in self.gang_ready_s:
+            return False
+        return now_s >= run.started_s + GANG_WAITS_S
+
+    def end_gang(self, run_id: RunId, kind: EndKind) -> None:
+        """End the other members of a gang's run."""
+        for minion in self.minion_by_id.values():
+            for other in list(minion.runs.values()):
+                same_step = other.run_id.task.step_id == run_id.task.step_id
+                if same_step and other.run_id.run == run_id.run:
+                    minion.end_as_member(other, kind)
+
     def order_late_s(self) -> float:
         """Return by how much the next order is carried out late; 0 for at once."""
         return self.late_orders.pop(0) if self.late_orders else 0.0
@@ -621,6 +667,7 @@
         if run_id.task in self.noted_done:
             self.breaches.append(f"TWICE after done: {run_id}")
         live[run_id] = minion.info.worker_id
+        self._gather_gang(run_id)
         submission = self.submissions.get(run_id.task.job)
         if submission is None:
             self.breaches.append(f"UNASKED: {run_id}")
@@ -633,6 +680,18 @@
         if used > minion.info.capacity.cpu_milli:
             self.breaches.append(f"LIMIT: {minion.info.worker_id} has {used}")
 
+    def _gather_gang(self, run_id: RunId) -> None:
+        step_id = run_id.task.step_id
+        members = [
+            run
+            for runs in self.live.values()
+            for run in runs
+            if run.task.step_id == step_id and run.run == run_id.run
+        ]
+        spec = self.submissions.get(run_id.task.job)
+        if spec and len(members) == spec.spec.steps[step_id.step].tasks:
+            self.gang_ready_s[step_id, run_id.run] = self.loop.time()
+
     def _judge_order(self, run_id: RunId, spec: JobSpec) -> None:
         task = run_id.task
         for other in spec.steps[task.step].after:
@@ -646,6 +705,10 @@
         self.judge_gone(run_id, minion)
         if kind is EndKind.DONE:
             self.done.add(run_id.task)
+            if self.step_of(run_id.task).gang:
+                # One such end stands for all members.
+                count = self.step_of(run_id.task).tasks
+                self.done |= {evolve(run_id.task, index=i) for i in range(count)}
         if kind is EndKind.FAILED:
             count = self.failures.get(run_id.task, 0)
             self.failures[run_id.task] = count + 1
