--- a/redwingrun/jobs/member.py
+++ b/redwingrun/jobs/member.py
@@ -25,6 +25,7 @@
     Write,
 )
 from redwingrun.coordination.verdict import Failure
+from redwingrun.jobs.cancelling import cancel_all
 from redwingrun.jobs.engine import EngineSettings
 from redwingrun.jobs.intake import Intake
 from redwingrun.jobs.jobpeerservice import TABLE_IS_NEAR_S
@@ -199,9 +200,7 @@
 
     async def close(self) -> None:
         """End everything that still runs."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await cancel_all(self._tasks)
         await self._parts.peers.close()
 
     # Configuration.
--- a/redwingrun/jobs/sliceowner.py
+++ b/redwingrun/jobs/sliceowner.py
@@ -21,6 +21,7 @@
     Write,
 )
 from redwingrun.coordination.verdict import Failure
+from redwingrun.jobs.cancelling import cancel_all
 from redwingrun.jobs.engine import Engine, EngineSettings
 from redwingrun.jobs.gate import Ticket
 from redwingrun.jobs.ports import (
@@ -193,9 +194,7 @@
         except Deposed as error:
             self._deposed = str(error)
         finally:
-            for task in list(self._tasks):
-                task.cancel()
-            await asyncio.gather(*self._tasks, return_exceptions=True)
+            await cancel_all(self._tasks)
         return self._deposed
 
     def give_up(self, successor: str) -> None:
