An empty value is stored; the adapter's reading is tested

Cause: the adapter left a write with an empty value out of a transaction, neither stored nor removed. Change: only a missing value is a removal. Conclusion: mended.

--- a/redwingrun/platform/table.py
+++ b/redwingrun/platform/table.py
@@ -70,7 +70,9 @@
         body = {
             "expectedRev": [self._expected(item) for item in transaction.conditions],
             "writes": [
-                self._written(item) for item in transaction.writes if item.value
+                self._written(item)
+                for item in transaction.writes
+                if item.value is not None
             ],
             "remove": [_names(w.key) for w in transaction.writes if w.value is None],
         }
--- /dev/null
+++ b/tests/platform/test_jobwire.py
@@ -0,0 +1,86 @@
+"""Bodies that clients send: what is taken, and what is refused with a reason."""
+
+from __future__ import annotations
+
+import orjson
+import pytest
+
+from redwingrun.jobs.spec import (
+    BadJobError,
+    Submission,
+    decode_submission,
+    encode_submission,
+)
+from redwingrun.platform.jobwire import decode_job
+
+GOOD = {
+    "spec": "text",
+    "steps": [
+        {"taskCount": 4, "cpu": 500, "memMb": 256, "estRuntimeMs": 900},
+        {
+            "taskCount": 20,
+            "cpu": 2000,
+            "memMb": 1024,
+            "estRuntimeMs": 7000,
+            "after": [0],
+            "checkpointed": True,
+            "maxPerServer": 2,
+            "affinity": "r1-3",
+        },
+    ],
+}
+
+
+def with_step(**fields: object) -> dict:
+    """Return a job of one step with these fields."""
+    return {"spec": "", "steps": [{"taskCount": 1, "cpu": 1, **fields}]}
+
+
+BAD_BODIES = {
+    "not JSON": b"{",
+    "not an object": b"[]",
+    "no steps": orjson.dumps({"spec": ""}),
+    "steps of another type": orjson.dumps({"spec": "", "steps": {}}),
+    "a step of another type": orjson.dumps({"spec": "", "steps": [3]}),
+    "a payload of another type": orjson.dumps({"spec": 3, "steps": [{"taskCount": 1}]}),
+    "a payload too long": orjson.dumps(
+        {"spec": "x" * 4001, "steps": [{"taskCount": 1}]}
+    ),
+    "no task": orjson.dumps(with_step(taskCount=0)),
+    "a million tasks": orjson.dumps(with_step(taskCount=1_000_000)),
+    "a count that is no number": orjson.dumps(with_step(taskCount="4")),
+    "a negative size": orjson.dumps(with_step(cpu=-1)),
+    "a size without end": orjson.dumps(with_step(memMb=10**15)),
+    "a step after itself": orjson.dumps(with_step(after=[0])),
+    "a step after a later one": orjson.dumps(with_step(after=[1])),
+    "a step after a negative one": orjson.dumps(with_step(after=[-1])),
+    "a step after a name": orjson.dumps(with_step(after=["a"])),
+    "a flag that is a word": orjson.dumps(with_step(gang="yes")),
+    "too many steps": orjson.dumps({"spec": "", "steps": [{"taskCount": 1}] * 101}),
+    "negative occurrences": orjson.dumps({**GOOD, "repeats": -1}),
+}
+
+
+def test_a_job_is_read_into_the_products_types():
+    """Names are decoded once, and what is left out has its default."""
+    spec = decode_job(orjson.dumps(GOOD))
+    first, second = spec.steps
+    assert (first.tasks, first.size.cpu_milli, first.size.memory_mb) == (4, 500, 256)
+    assert second.after == (0,)
+    assert second.checkpointed
+    assert second.max_per_worker == 2
+    assert second.data_rack == "r1-3"
+    assert not first.gang
+
+
+def test_a_submission_survives_its_row():
+    """What is stored is what was accepted."""
+    submission = Submission("q", decode_job(orjson.dumps(GOOD)), 12)
+    assert decode_submission(encode_submission(submission)) == submission
+
+
+@pytest.mark.parametrize("what", BAD_BODIES)
+def test_a_bad_body_is_refused_with_a_reason(what: str):
+    """Nothing of it is stored; the client is told why."""
+    with pytest.raises(BadJobError, match=r"\w"):
+        decode_job(BAD_BODIES[what])
