Fillers are paced by the tails of the tasks that they disturb

Ruled out: keeping them apart by placement alone (both must fit; it is preferred now, at a cost in the ranking). Change: redwingrun/jobs/pacing decides from the tails in each report; workers with both are looked at every 0.4 s.

--- a/redwingrun/jobs/engine.py
+++ b/redwingrun/jobs/engine.py
@@ -12,6 +12,7 @@
 
 from redwingrun.jobs.gate import StepGate, Ticket
 from redwingrun.jobs.jobbook import Job, apply_end, apply_loss, note_completion
+from redwingrun.jobs.pacing import pace_orders
 from redwingrun.jobs.placement import (
     Placement,
     Placer,
@@ -33,6 +34,7 @@
 from redwingrun.jobs.workerpool import (
     AskOrder,
     EndKind,
+    PaceOrder,
     Refusal,
     Run,
     RunEnd,
@@ -86,6 +88,7 @@
 
     starts: tuple[StartOrder, ...]
     stops: tuple[StopOrder, ...]
+    paces: tuple[PaceOrder, ...]
     asks: tuple[AskOrder, ...]
     changed_jobs: frozenset[str]
 
@@ -119,6 +122,7 @@
         self._live_runs: dict[TaskId, dict[int, str]] = {}
         self._failed_jobs_by_worker: dict[str, set[str]] = {}
         self._stops: list[StopOrder] = []
+        self._paces: list[PaceOrder] = []
         self._changed: set[str] = set()
         self._scheduled: set[str] = set()
         self._finished: set[str] = set()
@@ -293,6 +297,12 @@
         if run is not None:
             run.settled_s = now_s
 
+    def pace_answered(self, order: PaceOrder) -> None:
+        """Note that a worker has taken a pace."""
+        run = self._run(order.worker_id, order.run_id)
+        if run is not None:
+            run.pace = order.percent
+
     def is_wanted(self, order: StartOrder) -> bool:
         """Tell whether a start should still be sent."""
         run = self._run(order.worker_id, order.run_id)
@@ -337,8 +347,9 @@
         for step in sorted(self._open_step_by_id.values(), key=lambda s: s.order):
             self._serve(step, now_s, starts, asks)
         stops, self._stops = self._stops, []
+        paces, self._paces = self._paces, []
         changed, self._changed = frozenset(self._changed), set()
-        return Plan(tuple(starts), tuple(stops), tuple(asks), changed)
+        return Plan(tuple(starts), tuple(stops), tuple(paces), tuple(asks), changed)
 
     def end_numbers(self) -> dict[str, int]:
         """Return by worker the last end that was taken in."""
@@ -504,6 +515,7 @@
             task = job.task(sighting.run_id.task) if job else None
             if task is not None and sighting.checkpoint:
                 task.checkpoint = sighting.checkpoint
+        self._paces += pace_orders(worker, now_s)
 
     def _take_stray(
         self, worker: Worker, job: Job | None, run_id: RunId, now_s: float
--- a/redwingrun/jobs/placement.py
+++ b/redwingrun/jobs/placement.py
@@ -13,6 +13,10 @@
 
 # A worker that hasn't answered for so long gets nothing new.
 SILENT_S = 2.2
+# Costs are in average run times: what an empty worker is worth, and what a worker
+# costs where fillers and tasks that serve would run side by side.
+FREE_WEIGHT = 0.3
+DISTURBED_COST = 0.6
 
 
 @frozen
@@ -47,6 +51,14 @@
     return not label or label in worker.info.labels
 
 
+def _disturbs(step: StepSpec, worker: Worker) -> bool:
+    """Tell whether the step would put a filler beside a task that serves."""
+    runs = worker.run_by_id.values()
+    if step.filler:
+        return any(run.target_ms for run in runs)
+    return bool(step.target_ms) and any(run.is_filler for run in runs)
+
+
 @frozen
 class StepView:
     """What placing a step needs to know of it.
@@ -104,7 +116,9 @@
         if not view.urgent:
             # Work that can wait leaves the fast workers to work that can't.
             cost = max(cost, 1.0) if view.step.data_rack else 1.0
-        return cost - 0.3 * worker.free_share
+        if _disturbs(view.step, worker):
+            cost += DISTURBED_COST
+        return cost - FREE_WEIGHT * worker.free_share
 
     def _open_workers(
         self,
--- a/redwingrun/jobs/sliceowner.py
+++ b/redwingrun/jobs/sliceowner.py
@@ -48,7 +48,7 @@
     decode_submission,
 )
 from redwingrun.jobs.workerlink import LEASE_S, SLOWEST_CLOCK, WorkerLink
-from redwingrun.jobs.workerpool import AskOrder, StartOrder, StopOrder
+from redwingrun.jobs.workerpool import AskOrder, PaceOrder, StartOrder, StopOrder
 from redwingrun.logs import Log
 from redwingrun.metrics import Metrics
 
@@ -291,6 +291,8 @@
         plan = self.engine.plan(self.now())
         for stop in plan.stops:
             self._send_stop(stop)
+        for pace in plan.paces:
+            self._send_pace(pace)
         for ask in plan.asks:
             self.spawn(self._ask(ask))
         await self._store(plan.changed_jobs)
@@ -344,6 +346,11 @@
         if link is not None:
             self.spawn(link.stop(order))
 
+    def _send_pace(self, order: PaceOrder) -> None:
+        link = self._link_by_worker.get(order.worker_id)
+        if link is not None:
+            self.spawn(link.pace(order))
+
     def _link(self, worker_id: str) -> None:
         worker = self.engine.worker_by_id.get(worker_id)
         if worker is None or worker_id in self._link_by_worker:
--- a/redwingrun/jobs/workerlink.py
+++ b/redwingrun/jobs/workerlink.py
@@ -8,9 +8,11 @@
 from expression import Result
 
 from redwingrun.coordination.verdict import Verdict
+from redwingrun.jobs.pacing import is_shared
 from redwingrun.jobs.ports import HoldCall, WorkerAddress, WorkerFault, WorkerPort
 from redwingrun.jobs.spec import RunId
 from redwingrun.jobs.workerpool import (
+    PaceOrder,
     Refusal,
     StartOrder,
     StopOrder,
@@ -29,6 +31,8 @@
 LAPSE_MARGIN_S = 0.2
 IDLE_WAIT_S = 1.8
 BUSY_WAIT_S = 1.0
+# Tails of serving tasks are looked at more often while fillers run beside them.
+SHARED_WAIT_S = 0.4
 STORING_WAIT_S = 0.5
 RETRY_FIRST_S = 0.1
 RETRY_LAST_S = 0.6
@@ -90,6 +94,8 @@
             return 0.0
         if worker.seen_end > durable:
             return 0.0
+        if is_shared(worker):
+            return SHARED_WAIT_S
         return BUSY_WAIT_S if worker.run_by_id else IDLE_WAIT_S
 
     def _target(self, worker: Worker) -> WorkerAddress:
@@ -220,6 +226,20 @@
         owner.kick()
         return True
 
+    async def pace(self, order: PaceOrder) -> None:
+        """Bring a pace to the worker once; its next report asks again if need be."""
+        owner = self._owner
+        worker = owner.engine.worker_by_id.get(self._worker_id)
+        if worker is None:
+            return
+        answer = await self._port.pace(
+            self._target(worker), order.run_id, order.percent, owner.fence
+        )
+        if answer.is_ok():
+            owner.engine.pace_answered(order)
+        else:
+            owner.log_order("pace-failed", order.run_id, self._worker_id, answer.error)
+
     async def stop(self, order: StopOrder) -> None:
         """Bring a stop to the worker until it is answered or the run is gone."""
         owner = self._owner
--- a/redwingrun/jobs/workerpool.py
+++ b/redwingrun/jobs/workerpool.py
@@ -73,6 +73,7 @@
     :param heard_s: steady time of its last answer.
     :param lapse_s: steady time at which all that runs there has certainly lapsed.
     :param avoid_until_s: steady time until which nothing new is placed there.
+    :param paced_s: steady time of the last change of pace there.
     :param listed: whether it is registered now.
     :param seen_end: number of the last end that was taken in.
     """
@@ -84,6 +85,7 @@
     heard_s: float = 0
     lapse_s: float = 0
     avoid_until_s: float = 0
+    paced_s: float = 0
     run_by_id: dict[RunId, Run] = field(factory=dict)
     cpu_used: int = 0
     memory_used: int = 0
