Changes of the settings file are taken without a signal

Cause: the platform may change the file without SIGHUP; the process read it once. Ruled out: a watch by inotify, which the platform does not offer. Change: the file is read every 2 s and at SIGHUP; store and policy addresses follow.

--- a/redwingrun/platform/__main__.py
+++ b/redwingrun/platform/__main__.py
@@ -7,6 +7,7 @@
 import sys
 import time
 
+from attrs import asdict
 from tornado.httpserver import HTTPServer
 
 from redwingrun.coordination.clock import MonotonicClock
@@ -42,6 +43,7 @@
 LEAVE_S = 2.6
 # What is left of the grace period for the end of the process.
 EXIT_MARGIN_S = 1.0
+SETTINGS_EVERY_S = 2.0
 SETTINGS_EXIT = 2
 
 
@@ -72,16 +74,15 @@
 
     def _build_member(self) -> Member:
         settings, log, metrics = self._settings, self._log, self._metrics
-        store_client = HttpClient("")
-        table = PlatformTable(
-            Service(store_client, settings.store, self._clock), metrics
-        )
+        self._store = Service(HttpClient(""), settings.store, self._clock)
+        self._policy = PlatformPolicy(HttpClient(""), settings.advice)
+        table = PlatformTable(self._store, metrics)
         parts = MemberParts(
             table,
             PlatformQueues(table, log),
             PlatformWorkers(HttpClient("", max_clients=400)),
             PlatformRegistry(table, log),
-            PlatformPolicy(HttpClient(""), settings.advice),
+            self._policy,
             GrpcPeerLinks(settings.ip, settings.peer_port),
             self._clock,
             unix_ms,
@@ -101,16 +102,35 @@
         _listen(self._front, self._settings.front)
         _listen(self._ready, self._settings.ready)
         self._member.start()
+        watch = loop.create_task(self._watch_settings())
         self._log.event("started", node=self._settings.node, zone=self._settings.zone)
         await self._stop.wait()
+        watch.cancel()
         await self._leave()
 
+    async def _watch_settings(self) -> None:
+        """Take changes of the settings file that come without a signal."""
+        while True:
+            await asyncio.sleep(SETTINGS_EVERY_S)
+            self._reload()
+
     def _reload(self) -> None:
         try:
-            load_settings(settings_path())
-            self._log.event("settings-read-again")
+            settings = load_settings(settings_path())
         except RedwingrunError as error:
             self._log.fault("settings-unusable", why=str(error))
+            return
+        if settings == self._settings:
+            return
+        changed = sorted(
+            name
+            for name, value in asdict(settings, recurse=False).items()
+            if value != getattr(self._settings, name)
+        )
+        self._log.event("settings-changed", fields=changed)
+        self._settings = settings
+        self._store.address = settings.store
+        self._policy.address = settings.advice
 
     async def _leave(self) -> None:
         self._log.event("leaving")
--- a/redwingrun/platform/policy.py
+++ b/redwingrun/platform/policy.py
@@ -23,8 +23,8 @@
     """
 
     def __init__(self, client: HttpClient, address: str):
+        self.address = address
         self._client = client
-        self._address = address
 
     async def ask(
         self, step_id: StepId, worker_ids: tuple[str, ...], timeout_s: float
@@ -32,7 +32,7 @@
         """Ask which of the workers may run a step."""
         name = f"{step_id.job}.{step_id.occurrence}.{step_id.step}"
         body = orjson.dumps({"stepId": name, "workers": list(worker_ids)})
-        url = f"http://{self._address}/-/advise"
+        url = f"http://{self.address}/-/advise"
         call = Call("POST", url, timeout_s, body, JSON_HEADERS)
         reply = await self._client.send(call)
         if reply.is_error():
