--- a/redwingrun/jobs/sliceowner.py
+++ b/redwingrun/jobs/sliceowner.py
@@ -45,6 +45,7 @@
 from redwingrun.jobs.spec import (
     QueueSet,
     RunId,
+    StepId,
     decode_submission,
 )
 from redwingrun.jobs.workerlink import LEASE_S, SLOWEST_CLOCK, WorkerLink
@@ -296,6 +297,7 @@
         for ask in plan.asks:
             self.spawn(self._ask(ask))
         await self._store(plan.changed_jobs)
+        self._log_starts(plan.starts)
         for start in plan.starts:
             self._send_start(start)
 
@@ -320,28 +322,60 @@
             self._waiting = self.engine.waiting_by_queue()
             await self._journal.commit(writes, self._waiting)
             self._committed_s = started_s
+            self._log_finished(changed)
             self._parts.metrics.seconds("commit_s", self.now() - started_s)
         self._durable.update(numbers)
         self._stored.set()
         self._stored = asyncio.Event()
 
+    def _log_finished(self, changed: frozenset[str]) -> None:
+        """Log the jobs whose end has just been stored."""
+        for job_id in sorted(changed):
+            job = self.engine.job_by_id[job_id]
+            if job.is_final:
+                self.log.event(
+                    "job-ended",
+                    job=job_id,
+                    state=job.progress.state.name.lower(),
+                    before_due_s=round(job.due_s - self.now(), 3),
+                )
+
+    def _log_starts(self, starts: tuple[StartOrder, ...]) -> None:
+        """Log what starts where, a line a step."""
+        by_step: dict[StepId, list[StartOrder]] = {}
+        for order in starts:
+            by_step.setdefault(order.run_id.task.step_id, []).append(order)
+        for step_id, orders in by_step.items():
+            job = self.engine.job_by_id[step_id.job]
+            self.log.event(
+                "start",
+                job=step_id.job,
+                step=f"{step_id.occurrence}.{step_id.step}",
+                due_in_s=round(job.due_s - self.now(), 3),
+                fence=self.fence,
+                runs=[
+                    f"{order.run_id.task.index}/{order.run_id.run}@{order.worker_id}"
+                    for order in orders
+                ],
+            )
+
     def _send_start(self, order: StartOrder) -> None:
         link = self._link_by_worker.get(order.worker_id)
         if link is None or not self.engine.is_wanted(order):
             self.engine.withdraw(order)
             return
-        self.log.detail(
-            "start",
-            job=order.run_id.task.job,
-            step=order.run_id.task.step,
-            index=order.run_id.task.index,
-            run=order.run_id.run,
-            worker=order.worker_id,
-        )
         self._parts.metrics.count("starts_total")
         self.spawn(link.start(order))
 
     def _send_stop(self, order: StopOrder) -> None:
+        task = order.run_id.task
+        self.log.event(
+            "stop",
+            job=task.job,
+            task=f"{task.occurrence}.{task.step}.{task.index}",
+            run=order.run_id.run,
+            worker=order.worker_id,
+        )
         link = self._link_by_worker.get(order.worker_id)
         if link is not None:
             self.spawn(link.stop(order))
@@ -449,7 +483,17 @@
             )
             self.engine.policy_failed(order, self.now() + ASK_RETRY_S)
         else:
-            self.engine.policy_answered(order, self._tickets(answer.ok))
+            tickets = self._tickets(answer.ok)
+            self.log.event(
+                "policy",
+                job=order.step_id.job,
+                step=f"{order.step_id.occurrence}.{order.step_id.step}",
+                named=len(order.worker_ids),
+                good=len(tickets),
+                took_s=round(self.now() - now_s, 3),
+                via=lane.address,
+            )
+            self.engine.policy_answered(order, tickets)
         self.kick()
 
     def _tickets(self, answer: PolicyAnswer) -> dict[str, Ticket]:
--- a/redwingrun/jobs/workerlink.py
+++ b/redwingrun/jobs/workerlink.py
@@ -12,6 +12,7 @@
 from redwingrun.jobs.ports import HoldCall, WorkerAddress, WorkerFault, WorkerPort
 from redwingrun.jobs.spec import RunId
 from redwingrun.jobs.workerpool import (
+    EndKind,
     PaceOrder,
     Refusal,
     StartOrder,
@@ -84,11 +85,27 @@
         self._read_clock(report.clock_ms)
         if self._is_new_life(worker, report):
             await self._settle_new_life(worker, report, sent_s)
+        self._log_ends(worker, report)
         owner.engine.take_report(self._worker_id, report, sent_s, owner.now())
         owner.kick()
         if report.ends:
             await owner.wait_durable(self._worker_id, STORING_WAIT_S)
 
+    def _log_ends(self, worker: Worker, report: WorkerReport) -> None:
+        """Log the new ends that are not as they should be."""
+        for end in report.ends:
+            if end.number > worker.seen_end and end.kind is not EndKind.DONE:
+                task = end.run_id.task
+                self._owner.log.event(
+                    "run-ended",
+                    job=task.job,
+                    task=f"{task.occurrence}.{task.step}.{task.index}",
+                    run=end.run_id.run,
+                    worker=self._worker_id,
+                    how=end.kind.value,
+                    number=end.number,
+                )
+
     def _wait_s(self, worker: Worker, durable: int) -> float:
         if not worker.adopted or self._failures or self._clock_ms is None:
             return 0.0
--- a/redwingrun/platform/__main__.py
+++ b/redwingrun/platform/__main__.py
@@ -44,6 +44,7 @@
 # What is left of the grace period for the end of the process.
 EXIT_MARGIN_S = 1.0
 SETTINGS_EVERY_S = 2.0
+LOG_LINES_A_SECOND = 200
 SETTINGS_EXIT = 2
 
 
@@ -160,7 +161,7 @@
 
 def main() -> int:
     """Run the program; returns its exit status."""
-    log = Log("member", "normal")
+    log = Log("member", "normal", LOG_LINES_A_SECOND)
     log.open(to_output=True)
     try:
         settings = load_settings(settings_path())
--- a/redwingrun/platform/front.py
+++ b/redwingrun/platform/front.py
@@ -154,7 +154,13 @@
             self.refuse(result.error, job_id)
             return
         self.parts.metrics.seconds("accept_s", self.parts.clock.now() - started_s)
-        self.parts.log.detail("accepted", job=job_id, queue=submission.queue)
+        self.parts.log.event(
+            "accepted",
+            job=job_id,
+            queue=submission.queue,
+            took_s=round(self.parts.clock.now() - started_s, 4),
+            queues_version=self.parts.member.queues.version,
+        )
         self.reply(200, {})
 
     async def delete(self) -> None:
