A worker that is not heard keeps its tasks: progress is judged by its reports

Change: only what reports tell counts. Stops say why in the log. Figures: the new case of test_troubles fails before, passes after.

--- a/redwingrun/jobs/engine.py
+++ b/redwingrun/jobs/engine.py
@@ -242,7 +242,7 @@
         running = {sighting.run_id for sighting in report.running}
         for run_id, run in list(worker.run_by_id.items()):
             if run.settled_s is None:
-                self._stop(run_id, worker)
+                self._stop(run_id, worker, "ordered-before-new-life")
             elif run_id not in running and run.settled_s < sent_s:
                 self._lose_run(worker, run_id)
 
@@ -434,17 +434,24 @@
                 continue
             step = job.step(run_id.task.step_id)
             if step.lasting or step.checkpointed:
-                self._stop(run_id, worker)
+                self._stop(run_id, worker, "worker-leaves")
 
     def _stop_stuck(self, now_s: float) -> None:
         """Stop tasks that stand still; the next run goes elsewhere."""
         for worker in self.worker_by_id.values():
             for run_id, run in list(worker.run_by_id.items()):
-                if run.phase is RunPhase.ALIVE and self._is_stuck(run, now_s):
+                still_s = worker.heard_s - run.percent_changed_s
+                if run.phase is RunPhase.ALIVE and self._is_stuck(run, still_s):
                     worker.avoid_until_s = now_s + SUSPECT_S
-                    self._stop(run_id, worker)
+                    why = f"stuck at {run.percent:g} % for {still_s:.1f} s"
+                    self._stop(run_id, worker, why)
 
-    def _is_stuck(self, run: Run, now_s: float) -> bool:
+    def _is_stuck(self, run: Run, still_s: float) -> bool:
+        """Tell whether a run stands still.
+
+        :param still_s: for how long the worker's reports have told the same; what
+            it does while it is not heard says nothing.
+        """
         job = self.job_by_id.get(run.run_id.task.job)
         if job is None or job.is_final or run.is_filler:
             return False
@@ -452,7 +459,7 @@
         if step.lasting or (step.gang and not run.percent):
             return False
         patience_s = STUCK_S + STUCK_SHARE * step.estimate_ms / MS_PER_S
-        return now_s - run.percent_changed_s > patience_s
+        return still_s > patience_s
 
     def _take_end(self, worker: Worker, end: RunEnd, now_s: float) -> None:
         run = self._drop_run(worker, end.run_id)
@@ -526,7 +533,7 @@
             self._add_run(job, run_id, worker, now_s)
         else:
             worker.add(Run(run_id, worker.worker_id, worker.info.capacity, now_s))
-        self._stop(run_id, worker)
+        self._stop(run_id, worker, "not-ours")
 
     def _take_missing(
         self,
@@ -542,12 +549,12 @@
             if run.settled_s is not None and run.settled_s < sent_s:
                 self._lose_run(worker, run_id)
 
-    def _stop(self, run_id: RunId, worker: Worker) -> None:
+    def _stop(self, run_id: RunId, worker: Worker, why: str) -> None:
         run = worker.run_by_id.get(run_id)
         if run is None or run.phase is RunPhase.STOPPING:
             return
         run.phase = RunPhase.STOPPING
-        self._stops.append(StopOrder(run_id, worker.worker_id))
+        self._stops.append(StopOrder(run_id, worker.worker_id, why))
 
     def _stop_gang(self, job: Job, task_id: TaskId) -> None:
         """Stop the other members of a gang that lost one."""
@@ -555,13 +562,13 @@
             return
         for index in range(len(job.tasks(task_id.step_id))):
             member = evolve(task_id, index=index)
-            self._stop_task(member)
+            self._stop_task(member, "gang-lost-a-member")
 
-    def _stop_task(self, task_id: TaskId) -> None:
+    def _stop_task(self, task_id: TaskId, why: str) -> None:
         for run, worker_id in list(self._live_runs.get(task_id, {}).items()):
             worker = self.worker_by_id.get(worker_id)
             if worker is not None:
-                self._stop(RunId(task_id, run), worker)
+                self._stop(RunId(task_id, run), worker, why)
 
     def _finish(self, job: Job) -> None:
         self._changed.add(job.job_id)
@@ -571,10 +578,12 @@
             del self._open_step_by_id[step_id]
         for step_id in [key for key in self._gate_by_step if key.job == job.job_id]:
             del self._gate_by_step[step_id]
+        why = f"job-{job.progress.state.name.lower()}"
         for occurrence, steps in job.progress.tasks_by_occurrence.items():
             for position, tasks in enumerate(steps):
                 for index in range(len(tasks)):
-                    self._stop_task(TaskId(job.job_id, occurrence, position, index))
+                    task_id = TaskId(job.job_id, occurrence, position, index)
+                    self._stop_task(task_id, why)
 
     def _open(self, job: Job, occurrence: int) -> None:
         if occurrence not in job.progress.tasks_by_occurrence:
--- a/redwingrun/jobs/sliceowner.py
+++ b/redwingrun/jobs/sliceowner.py
@@ -375,6 +375,7 @@
             task=f"{task.occurrence}.{task.step}.{task.index}",
             run=order.run_id.run,
             worker=order.worker_id,
+            why=order.why,
         )
         link = self._link_by_worker.get(order.worker_id)
         if link is not None:
--- a/redwingrun/jobs/workerpool.py
+++ b/redwingrun/jobs/workerpool.py
@@ -219,10 +219,14 @@
 
 @frozen
 class StopOrder:
-    """Stop a run on a worker."""
+    """Stop a run on a worker.
+
+    :param why: for the log.
+    """
 
     run_id: RunId
     worker_id: str
+    why: str = ""
 
 
 @frozen
--- a/tests/jobs/test_troubles.py
+++ b/tests/jobs/test_troubles.py
@@ -106,3 +106,17 @@
     world.run(6.0)
     assert world.state(job_id(1)) is JobState.FAILED
     assert world.broken() == []
+
+
+def test_a_worker_that_is_not_heard_for_a_while_keeps_its_tasks(world: World):
+    """Old reports say nothing about progress: only a lease ends such a run."""
+    world.submit(job_id(1), job(step(9, 8.0)))
+    world.run(1.0)
+    minion = world.minion_by_id["i-1"]
+    minion.cut.update(world.member_by_name)
+    world.run(4.5)
+    minion.cut.clear()
+    world.run(6.0)
+    assert world.state(job_id(1)) is JobState.COMPLETED
+    assert len(world.starts) == 9
+    assert world.broken() == []
