--- a/redwingrun/jobs/member.py
+++ b/redwingrun/jobs/member.py
@@ -303,7 +303,7 @@
 
     def _set_lanes(self, owner: SliceOwner) -> None:
         owner.lanes.set_peers(list(self._peers.values()))
-        owner.engine.ask_lanes = len(owner.lanes.lanes)
+        owner.engine.set_ask_lanes(len(owner.lanes.lanes))
 
     def look_now(self, hands_over: str = "") -> None:
         """Read the owner's row at once.
--- a/redwingrun/jobs/questions.py
+++ b/redwingrun/jobs/questions.py
@@ -8,7 +8,7 @@
 
 from attrs import define, field
 
-from redwingrun.jobs.engine import LONG_QUESTION_S
+from redwingrun.jobs.stepserver import LONG_QUESTION_S
 
 # Machines kept for questions that are answered quickly.
 QUICK_LANES = 2
--- a/redwingrun/jobs/sliceowner.py
+++ b/redwingrun/jobs/sliceowner.py
@@ -215,8 +215,8 @@
         self.kick()
 
     async def _load(self) -> None:
-        self.engine.unix_ms = self._parts.unix_ms()
-        self.engine.inherited_lapse_s = self.now() + INHERITED_LEASE_S
+        self.engine.set_time(self._parts.unix_ms())
+        self.engine.set_inherited_lapse(self.now() + INHERITED_LEASE_S)
         version = await self._load_workers()
         jobs_version = await self._load_jobs()
         for worker_id in list(self.engine.worker_by_id):
@@ -288,7 +288,7 @@
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._kicked.wait(), TICK_S)
         self._kicked.clear()
-        self.engine.unix_ms = self._parts.unix_ms()
+        self.engine.set_time(self._parts.unix_ms())
         plan = self.engine.plan(self.now())
         for stop in plan.stops:
             self._send_stop(stop)
--- /dev/null
+++ b/redwingrun/jobs/slicestate.py
@@ -0,0 +1,187 @@
+"""The jobs, workers and runs of a slice, and how a change of one moves the others."""
+
+from __future__ import annotations
+
+import math
+
+from attrs import define, evolve
+
+from redwingrun.jobs.gate import StepGate
+from redwingrun.jobs.jobbook import Job, apply_loss
+from redwingrun.jobs.placement import (
+    reserved_size,
+)
+from redwingrun.jobs.spec import (
+    RunId,
+    StepId,
+    TaskId,
+)
+from redwingrun.jobs.workerpool import (
+    Run,
+    RunPhase,
+    StopOrder,
+    Worker,
+    WorkerInfo,
+)
+
+
+@define
+class OpenStep:
+    """A step with waiting tasks."""
+
+    step_id: StepId
+    job: Job
+
+    @property
+    def order(self) -> tuple[int, float]:
+        """Steps are served by priority, then by the time left."""
+        return self.job.queue.priority, self.job.due_s
+
+
+class SliceState:
+    """What the parts of the engine share.
+
+    :ivar live_runs: by task, the worker of each run that may be alive.
+    :ivar stops: stops that have not been handed out yet.
+    :ivar changed: jobs whose progress must be stored.
+    :ivar scheduled: jobs that have occurrences to come.
+    :ivar inherited_lapse_s: steady time at which all that a former owner started
+        has lapsed.
+    """
+
+    def __init__(self) -> None:
+        self.job_by_id: dict[str, Job] = {}
+        self.worker_by_id: dict[str, Worker] = {}
+        self.open_step_by_id: dict[StepId, OpenStep] = {}
+        self.gate_by_step: dict[StepId, StepGate] = {}
+        self.live_runs: dict[TaskId, dict[int, str]] = {}
+        self.stops: list[StopOrder] = []
+        self.changed: set[str] = set()
+        self.scheduled: set[str] = set()
+        self.unix_ms = 0
+        self.inherited_lapse_s = 0.0
+
+    def run(self, worker_id: str, run_id: RunId) -> Run | None:
+        """Return a run that takes room on a worker."""
+        worker = self.worker_by_id.get(worker_id)
+        return worker.run_by_id.get(run_id) if worker else None
+
+    def adopt_run(self, job: Job, run_id: RunId, worker_id: str, now_s: float) -> None:
+        """Take a run that a former owner stored."""
+        worker = self.worker_by_id.get(worker_id)
+        if worker is None:
+            # Not registered, so not asked: what ran there ends with its lease.
+            worker = Worker(WorkerInfo(worker_id, "", job.queue.pool), listed=False)
+            worker.lapse_s = self.inherited_lapse_s
+            self.worker_by_id[worker_id] = worker
+        # The worker refuses the former owner's orders once it has seen our fence,
+        # so the first list that it gives us is the truth.
+        self.add_run(job, run_id, worker, now_s).settled_s = -math.inf
+
+    def add_run(self, job: Job, run_id: RunId, worker: Worker, now_s: float) -> Run:
+        """Reserve a run's room and count it as alive."""
+        step = job.step(run_id.task.step_id)
+        run = Run(
+            run_id,
+            worker.worker_id,
+            reserved_size(step),
+            now_s,
+            percent_changed_s=now_s,
+            is_filler=step.filler,
+            target_ms=step.target_ms,
+        )
+        worker.add(run)
+        self.live_runs.setdefault(run_id.task, {})[run_id.run] = worker.worker_id
+        return run
+
+    def drop_run(self, worker: Worker, run_id: RunId) -> Run | None:
+        """Free the room of a run that has certainly ended."""
+        live = self.live_runs.get(run_id.task)
+        if live is not None:
+            live.pop(run_id.run, None)
+            if not live:
+                del self.live_runs[run_id.task]
+        return worker.drop(run_id)
+
+    def lose_run(self, worker: Worker, run_id: RunId) -> None:
+        """Take a run for gone without an end; its task waits again."""
+        self.drop_run(worker, run_id)
+        job = self.job_by_id.get(run_id.task.job)
+        if job is not None and apply_loss(job, run_id.task, run_id.run):
+            self.changed.add(job.job_id)
+            self.open(job, run_id.task.occurrence)
+            self.stop_gang(job, run_id.task)
+
+    def end_life(self, worker: Worker) -> None:
+        """Take all that ran on a worker for gone."""
+        worker.adopted = False
+        worker.seen_end = 0
+        for run_id in list(worker.run_by_id):
+            self.lose_run(worker, run_id)
+
+    def checkpoint(self, job: Job, task_id: TaskId) -> str:
+        """Return a task's newest checkpoint; empty for none."""
+        task = job.task(task_id)
+        return task.checkpoint if task else ""
+
+    def stop(self, run_id: RunId, worker: Worker, why: str) -> None:
+        """Have a run stopped, once."""
+        run = worker.run_by_id.get(run_id)
+        if run is None or run.phase is RunPhase.STOPPING:
+            return
+        run.phase = RunPhase.STOPPING
+        self.stops.append(StopOrder(run_id, worker.worker_id, why))
+
+    def stop_gang(self, job: Job, task_id: TaskId) -> None:
+        """Stop the other members of a gang that lost one."""
+        if job.is_final or not job.step(task_id.step_id).gang:
+            return
+        for index in range(len(job.tasks(task_id.step_id))):
+            member = evolve(task_id, index=index)
+            self.stop_task(member, "gang-lost-a-member")
+
+    def stop_task(self, task_id: TaskId, why: str) -> None:
+        for run, worker_id in list(self.live_runs.get(task_id, {}).items()):
+            worker = self.worker_by_id.get(worker_id)
+            if worker is not None:
+                self.stop(RunId(task_id, run), worker, why)
+
+    def finish(self, job: Job) -> None:
+        """End all work for a job that has its final state."""
+        self.changed.add(job.job_id)
+        self.scheduled.discard(job.job_id)
+        job.progress.finished_ms = job.progress.finished_ms or self.unix_ms
+        for step_id in [key for key in self.open_step_by_id if key.job == job.job_id]:
+            del self.open_step_by_id[step_id]
+        for step_id in [key for key in self.gate_by_step if key.job == job.job_id]:
+            del self.gate_by_step[step_id]
+        why = f"job-{job.progress.state.name.lower()}"
+        for occurrence, steps in job.progress.tasks_by_occurrence.items():
+            for position, tasks in enumerate(steps):
+                for index in range(len(tasks)):
+                    task_id = TaskId(job.job_id, occurrence, position, index)
+                    self.stop_task(task_id, why)
+
+    def open(self, job: Job, occurrence: int) -> None:
+        """Note the steps of an occurrence that can be served."""
+        if occurrence not in job.progress.tasks_by_occurrence:
+            return
+        for step_id in job.open_steps(occurrence):
+            if job.waiting(step_id):
+                self.open_step_by_id[step_id] = OpenStep(step_id, job)
+
+    def open_due(self) -> None:
+        """Open the occurrences of scheduled jobs whose time has come."""
+        for job_id in list(self.scheduled):
+            job = self.job_by_id[job_id]
+            spec = job.spec
+            opened = job.progress.finished_occurrences + len(
+                job.progress.tasks_by_occurrence
+            )
+            if opened >= spec.occurrences:
+                self.scheduled.discard(job_id)
+                continue
+            due_ms = spec.first_due_ms + opened * spec.period_ms
+            if self.unix_ms >= due_ms:
+                job.progress.open_occurrence(opened, spec)
+                self.open(job, opened)
--- /dev/null
+++ b/redwingrun/jobs/stepserver.py
@@ -0,0 +1,174 @@
+"""Serving the open steps: questions to the policy, and places for waiting tasks."""
+
+from __future__ import annotations
+
+from redwingrun.jobs.gate import StepGate
+from redwingrun.jobs.jobbook import Job
+from redwingrun.jobs.placement import (
+    Placement,
+    Placer,
+    StepView,
+    reserved_size,
+    suits,
+    usable,
+)
+from redwingrun.jobs.progress import JobState, TaskState
+from redwingrun.jobs.slicestate import OpenStep, SliceState
+from redwingrun.jobs.spec import (
+    RunId,
+    StepId,
+    TaskId,
+)
+from redwingrun.jobs.workerpool import (
+    AskOrder,
+    StartOrder,
+    Worker,
+)
+
+MS_PER_S = 1000
+URGENT_PRIORITY = 0
+# The policy is asked about at most so many workers at once.
+MAX_NAMED = 30
+# A question that takes longer than this keeps a machine from urgent questions.
+LONG_QUESTION_S = 0.2
+
+
+class StepServer:
+    """Places the tasks of open steps.
+
+    :param far_factor: how much longer a task takes away from its data.
+    :ivar ask_lanes: machines that can put questions to the policy.
+    """
+
+    def __init__(self, state: SliceState, placer: Placer, far_factor: float):
+        self._state = state
+        self._placer = placer
+        self._far_factor = far_factor
+        self._long_questions = 0
+        self.ask_lanes = 1
+
+    def serve(
+        self,
+        open_step: OpenStep,
+        now_s: float,
+        starts: list[StartOrder],
+        asks: list[AskOrder],
+    ) -> None:
+        """Place what can be placed of a step, and ask about the rest."""
+        job, step_id = open_step.job, open_step.step_id
+        waiting = [
+            index
+            for index in job.waiting(step_id)
+            if TaskId(step_id.job, step_id.occurrence, step_id.step, index)
+            not in self._state.live_runs
+        ]
+        if not waiting:
+            if not job.waiting(step_id):
+                self._state.open_step_by_id.pop(step_id, None)
+            return
+        if job.step(step_id).gang and len(waiting) < len(job.tasks(step_id)):
+            return
+        view = self._view(job, step_id)
+        workers = self._workers(job)
+        placements = self._placer.place(view, waiting, workers, now_s)
+        for placement in placements:
+            starts.append(self._place(job, step_id, placement, now_s))
+        if view.gate is not None and len(placements) < len(waiting):
+            self._ask(view, job, workers, now_s, asks)
+
+    def _view(self, job: Job, step_id: StepId) -> StepView:
+        gate = None
+        if job.queue.gated:
+            gate = self._state.gate_by_step.setdefault(step_id, StepGate())
+        return StepView(
+            step_id,
+            job.step(step_id),
+            urgent=job.queue.priority == URGENT_PRIORITY,
+            gate=gate,
+            far_factor=self._far_factor,
+        )
+
+    def _workers(self, job: Job) -> list[Worker]:
+        pool = job.queue.pool
+        return [
+            worker
+            for worker in self._state.worker_by_id.values()
+            if worker.listed and worker.info.pool == pool
+        ]
+
+    def _place(
+        self, job: Job, step_id: StepId, placement: Placement, now_s: float
+    ) -> StartOrder:
+        task_id = TaskId(step_id.job, step_id.occurrence, step_id.step, placement.index)
+        task = job.task(task_id)
+        task.run = job.next_run(step_id, placement.index)
+        if job.step(step_id).gang:
+            task.run = self._gang_run(job, step_id)
+        task.state = TaskState.PLACED
+        task.worker = placement.worker.worker_id
+        if job.progress.state is JobState.QUEUED:
+            job.progress.state = JobState.RUNNING
+        self._state.changed.add(job.job_id)
+        run_id = RunId(task_id, task.run)
+        self._state.add_run(job, run_id, placement.worker, now_s)
+        return StartOrder(
+            run_id,
+            task.worker,
+            job.spec.payload,
+            task.checkpoint,
+            placement.ticket,
+        )
+
+    def _gang_run(self, job: Job, step_id: StepId) -> int:
+        """Return the run that the members placed in this round share."""
+        tasks = job.tasks(step_id)
+        placed = [task.run for task in tasks if task.state is TaskState.PLACED]
+        return placed[0] if placed else job.next_run(step_id, 0)
+
+    def _ask(
+        self,
+        view: StepView,
+        job: Job,
+        workers: list[Worker],
+        now_s: float,
+        asks: list[AskOrder],
+    ) -> None:
+        gate = view.gate
+        if gate.asking or now_s < gate.retry_s:
+            return
+        queue = job.queue
+        named = self._to_name(view, workers, now_s)
+        if not named:
+            return
+        decide_s = (queue.decide_ms + queue.decide_each_ms * len(named)) / MS_PER_S
+        if decide_s > LONG_QUESTION_S and not self._lane_is_free(decide_s):
+            return
+        gate.asking = True
+        gate.asked_s = now_s
+        self._long_questions += decide_s > LONG_QUESTION_S
+        asks.append(AskOrder(view.step_id, named, decide_s))
+
+    def _lane_is_free(self, decide_s: float) -> bool:
+        return self._long_questions < max(1, self.ask_lanes - 2)
+
+    def question_ended(self, order: AskOrder) -> None:
+        """Note that a question takes no machine any more."""
+        self._long_questions -= order.decide_s > LONG_QUESTION_S
+
+    def _to_name(
+        self, view: StepView, workers: list[Worker], now_s: float
+    ) -> tuple[str, ...]:
+        """Return the workers to ask about: with room, not refused, best first."""
+        gate = view.gate
+        size = reserved_size(view.step)
+        candidates = [
+            worker
+            for worker in workers
+            if usable(worker, now_s)
+            and suits(view.step, worker)
+            and gate.may_allow(worker.worker_id)
+            and worker.fits(size)
+            and gate.ticket(worker.worker_id, worker.info.born_ms, now_s) is None
+        ]
+        ranked = self._placer.ranked(view, candidates)
+        return tuple(worker.worker_id for worker in ranked[:MAX_NAMED])
--- /dev/null
+++ b/redwingrun/jobs/workerreports.py
@@ -0,0 +1,221 @@
+"""What workers report: runs, ends, new lives, and tasks that stand still."""
+
+from __future__ import annotations
+
+from attrs import evolve
+
+from redwingrun.jobs.jobbook import Job, apply_end, note_completion
+from redwingrun.jobs.pacing import pace_orders
+from redwingrun.jobs.slicestate import SliceState
+from redwingrun.jobs.spec import (
+    RunId,
+)
+from redwingrun.jobs.speeds import Speeds
+from redwingrun.jobs.workerpool import (
+    EndKind,
+    PaceOrder,
+    Run,
+    RunEnd,
+    RunPhase,
+    Worker,
+    WorkerReport,
+)
+
+MS_PER_S = 1000
+# A worker on which the runs of so many jobs failed in a row is left alone.
+SUSPECT_JOBS = 3
+SUSPECT_S = 6.0
+# A task whose progress stands still for so long, and this share of its estimate.
+STUCK_S = 2.2
+STUCK_SHARE = 0.15
+LOOK_EVERY_S = 0.4
+
+
+class ReportReader:
+    """Brings reports into the state.
+
+    :param speeds: learns from runs that are done.
+    """
+
+    def __init__(self, state: SliceState, speeds: Speeds):
+        self._state = state
+        self._speeds = speeds
+        self._failed_jobs_by_worker: dict[str, set[str]] = {}
+        self._looked_s = 0.0
+        self._paces: list[PaceOrder] = []
+
+    def look_for_stuck(self, now_s: float) -> None:
+        """Look from time to time for tasks that stand still."""
+        if now_s - self._looked_s > LOOK_EVERY_S:
+            self._looked_s = now_s
+            self.stop_stuck(now_s)
+
+    def take_paces(self) -> tuple[PaceOrder, ...]:
+        """Return the changes of pace that the reports since the last call ask for."""
+        paces, self._paces = self._paces, []
+        return tuple(paces)
+
+    def take_report(
+        self, worker_id: str, report: WorkerReport, sent_s: float, now_s: float
+    ) -> None:
+        """Take a worker's lists.
+
+        :param sent_s: steady time at which they were asked for.
+        """
+        worker = self._state.worker_by_id.get(worker_id)
+        if worker is None:
+            return
+        if report.born_ms:
+            worker.info = evolve(worker.info, born_ms=report.born_ms)
+        worker.adopted = True
+        worker.heard_s = now_s
+        if worker.info.draining:
+            self.evacuate(worker)
+        ended = {end.run_id for end in report.ends}
+        for end in report.ends:
+            if end.number > worker.seen_end:
+                worker.seen_end = end.number
+                self._take_end(worker, end, now_s)
+        self._take_running(worker, report, now_s)
+        self._take_missing(worker, report, ended, sent_s)
+
+    def start_new_life(
+        self, worker_id: str, report: WorkerReport, sent_s: float
+    ) -> None:
+        """Note that a worker has begun anew.
+
+        What ran in its former life is gone. An order that was under way may have
+        reached the new one: it is stopped, unless the worker has answered it since.
+
+        :param sent_s: steady time at which the new life's lists were asked for.
+        """
+        worker = self._state.worker_by_id.get(worker_id)
+        if worker is None:
+            return
+        worker.seen_end = 0
+        worker.info = evolve(worker.info, born_ms=report.born_ms)
+        running = {sighting.run_id for sighting in report.running}
+        for run_id, run in list(worker.run_by_id.items()):
+            if run.settled_s is None:
+                self._state.stop(run_id, worker, "ordered-before-new-life")
+            elif run_id not in running and run.settled_s < sent_s:
+                self._state.lose_run(worker, run_id)
+
+    def evacuate(self, worker: Worker) -> None:
+        """Move what can resume or must last off a worker that will leave."""
+        for run_id in list(worker.run_by_id):
+            job = self._state.job_by_id.get(run_id.task.job)
+            if job is None or job.is_final:
+                continue
+            step = job.step(run_id.task.step_id)
+            if step.lasting or step.checkpointed:
+                self._state.stop(run_id, worker, "worker-leaves")
+
+    def stop_stuck(self, now_s: float) -> None:
+        """Stop tasks that stand still; the next run goes elsewhere."""
+        for worker in self._state.worker_by_id.values():
+            for run_id, run in list(worker.run_by_id.items()):
+                still_s = worker.heard_s - run.percent_changed_s
+                if run.phase is RunPhase.ALIVE and self._is_stuck(run, still_s):
+                    worker.avoid_until_s = now_s + SUSPECT_S
+                    why = f"stuck at {run.percent:g} % for {still_s:.1f} s"
+                    self._state.stop(run_id, worker, why)
+
+    def _is_stuck(self, run: Run, still_s: float) -> bool:
+        """Tell whether a run stands still.
+
+        :param still_s: for how long the worker's reports have told the same; what
+            it does while it is not heard says nothing.
+        """
+        job = self._state.job_by_id.get(run.run_id.task.job)
+        if job is None or job.is_final or run.is_filler:
+            return False
+        step = job.step(run.run_id.task.step_id)
+        if step.lasting or (step.gang and not run.percent):
+            return False
+        patience_s = STUCK_S + STUCK_SHARE * step.estimate_ms / MS_PER_S
+        return still_s > patience_s
+
+    def _take_end(self, worker: Worker, end: RunEnd, now_s: float) -> None:
+        run = self._state.drop_run(worker, end.run_id)
+        job = self._state.job_by_id.get(end.run_id.task.job)
+        if job is None:
+            return
+        resumed = bool(self._state.checkpoint(job, end.run_id.task))
+        if not apply_end(job, end, worker.worker_id):
+            return
+        self._state.changed.add(job.job_id)
+        self._judge(worker, job, end, now_s)
+        step_id = end.run_id.task.step_id
+        if end.kind is EndKind.DONE and run is not None and not resumed:
+            step = job.step(step_id)
+            self._speeds.learn(
+                job.queue.name,
+                worker.worker_id,
+                worker.info.kind,
+                now_s - run.ordered_s,
+                step.estimate_ms / MS_PER_S,
+            )
+        if end.kind is not EndKind.DONE:
+            self._state.stop_gang(job, end.run_id.task)
+        if note_completion(job, self._state.unix_ms) and not job.is_final:
+            return
+        if job.is_final:
+            self._state.finish(job)
+        else:
+            self._state.open(job, step_id.occurrence)
+
+    def _judge(self, worker: Worker, job: Job, end: RunEnd, now_s: float) -> None:
+        """Leave a worker alone on which the work of several jobs fails."""
+        failed = self._failed_jobs_by_worker.setdefault(worker.worker_id, set())
+        if end.kind is EndKind.DONE:
+            failed.clear()
+        if end.kind is EndKind.FAILED:
+            failed.add(job.job_id)
+        if len(failed) >= SUSPECT_JOBS:
+            failed.clear()
+            worker.avoid_until_s = now_s + SUSPECT_S
+
+    def _take_running(self, worker: Worker, report: WorkerReport, now_s: float) -> None:
+        for sighting in report.running:
+            run = worker.run_by_id.get(sighting.run_id)
+            job = self._state.job_by_id.get(sighting.run_id.task.job)
+            if run is None:
+                self._take_stray(worker, job, sighting.run_id, now_s)
+                continue
+            if run.phase is RunPhase.ORDERED:
+                run.phase = RunPhase.ALIVE
+                run.settled_s = now_s
+            if sighting.percent != run.percent:
+                run.percent = sighting.percent
+                run.percent_changed_s = now_s
+            run.figure = sighting.figure
+            task = job.task(sighting.run_id.task) if job else None
+            if task is not None and sighting.checkpoint:
+                task.checkpoint = sighting.checkpoint
+        self._paces += pace_orders(worker, now_s)
+
+    def _take_stray(
+        self, worker: Worker, job: Job | None, run_id: RunId, now_s: float
+    ) -> None:
+        """Stop a run that nobody wants; until it has ended it takes its room."""
+        known = job is not None and run_id.task.step < len(job.spec.steps)
+        if known:
+            self._state.add_run(job, run_id, worker, now_s)
+        else:
+            worker.add(Run(run_id, worker.worker_id, worker.info.capacity, now_s))
+        self._state.stop(run_id, worker, "not-ours")
+
+    def _take_missing(
+        self,
+        worker: Worker,
+        report: WorkerReport,
+        ended: set[RunId],
+        sent_s: float,
+    ) -> None:
+        running = {sighting.run_id for sighting in report.running}
+        for run_id, run in list(worker.run_by_id.items()):
+            if run_id in running or run_id in ended:
+                continue
+            if run.settled_s is not None and run.settled_s < sent_s:
+                self._state.lose_run(worker, run_id)
--- a/tests/test_boundaries.py
+++ b/tests/test_boundaries.py
@@ -41,7 +41,18 @@
 
 def test_the_engine_has_no_input_or_output():
     """Decisions can be tested without a network."""
-    pure = ("engine", "jobbook", "placement", "gate", "pacing", "speeds", "workerpool")
+    pure = (
+        "engine",
+        "slicestate",
+        "workerreports",
+        "stepserver",
+        "jobbook",
+        "placement",
+        "gate",
+        "pacing",
+        "speeds",
+        "workerpool",
+    )
     for name in pure:
         text = (PACKAGE / "jobs" / f"{name}.py").read_text("utf-8")
         assert not re.search(r"^(import|from) (asyncio|tornado|grpclib)", text, re.M)
