A gang is not kept waiting by workers where it failed before

Cause: a task's set of workers where a run of it had failed only grew, and the scheduler left those workers out altogether. After restarts on two of three workers a gang of three (2 of 4 cores each) had one worker left and waited for ever on idle ones. Ruled out: a hold for another gang (none stood), leaking room (4 of 4 cores free on each), a lapsed quarantine that was not looked at again (over for 60 s). Change: workers where it failed are passed over only while others have room; the quarantine of a failing worker bounds how often that is tried.

--- a/redwingrun/scheduler.py
+++ b/redwingrun/scheduler.py
@@ -275,8 +275,8 @@
         chosen: list[Room] = []
         for _ in range(task.row.count):
             found = fitting(size, rooms)
-            if task.avoid:
-                found = [room for room in found if room.name not in task.avoid]
+            # Where it failed it is tried again only when nothing else has room.
+            found = [room for room in found if room.name not in task.avoid] or found
             if not found:
                 break
             room = self.packer.choose(size, self._spread(task, found, chosen))
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -193,3 +193,20 @@
     assert scheduler.examined == before
     placed(scheduler, 5.0)
     assert scheduler.examined == before + 1
+
+
+def test_workers_where_a_gang_failed_are_used_again_when_others_do_not_suffice():
+    """A gang whose runs had failed on two of three workers waited for ever."""
+    scheduler = make()
+    gang = task("g", count=3)
+    gang.avoid = {"w1", "w2"}
+    scheduler.enqueue(gang, 0.0)
+    assert len(placed(scheduler)["g"]) == 3
+
+
+def test_a_worker_where_a_task_failed_is_passed_over_while_another_has_room():
+    scheduler = make()
+    again = task("a")
+    again.avoid = {"w0", "w1"}
+    scheduler.enqueue(again, 0.0)
+    assert placed(scheduler)["a"] == ("w2",)
