A gang's member that is through is not stuck

Cause: progress is judged run by run, and a gang's members end together, so the quick ones stand at 100 % until the slowest is through. The other side of it: a member at 0 % was never judged, so one that hung from its start on would have held up its gang for ever. Change: a member at 100 % waits; one at 0 % waits until another member is at 25 %. A gang's first run had number 2, since placing drew a number twice: it draws once.

--- a/redwingrun/jobs/jobbook.py
+++ b/redwingrun/jobs/jobbook.py
@@ -53,6 +53,11 @@
         """Return the tasks of a step of an occurrence."""
         return self.progress.tasks_by_occurrence[step_id.occurrence][step_id.step]
 
+    def task_ids(self, step_id: StepId) -> Iterator[TaskId]:
+        """Return the names of a step's tasks."""
+        for index in range(len(self.tasks(step_id))):
+            yield TaskId(step_id.job, step_id.occurrence, step_id.step, index)
+
     def task(self, task_id: TaskId) -> TaskProgress | None:
         """Return a task, ``None`` when the job has no such task open."""
         steps = self.progress.tasks_by_occurrence.get(task_id.occurrence)
--- a/redwingrun/jobs/slicestate.py
+++ b/redwingrun/jobs/slicestate.py
@@ -4,7 +4,7 @@
 
 import math
 
-from attrs import define, evolve
+from attrs import define
 
 from redwingrun.jobs.gate import StepGate
 from redwingrun.jobs.jobbook import Job, apply_loss
@@ -136,8 +136,7 @@
         """Stop the other members of a gang that lost one."""
         if job.is_final or not job.step(task_id.step_id).gang:
             return
-        for index in range(len(job.tasks(task_id.step_id))):
-            member = evolve(task_id, index=index)
+        for member in job.task_ids(task_id.step_id):
             self.stop_task(member, "gang-lost-a-member")
 
     def stop_task(self, task_id: TaskId, why: str) -> None:
--- a/redwingrun/jobs/stepserver.py
+++ b/redwingrun/jobs/stepserver.py
@@ -101,9 +101,12 @@
     ) -> StartOrder:
         task_id = TaskId(step_id.job, step_id.occurrence, step_id.step, placement.index)
         task = job.task(task_id)
-        task.run = job.next_run(step_id, placement.index)
-        if job.step(step_id).gang:
-            task.run = self._gang_run(job, step_id)
+        gang = job.step(step_id).gang
+        task.run = (
+            self._gang_run(job, step_id)
+            if gang
+            else job.next_run(step_id, placement.index)
+        )
         task.state = TaskState.PLACED
         task.worker = placement.worker.worker_id
         if job.progress.state is JobState.QUEUED:
--- a/redwingrun/jobs/workerreports.py
+++ b/redwingrun/jobs/workerreports.py
@@ -29,6 +29,9 @@
 STUCK_S = 2.2
 STUCK_SHARE = 0.15
 LOOK_EVERY_S = 0.4
+WHOLE_PERCENT = 100
+# A gang works from the moment that all are there: with one this far, all work.
+GANG_BEGUN_PERCENT = 25
 
 
 class ReportReader:
@@ -131,11 +134,26 @@
         if job is None or job.is_final or run.is_filler:
             return False
         step = job.step(run.run_id.task.step_id)
-        if step.lasting or (step.gang and not run.percent):
+        if step.lasting:
+            return False
+        if step.gang and self._waits_for_members(run, job):
             return False
         patience_s = STUCK_S + STUCK_SHARE * step.estimate_ms / MS_PER_S
         return still_s > patience_s
 
+    def _waits_for_members(self, run: Run, job: Job) -> bool:
+        """Tell whether a gang's run waits for others: to come, or to be through."""
+        if run.percent >= WHOLE_PERCENT:
+            return True
+        task_id = run.run_id.task
+        members = [
+            self._state.run(worker_id, RunId(other, number))
+            for other in job.task_ids(task_id.step_id)
+            for number, worker_id in self._state.live_runs.get(other, {}).items()
+        ]
+        farthest = max((member.percent for member in members if member), default=0)
+        return not run.percent and farthest < GANG_BEGUN_PERCENT
+
     def _take_end(self, worker: Worker, end: RunEnd, now_s: float) -> None:
         run = self._state.drop_run(worker, end.run_id)
         job = self._state.job_by_id.get(end.run_id.task.job)
--- /dev/null
+++ b/tests/jobs/test_workerreports.py
@@ -0,0 +1,127 @@
+"""What the owner makes of its workers' lists, without a network."""
+
+from __future__ import annotations
+
+from redwingrun.jobs.engine import Engine, EngineSettings
+from redwingrun.jobs.spec import Submission
+from redwingrun.jobs.workerpool import (
+    Sighting,
+    StartOrder,
+    WorkerInfo,
+    WorkerReport,
+)
+from tests.jobs.world import POOL, QUEUE, TaskSize, job, job_id, make_queues, step
+
+LOOK_S = 0.5
+
+
+class Pool:
+    """An engine with workers that tell whatever a test wants.
+
+    :param workers: how many; each holds four tasks of a core.
+    """
+
+    def __init__(self, workers: int = 3):
+        self.engine = Engine(EngineSettings())
+        self.engine.set_queues(make_queues())
+        self.now_s = 100.0
+        self.names = [f"w{number}" for number in range(workers)]
+        for name in self.names:
+            capacity = TaskSize(4000, 64_000)
+            info = WorkerInfo(name, f"{name}:1", POOL, capacity=capacity, born_ms=7)
+            self.engine.see_worker(info)
+            self.report(name, {})
+
+    def report(self, name: str, percent_by_run: dict) -> None:
+        """Take a worker's list of runs with their progress."""
+        running = tuple(
+            Sighting(run_id, "", percent) for run_id, percent in percent_by_run.items()
+        )
+        report = WorkerReport(self.now_s * 1000, running, (), born_ms=7)
+        self.engine.take_report(name, report, self.now_s, self.now_s)
+
+    def begin(self, *steps) -> tuple[StartOrder, ...]:
+        """Hand in a job and let its first starts be accepted."""
+        submission = Submission(QUEUE, job(*steps), 0)
+        self.engine.add_job(job_id(1), submission, None, self.now_s)
+        starts = self.engine.plan(self.now_s).starts
+        for order in starts:
+            self.engine.start_accepted(order, self.now_s)
+        return starts
+
+    def watch(self, seconds: float, percent) -> list[str]:
+        """Report for a while; returns why runs were stopped.
+
+        :param percent: from a start and the seconds so far to its progress.
+        """
+        starts = list(self._runs())
+        whys = []
+        begun_s = self.now_s
+        while self.now_s < begun_s + seconds:
+            self.now_s += LOOK_S
+            for name in self.names:
+                told = {
+                    run_id: percent(run_id, self.now_s - begun_s)
+                    for run_id, worker in starts
+                    if worker == name
+                }
+                self.report(name, told)
+            whys += [stop.why for stop in self.engine.plan(self.now_s).stops]
+        return whys
+
+    def _runs(self):
+        for worker in self.engine.worker_by_id.values():
+            for run_id in worker.run_by_id:
+                yield run_id, worker.worker_id
+
+
+def test_members_of_a_gang_that_are_through_wait_for_the_slower_ones():
+    """They end together: whoever stands at its end is not stuck.
+
+    In an incident two gangs lost all their work this way, one of them twice.
+    """
+    pool = Pool()
+    pool.begin(step(6, 4.0, gang=True))
+
+    def percent(run_id, since_s):
+        quick = run_id.task.index < 3
+        return min(100, since_s * (100 if quick else 8))
+
+    assert pool.watch(10.0, percent) == []
+
+
+def test_a_gang_that_stands_still_is_stopped():
+    """A member that makes no progress before its end holds up all others."""
+    pool = Pool()
+    pool.begin(step(6, 4.0, gang=True))
+
+    def percent(run_id, since_s):
+        return 40 if run_id.task.index == 2 else min(100, since_s * 50)
+
+    whys = pool.watch(10.0, percent)
+    assert any(why.startswith("stuck") for why in whys)
+
+
+def test_a_member_that_never_begins_is_stopped_once_the_others_work():
+    """Before, a member that hung from its start on held up its gang for ever."""
+    pool = Pool()
+    pool.begin(step(6, 4.0, gang=True))
+
+    def percent(run_id, since_s):
+        return 0 if run_id.task.index == 2 else min(100, since_s * 20)
+
+    whys = pool.watch(10.0, percent)
+    assert any(why.startswith("stuck at 0") for why in whys)
+
+
+def test_a_gang_that_is_not_complete_yet_is_left_alone():
+    """Nobody works before all are there."""
+    pool = Pool()
+    pool.begin(step(6, 4.0, gang=True))
+    assert pool.watch(10.0, lambda run_id, since_s: 0) == []
+
+
+def test_the_first_run_of_a_gang_is_number_one():
+    """Its members share one number, and none is skipped."""
+    starts = Pool().begin(step(6, 4.0, gang=True))
+    assert {order.run_id.run for order in starts} == {1}
