Connections to workers are kept

Change: one subclass of tornado's client keeps 1,024. The store and the policy share a client, and fewer handles are held ready (416 for 656; about 8 KB each). Test: 120 servers called twice need 120 connections (fails before).

--- a/redwingrun/httpclient.py
+++ b/redwingrun/httpclient.py
@@ -18,6 +18,8 @@
 VERDICT_HEADER = "X-Verdict"
 FROM_HEADER = "X-From"
 MAX_CLIENTS = 128
+# Open connections that are kept for later calls.
+KEPT_CONNECTIONS = 1024
 
 # Failures before curl had a connection: nothing can have been sent.
 NOT_SENT = frozenset(
@@ -70,7 +72,7 @@
 
     def __init__(self, sender: str, max_clients: int = MAX_CLIENTS):
         self._sender = sender
-        self._curl = CurlAsyncHTTPClient(force_instance=True, max_clients=max_clients)
+        self._curl = _KeepingClient(force_instance=True, max_clients=max_clients)
 
     async def send(self, call: Call) -> Result[Reply, Failure]:
         """Send a call.
@@ -108,6 +110,18 @@
         self._curl.close()
 
 
+class _KeepingClient(CurlAsyncHTTPClient):
+    """Keeps connections between waves of calls.
+
+    By default libcurl keeps four times the number of calls under way, and closes the
+    rest each time that a wave is over.
+    """
+
+    def initialize(self, *args: object, **kwargs: object) -> None:
+        super().initialize(*args, **kwargs)
+        self._multi.setopt(pycurl.M_MAXCONNECTS, KEPT_CONNECTIONS)
+
+
 def _never_resend(curl: pycurl.Curl) -> None:
     """Keep libcurl from sending a request again by itself.
 
--- a/redwingrun/platform/__main__.py
+++ b/redwingrun/platform/__main__.py
@@ -44,6 +44,9 @@
 # What is left of the grace period for the end of the process.
 EXIT_MARGIN_S = 1.0
 SETTINGS_EVERY_S = 2.0
+# Most calls at the same time; a process keeps memory for each of them.
+SERVICE_CALLS = 96
+WORKER_CALLS = 320
 LOG_LINES_A_SECOND = 200
 SETTINGS_EXIT = 2
 
@@ -75,13 +78,14 @@
 
     def _build_member(self) -> Member:
         settings, log, metrics = self._settings, self._log, self._metrics
-        self._store = Service(HttpClient(""), settings.store, self._clock)
-        self._policy = PlatformPolicy(HttpClient(""), settings.advice)
+        services = HttpClient("", max_clients=SERVICE_CALLS)
+        self._store = Service(services, settings.store, self._clock)
+        self._policy = PlatformPolicy(services, settings.advice)
         table = PlatformTable(self._store, metrics)
         parts = MemberParts(
             table,
             PlatformQueues(table, log),
-            PlatformWorkers(HttpClient("", max_clients=400)),
+            PlatformWorkers(HttpClient("", max_clients=WORKER_CALLS)),
             PlatformRegistry(table, log),
             self._policy,
             GrpcPeerLinks(settings.ip, settings.peer_port),
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -12,6 +12,7 @@
 from redwingrun.httpclient import Call, HttpClient
 
 BODY = b"answer"
+WORKERS = 120
 GOOD = (
     b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\nX-Digest: "
     + hashlib.sha256(BODY).hexdigest().encode()
@@ -118,3 +119,42 @@
             assert result.ok.body == BODY
 
     asyncio.run(scenario())
+
+
+class Counter:
+    """Serves any number of calls and counts the connections that they came on."""
+
+    def __init__(self) -> None:
+        self.connections = 0
+
+    async def serve(self, reader, writer) -> None:
+        self.connections += 1
+        try:
+            while True:
+                await reader.readuntil(b"\r\n\r\nbody")
+                writer.write(GOOD)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+def test_a_connection_to_each_of_many_workers_is_kept():
+    """Calls to some workers closed the connections to others, time and again."""
+
+    async def scenario():
+        counter = Counter()
+        servers = [
+            await asyncio.start_server(counter.serve, "127.0.0.1", 0)
+            for _ in range(WORKERS)
+        ]
+        ports = [item.sockets[0].getsockname()[1] for item in servers]
+        client = HttpClient("test")
+        for port in [*ports, *ports]:
+            await client.send(
+                Call("POST", f"http://127.0.0.1:{port}/run", 2.0, b"body")
+            )
+        client.close()
+        for server in servers:
+            server.close()
+        assert counter.connections == WORKERS
+
+    asyncio.run(scenario())
