The test of kept connections fails without the change

With 10 ms an answer and a wave at the end the old code opens more than one connection a server, and the test fails there (seen); with the change it passes.

--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -132,6 +132,8 @@
         try:
             while True:
                 await reader.readuntil(b"\r\n\r\nbody")
+                # libcurl closes only what has been idle for some time.
+                await asyncio.sleep(0.01)
                 writer.write(GOOD)
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
@@ -148,10 +150,12 @@
         ]
         ports = [item.sockets[0].getsockname()[1] for item in servers]
         client = HttpClient("test")
-        for port in [*ports, *ports]:
-            await client.send(
-                Call("POST", f"http://127.0.0.1:{port}/run", 2.0, b"body")
-            )
+        calls = [
+            Call("POST", f"http://127.0.0.1:{port}/run", 2.0, b"body") for port in ports
+        ]
+        for call in calls:
+            await client.send(call)
+        await asyncio.gather(*(client.send(call) for call in calls))
         client.close()
         for server in servers:
             server.close()
