Ends, changes and registrations that come close together are one call each

Cause: each end was a look at its worker, mostly a transaction, and each heartbeat of a minion an answer of the registrations' feed. Change: changes that start nothing are stored at most every 40 ms (a plan with starts stores at once, with all that waits); a worker that has told an end is looked at again 60 ms later; registrations are read every 250 ms. Tests: test_costs, both fail before.

--- a/redwingrun/jobs/member.py
+++ b/redwingrun/jobs/member.py
@@ -244,6 +244,9 @@
             before=self.queues.version if self.queues else 0,
             queues=len(queues.queue_by_name),
         )
+        if self.queues is None:
+            # Nothing could be claimed before.
+            self._look_now.set()
         self.queues = queues
         if self._owner is not None:
             self._owner.set_queues(queues)
--- a/redwingrun/jobs/sliceowner.py
+++ b/redwingrun/jobs/sliceowner.py
@@ -56,8 +56,13 @@
 # Without other writes the owner's row is renewed this often.
 RENEW_S = 0.4
 TICK_S = 0.1
+# Changes that start nothing are stored together with those that come soon after.
+GATHER_S = 0.04
+GATHER_LEAST_S = 0.001
 FEED_WAIT_S = 1.0
 FEED_RETRY_S = 0.2
+# Heartbeats change the registrations all the time; they are read together.
+REGISTRY_PAUSE_S = 0.25
 ASK_RETRY_S = 0.1
 ASK_SLACK_S = 1.0
 # A planned stop waits so long for the table to take the hand-over.
@@ -110,6 +115,8 @@
         self._deposed = ""
         self._giving_up: str | None = None
         self._committed_s = parts.clock.now()
+        self._stored_s = 0.0
+        self._unsaved: set[str] = set()
         self._waiting: dict[str, int] = {}
 
     # What the links use.
@@ -286,7 +293,7 @@
 
     async def _cycle(self) -> None:
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._kicked.wait(), TICK_S)
+            await asyncio.wait_for(self._kicked.wait(), self._pause_s())
         self._kicked.clear()
         self.engine.set_time(self._parts.unix_ms())
         plan = self.engine.plan(self.now())
@@ -296,16 +303,29 @@
             self._send_pace(pace)
         for ask in plan.asks:
             self.spawn(self._ask(ask))
-        await self._store(plan.changed_jobs)
+        self._unsaved |= plan.changed_jobs
+        if plan.starts or self._gather_left_s() < GATHER_LEAST_S:
+            await self._store()
         self._log_starts(plan.starts)
         for start in plan.starts:
             self._send_start(start)
 
-    async def _store(self, changed: frozenset[str]) -> None:
+    def _pause_s(self) -> float:
+        """Return how long to wait for news."""
+        if not self._unsaved:
+            return TICK_S
+        return min(TICK_S, max(GATHER_LEAST_S, self._gather_left_s()))
+
+    def _gather_left_s(self) -> float:
+        """Return how long changes wait for others, to be stored with them."""
+        return max(0.0, self._stored_s + GATHER_S - self.now())
+
+    async def _store(self) -> None:
         numbers = self.engine.end_numbers()
         pending = any(
             number > self._durable.get(key, 0) for key, number in numbers.items()
         )
+        changed, self._unsaved = frozenset(self._unsaved), set()
         idle = self.now() - self._committed_s < RENEW_S
         if idle and not changed and not pending:
             return
@@ -319,6 +339,7 @@
         ]
         started_s = self.now()
         if writes or not idle:
+            self._stored_s = started_s
             self._waiting = self.engine.waiting_by_queue()
             await self._journal.commit(writes, self._waiting)
             self._committed_s = started_s
@@ -431,6 +452,7 @@
                 self._link(info.worker_id)
             if changes.workers or changes.gone:
                 self.kick()
+            await asyncio.sleep(REGISTRY_PAUSE_S)
 
     async def _follow_jobs(self, version: int) -> None:
         prefix = jobs_prefix(self._journal.slice_name)
--- a/redwingrun/jobs/workerlink.py
+++ b/redwingrun/jobs/workerlink.py
@@ -35,6 +35,8 @@
 # Tails of serving tasks are looked at more often while fillers run beside them.
 SHARED_WAIT_S = 0.4
 STORING_WAIT_S = 0.5
+# After an end others often follow soon: they come with one look.
+GATHER_ENDS_S = 0.06
 RETRY_FIRST_S = 0.1
 RETRY_LAST_S = 0.6
 # An order without an answer may be carried out this much later (12 s and some).
@@ -80,16 +82,19 @@
             await self._hold_failed(worker, answer.error)
             return
         report = answer.ok
+        heard_s = owner.now()
         self._failures = 0
         self._dead_answers = 0
         self._read_clock(report.clock_ms)
         if self._is_new_life(worker, report):
             await self._settle_new_life(worker, report, sent_s)
         self._log_ends(worker, report)
-        owner.engine.take_report(self._worker_id, report, sent_s, owner.now())
+        owner.engine.take_report(self._worker_id, report, sent_s, heard_s)
         owner.kick()
         if report.ends:
             await owner.wait_durable(self._worker_id, STORING_WAIT_S)
+            gathered_s = owner.now() - heard_s
+            await asyncio.sleep(max(0.0, GATHER_ENDS_S - gathered_s))
 
     def _log_ends(self, worker: Worker, report: WorkerReport) -> None:
         """Log the new ends that are not as they should be."""
--- /dev/null
+++ b/tests/jobs/test_costs.py
@@ -0,0 +1,54 @@
+"""What ends that come close together cost in calls, in virtual time.
+
+The pattern is a step whose tasks end one after the other within a few hundredths of a
+second: each end could be a look at its worker and a transaction of its own.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from redwingrun.jobs.progress import JobState
+from tests.jobs.world import Minion, World, job, job_id, make_world, step
+
+FIRST_END_S = 0.5
+TASKS = 6
+
+
+@pytest.fixture
+def world():
+    """Return a world with one member and one minion."""
+    made = make_world(members=1, minions=1)
+    made.run(1.0)
+    yield made
+    made.close()
+
+
+def play(world: World, gap_s: float) -> None:
+    """Run a job whose tasks end one shortly after the other."""
+    lengths = [FIRST_END_S + gap_s * number for number in range(TASKS)]
+    world.submit(job_id(1), job(*(step(1, seconds) for seconds in lengths)))
+    world.run(FIRST_END_S - 0.1)
+
+
+def test_ends_that_come_close_together_are_stored_together(world: World):
+    """Six ends within 60 ms need three transactions, not six."""
+    play(world, 0.012)
+    before = world.rows.version
+    world.run(0.3)
+    assert world.state(job_id(1)) is JobState.COMPLETED
+    assert world.rows.version - before <= 3
+
+
+def test_ends_that_come_close_together_are_seen_with_one_look(
+    world: World, monkeypatch
+):
+    """Six ends within 150 ms need at most four looks, and one that waits for more."""
+    looks = []
+    hold = Minion.hold
+    play(world, 0.03)
+    monkeypatch.setattr(Minion, "hold", lambda *args: looks.append(1) or hold(*args))
+    world.run(0.4)
+    assert world.state(job_id(1)) is JobState.COMPLETED
+    assert len(looks) <= 5
+    assert world.broken() == []
