Workers that turn slow are seen by their progress, and their tasks moved

Cause: a slow worker was learned from its ends only, so for its first tasks' several times longer run it went on getting new ones; and what ran there stayed. A wide step has about an even chance of a task there when 2 of 24 workers are slow. Ruled out: health and refusals (there are none); long tasks (the lower half of a worker's runs must be slow, two at least). Change: jobs/laggards.py compares progress with the estimate, the queue's bias and the worker's learned speed; a slow worker comes last for new work, and tasks that would end sooner elsewhere are stopped and begun there, each once. An order without an answer is sent again after 0.35 s (0.6 before). An owner that can't store looks for a peer after 0.65 s (0.9).

--- a/redwingrun/jobs/jobbook.py
+++ b/redwingrun/jobs/jobbook.py
@@ -25,6 +25,7 @@
     :param due_s: steady time by which it should be done.
     :param gang_failure_run: the last run of each gang that was counted as failed.
     :param failed_workers: where runs of a task have failed.
+    :param moved: tasks that were taken off a slow worker; each of them once.
     """
 
     job_id: str
@@ -34,6 +35,7 @@
     due_s: float
     gang_failure_run: dict[StepId, int] = field(factory=dict)
     failed_workers: dict[TaskId, set[str]] = field(factory=dict)
+    moved: set[TaskId] = field(factory=set)
 
     @property
     def spec(self) -> JobSpec:
--- /dev/null
+++ b/redwingrun/jobs/laggards.py
@@ -0,0 +1,128 @@
+"""Workers that have become slow, by the progress of what runs on them.
+
+A single task may be long by itself. When the lower half of a worker's tasks makes far
+less progress than their estimates and the worker's learned speed promise, the worker is
+slow: what can begin or resume elsewhere sooner than it would end here is moved.
+"""
+
+from __future__ import annotations
+
+import statistics
+from collections.abc import Iterable
+
+from redwingrun.jobs.jobbook import Job
+from redwingrun.jobs.placement import reserved_size, suits, usable
+from redwingrun.jobs.slicestate import SliceState
+from redwingrun.jobs.speeds import Speeds
+from redwingrun.jobs.workerpool import Run, RunPhase, Worker
+
+MS_PER_S = 1000
+WHOLE_PERCENT = 100
+# Progress says nothing before a run has worked for so long.
+FIRST_LOOK_S = 0.5
+# Progress is told in whole percent: no percent yet is at most this much.
+LEAST_PERCENT = 0.5
+# One long task among two says nothing about the worker.
+LEAST_RUNS = 2
+# A worker that takes this many times as long as it should is slow.
+SLOW_FACTOR = 2.5
+# What a move costs: the stop, and the start elsewhere.
+MOVE_S = 1.2
+RESUME_S = 0.3
+# Moved only if the time left here is this many times that elsewhere.
+GAIN = 1.5
+
+
+class LaggardWatch:
+    """Judges workers by their reports, and names the runs to move.
+
+    :param speeds: learned speeds; read only.
+    """
+
+    def __init__(self, state: SliceState, speeds: Speeds):
+        self._state = state
+        self._speeds = speeds
+
+    def judge(self, worker: Worker, now_s: float) -> None:
+        """Note how many times as long as it should a worker takes now."""
+        factors = [
+            factor
+            for run in worker.run_by_id.values()
+            if (factor := self._factor(worker, run, now_s)) is not None
+        ]
+        if len(factors) < LEAST_RUNS:
+            return
+        worker.slow_factor = max(1.0, statistics.median_low(factors))
+        worker.judged_s = now_s
+
+    def runs_to_move(self, now_s: float) -> Iterable[tuple[Worker, Run]]:
+        """Return the runs on slow workers that would end sooner elsewhere."""
+        for worker in self._state.worker_by_id.values():
+            if worker.slowdown(now_s) < SLOW_FACTOR:
+                continue
+            for run in list(worker.run_by_id.values()):
+                if self._is_worth_moving(worker, run, now_s):
+                    self._state.job_by_id[run.run_id.task.job].moved.add(
+                        run.run_id.task
+                    )
+                    yield worker, run
+
+    def _job(self, run: Run) -> Job | None:
+        """Return the job of a run whose progress can be judged."""
+        job = self._state.job_by_id.get(run.run_id.task.job)
+        if job is None or job.is_final or run.phase is not RunPhase.ALIVE:
+            return None
+        step = job.step(run.run_id.task.step_id)
+        if step.lasting or step.gang or step.filler or not step.estimate_ms:
+            return None
+        return job
+
+    def _usual_s(self, job: Job, run: Run) -> float:
+        """Return how long a task of this step takes on an average worker."""
+        step = job.step(run.run_id.task.step_id)
+        return step.estimate_ms / MS_PER_S * self._speeds.bias(job.queue.name)
+
+    def _whole_s(self, run: Run, now_s: float) -> float | None:
+        """Return how long a run will have taken, by its progress so far."""
+        if run.settled_s is None or now_s - run.settled_s < FIRST_LOOK_S:
+            return None
+        percent = max(LEAST_PERCENT, run.percent)
+        return (now_s - run.settled_s) * WHOLE_PERCENT / percent
+
+    def _factor(self, worker: Worker, run: Run, now_s: float) -> float | None:
+        job = self._job(run)
+        whole_s = self._whole_s(run, now_s)
+        if job is None or whole_s is None:
+            return None
+        info = worker.info
+        slowness = self._speeds.slowness(info.worker_id, info.kind)
+        return whole_s / (self._usual_s(job, run) * slowness)
+
+    def _is_worth_moving(self, worker: Worker, run: Run, now_s: float) -> bool:
+        job = self._job(run)
+        whole_s = self._whole_s(run, now_s)
+        if job is None or whole_s is None or run.run_id.task in job.moved:
+            return False
+        left_s = whole_s - (now_s - run.settled_s)
+        elsewhere_s = self._usual_s(job, run)
+        if job.step(run.run_id.task.step_id).checkpointed:
+            elsewhere_s = left_s / worker.slow_factor + RESUME_S
+        if left_s < GAIN * elsewhere_s + MOVE_S:
+            return False
+        return self._has_room_elsewhere(job, run, now_s)
+
+    def _has_room_elsewhere(self, job: Job, run: Run, now_s: float) -> bool:
+        step_id = run.run_id.task.step_id
+        step = job.step(step_id)
+        size = reserved_size(step)
+        gate = self._state.gate_by_step.get(step_id)
+        return any(
+            worker.listed
+            and worker.info.pool == job.queue.pool
+            and usable(worker, now_s)
+            and suits(step, worker)
+            and worker.slowdown(now_s) < SLOW_FACTOR
+            and worker.fits(size)
+            and (gate is None or gate.may_allow(worker.worker_id))
+            for worker in self._state.worker_by_id.values()
+        )
--- a/redwingrun/jobs/member.py
+++ b/redwingrun/jobs/member.py
@@ -64,7 +64,7 @@
 # An owner whose row stands still for so long is looked for at its address.
 GONE_LOOK_S = 0.8
 # An owner that could store nothing for so long looks for a peer that can.
-HAND_OVER_S = 0.9
+HAND_OVER_S = 0.65
 MIND_S = 0.2
 OWN_LOOK_S = 0.8
 # A peer that has read the owner's row within this time reaches the table.
--- a/redwingrun/jobs/placement.py
+++ b/redwingrun/jobs/placement.py
@@ -96,7 +96,7 @@
         """
         size = reserved_size(view.step)
         open_workers = self._open_workers(view, size, workers, now_s)
-        ranked = self.ranked(view, open_workers)
+        ranked = self.ranked(view, open_workers, now_s)
         if view.step.same_rack:
             return self._in_one_rack(view, indexes, ranked, now_s)
         chosen = self._fill(view, indexes, ranked, now_s)
@@ -104,11 +104,13 @@
             return []
         return chosen
 
-    def ranked(self, view: StepView, workers: Iterable[Worker]) -> list[Worker]:
+    def ranked(
+        self, view: StepView, workers: Iterable[Worker], now_s: float
+    ) -> list[Worker]:
         """Return workers, best first."""
-        return sorted(workers, key=lambda worker: self._cost(view, worker))
+        return sorted(workers, key=lambda worker: self._cost(view, worker, now_s))
 
-    def _cost(self, view: StepView, worker: Worker) -> float:
+    def _cost(self, view: StepView, worker: Worker, now_s: float) -> float:
         info = worker.info
         cost = self._speeds.slowness(info.worker_id, info.kind)
         if view.step.data_rack and view.step.data_rack != info.rack:
@@ -116,6 +118,7 @@
         if not view.urgent:
             # Work that can wait leaves the fast workers to work that can't.
             cost = max(cost, 1.0) if view.step.data_rack else 1.0
+        cost *= worker.slowdown(now_s)
         if _disturbs(view.step, worker):
             cost += DISTURBED_COST
         return cost - FREE_WEIGHT * worker.free_share
--- a/redwingrun/jobs/stepserver.py
+++ b/redwingrun/jobs/stepserver.py
@@ -173,5 +173,5 @@
             and worker.fits(size)
             and gate.ticket(worker.worker_id, worker.info.born_ms, now_s) is None
         ]
-        ranked = self._placer.ranked(view, candidates)
+        ranked = self._placer.ranked(view, candidates, now_s)
         return tuple(worker.worker_id for worker in ranked[:MAX_NAMED])
--- a/redwingrun/jobs/workerpool.py
+++ b/redwingrun/jobs/workerpool.py
@@ -8,6 +8,9 @@
 
 from redwingrun.jobs.spec import RunId, StepId, TaskSize
 
+# A judgement of a worker's speed is worth so long; its reports bring newer ones.
+JUDGED_S = 2.0
+
 
 @frozen
 class WorkerInfo:
@@ -75,6 +78,8 @@
     :param avoid_until_s: steady time until which nothing new is placed there.
     :param paced_s: steady time of the last change of pace there.
     :param listed: whether it is registered now.
+    :param slow_factor: how many times as long as it should its work took lately.
+    :param judged_s: steady time of that judgement.
     :param seen_end: number of the last end that was taken in.
     """
 
@@ -86,6 +91,8 @@
     lapse_s: float = 0
     avoid_until_s: float = 0
     paced_s: float = 0
+    slow_factor: float = 1.0
+    judged_s: float = 0
     run_by_id: dict[RunId, Run] = field(factory=dict)
     cpu_used: int = 0
     memory_used: int = 0
@@ -97,6 +104,10 @@
         """The worker's name."""
         return self.info.worker_id
 
+    def slowdown(self, now_s: float) -> float:
+        """Return how many times as long as usual the worker takes, as last judged."""
+        return self.slow_factor if now_s - self.judged_s < JUDGED_S else 1.0
+
     def fits(self, size: TaskSize) -> bool:
         """Tell whether a task of this size can start without passing the capacity."""
         capacity = self.info.capacity
--- a/redwingrun/jobs/workerreports.py
+++ b/redwingrun/jobs/workerreports.py
@@ -5,6 +5,7 @@
 from attrs import evolve
 
 from redwingrun.jobs.jobbook import Job, apply_end, note_completion
+from redwingrun.jobs.laggards import LaggardWatch
 from redwingrun.jobs.pacing import pace_orders
 from redwingrun.jobs.slicestate import SliceState
 from redwingrun.jobs.spec import (
@@ -43,6 +44,7 @@
     def __init__(self, state: SliceState, speeds: Speeds):
         self._state = state
         self._speeds = speeds
+        self._laggards = LaggardWatch(state, speeds)
         self._failed_jobs_by_worker: dict[str, set[str]] = {}
         self._looked_s = 0.0
         self._paces: list[PaceOrder] = []
@@ -52,6 +54,9 @@
         if now_s - self._looked_s > LOOK_EVERY_S:
             self._looked_s = now_s
             self.stop_stuck(now_s)
+            for worker, run in self._laggards.runs_to_move(now_s):
+                why = f"slow by {worker.slow_factor:.1f} at {run.percent:g} %"
+                self._state.stop(run.run_id, worker, why)
 
     def take_paces(self) -> tuple[PaceOrder, ...]:
         """Return the changes of pace that the reports since the last call ask for."""
@@ -227,6 +232,7 @@
             if task is not None and sighting.checkpoint:
                 task.checkpoint = sighting.checkpoint
         self._paces += pace_orders(worker, now_s)
+        self._laggards.judge(worker, now_s)
 
     def _take_stray(
         self, worker: Worker, job: Job | None, run_id: RunId, now_s: float
--- a/redwingrun/platform/workers.py
+++ b/redwingrun/platform/workers.py
@@ -24,7 +24,8 @@
 from redwingrun.platform.calls import JSON_HEADERS, Answer, decoded
 from redwingrun.platform.fields import BadFieldError, items, number, whole
 
-ORDER_TIMEOUT_S = 0.6
+# An order is sent again to the same minion: one that got lost costs this much.
+ORDER_TIMEOUT_S = 0.35
 HOLD_SLACK_S = 0.8
 CONNECT_TIMEOUT_S = 0.4
 MS_PER_S = 1000
