A worker is slow when it lags behind the others on the same step

Estimates of whole steps are far off (by half and more), so all tasks of job lagged behind theirs, on five workers at once. Change: a task's lag is taken against the median of its step's tasks on other workers, of which three must tell. Test: a step of twelve tasks that takes eight times its estimate moves none.

--- a/redwingrun/jobs/laggards.py
+++ b/redwingrun/jobs/laggards.py
@@ -1,8 +1,9 @@
 """Workers that have become slow, by the progress of what runs on them.
 
-A single task may be long by itself. When the lower half of a worker's tasks makes far
-less progress than their estimates and the worker's learned speed promise, the worker is
-slow: what can begin or resume elsewhere sooner than it would end here is moved.
+A single task may be long by itself, and the estimate of a whole step may be far off. So
+a task is compared with those of its step on other workers, and the lower half of what
+runs on a worker must lag. Then what can begin or resume elsewhere sooner than it would
+end here is moved.
 """
 
 from __future__ import annotations
@@ -13,6 +14,7 @@
 from redwingrun.jobs.jobbook import Job
 from redwingrun.jobs.placement import reserved_size, suits, usable
 from redwingrun.jobs.slicestate import SliceState
+from redwingrun.jobs.spec import StepId
 from redwingrun.jobs.speeds import Speeds
 from redwingrun.jobs.workerpool import Run, RunPhase, Worker
 
@@ -24,6 +26,8 @@
 LEAST_PERCENT = 0.5
 # One long task among two says nothing about the worker.
 LEAST_RUNS = 2
+# So many tasks on other workers must tell how the same step fares there.
+LEAST_OTHERS = 3
 # A worker that takes this many times as long as it should is slow.
 SLOW_FACTOR = 2.5
 # What a move costs: the stop, and the start elsewhere.
@@ -42,19 +46,50 @@
     def __init__(self, state: SliceState, speeds: Speeds):
         self._state = state
         self._speeds = speeds
+        self._factors_by_step: dict[StepId, dict[str, list[float]]] = {}
 
     def judge(self, worker: Worker, now_s: float) -> None:
         """Note how many times as long as it should a worker takes now."""
-        factors = [
-            factor
-            for run in worker.run_by_id.values()
-            if (factor := self._factor(worker, run, now_s)) is not None
-        ]
-        if len(factors) < LEAST_RUNS:
+        factors_by_step: dict[StepId, list[float]] = {}
+        for run in worker.run_by_id.values():
+            factor = self._factor(worker, run, now_s)
+            if factor is not None:
+                step_id = run.run_id.task.step_id
+                factors_by_step.setdefault(step_id, []).append(factor)
+        lags: list[float] = []
+        for step_id, factors in factors_by_step.items():
+            elsewhere = self._note(step_id, worker, factors)
+            if elsewhere is not None:
+                lags += [factor / elsewhere for factor in factors]
+        if len(lags) < LEAST_RUNS:
             return
-        worker.slow_factor = max(1.0, statistics.median_low(factors))
+        worker.slow_factor = max(1.0, statistics.median_low(lags))
         worker.judged_s = now_s
 
+    def _note(
+        self, step_id: StepId, worker: Worker, factors: list[float]
+    ) -> float | None:
+        """Note how a step's tasks fare on a worker.
+
+        :return: how they fare on the others, ``None`` if too few tell.
+        """
+        by_worker = self._factors_by_step.setdefault(step_id, {})
+        by_worker[worker.worker_id] = factors
+        others = [
+            factor
+            for name, told in by_worker.items()
+            if name != worker.worker_id
+            for factor in told
+        ]
+        if len(others) < LEAST_OTHERS:
+            return None
+        return max(1.0, statistics.median_low(others))
+
+    def forget_job(self, job_id: str) -> None:
+        """Drop what was noted of a job that has ended."""
+        for step_id in [key for key in self._factors_by_step if key.job == job_id]:
+            del self._factors_by_step[step_id]
+
     def runs_to_move(self, now_s: float) -> Iterable[tuple[Worker, Run]]:
         """Return the runs on slow workers that would end sooner elsewhere."""
         for worker in self._state.worker_by_id.values():
--- a/tests/jobs/test_laggards.py
+++ b/tests/jobs/test_laggards.py
@@ -47,6 +47,13 @@
     assert pool.watch(0.9, percent) == []
 
 
+def test_a_step_that_takes_longer_than_estimated_says_nothing_about_workers():
+    """In an incident 111 tasks were moved in vain: their estimates were far off."""
+    pool = Pool()
+    pool.begin(step(12, 2.0))
+    assert pool.watch(2.0, lambda run_id, since_s: since_s * 6) == []
+
+
 def test_nothing_new_begins_on_a_slow_worker_while_others_have_room():
     """Its place in the order is that of a worker several times as slow."""
     pool = Pool()
