A new owner reads registrations, progress and submissions at the same time

Both parts are still claimed before progress and submissions are read: a former owner may write until then. A job that is known as finished stays so also when its submission is read later. Before: tests/jobs pass; after: pass.

--- a/redwingrun/jobs/sliceowner.py
+++ b/redwingrun/jobs/sliceowner.py
@@ -31,6 +31,7 @@
     WorkerPort,
     WorkerRegistry,
 )
+from redwingrun.jobs.progress import JobProgress
 from redwingrun.jobs.questions import Lane, Lanes
 from redwingrun.jobs.rows import (
     CANCEL_SUFFIX,
@@ -246,12 +247,21 @@
     async def _load_all(self) -> None:
         self.engine.set_time(self._parts.unix_ms())
         self.engine.set_inherited_lapse(self.now() + INHERITED_LEASE_S)
-        version = await self._load_workers()
-        jobs_version = await self._load_jobs()
+        # Before both parts are claimed a former owner may still write.
+        workers, _ = await asyncio.gather(
+            self._persist(self._parts.registry.load),
+            self._persist(self._journal.claim_standby),
+        )
+        progress_by_id, submissions = await asyncio.gather(
+            self._persist(lambda: self._journal.load(self._parts.table)),
+            self._persist(self._all_jobs),
+        )
+        self._take_workers(workers)
+        self._take_all_jobs(progress_by_id, submissions.rows)
         for worker_id in list(self.engine.worker_by_id):
             self._link(worker_id)
-        self.spawn(self._follow_workers(version))
-        self.spawn(self._follow_jobs(jobs_version))
+        self.spawn(self._follow_workers(workers.version))
+        self.spawn(self._follow_jobs(submissions.version))
         self.log.event(
             "owner-loaded",
             fence=self.fence,
@@ -259,26 +269,18 @@
             workers=len(self.engine.worker_by_id),
         )
 
-    async def _load_workers(self) -> int:
-        changes = await self._persist(self._parts.registry.load)
-        self._take_workers(changes)
-        return changes.version
-
-    async def _load_jobs(self) -> int:
-        table = self._parts.table
-        await self._persist(self._journal.claim_standby)
-        progress_by_id = await self._persist(lambda: self._journal.load(table))
-        snapshot = await self._persist(self._all_jobs)
-        for row in snapshot.rows:
-            job_id = last_part(row.key)
-            done = progress_by_id.get(job_id)
-            if done is not None and done.state.is_final:
+    def _take_all_jobs(
+        self, progress_by_id: dict[str, JobProgress], rows: tuple[Row, ...]
+    ) -> None:
+        for job_id, progress in progress_by_id.items():
+            if progress.state.is_final:
                 self.engine.note_finished(job_id)
-            elif not job_id.endswith(CANCEL_SUFFIX):
-                self._add_job(row, done)
-        for row in snapshot.rows:
+        for row in rows:
+            job_id = last_part(row.key)
+            if not job_id.endswith(CANCEL_SUFFIX):
+                self._add_job(row, progress_by_id.get(job_id))
+        for row in rows:
             self._take_cancel(row)
-        return snapshot.version
 
     async def _all_jobs(self) -> Snapshot:
         """Read the submissions of all parts."""
@@ -306,6 +308,8 @@
             except (TableUnavailable, TableUnknown) as error:
                 self.log.event("owner-read-failed", why=str(error))
                 await asyncio.sleep(FEED_RETRY_S)
+            except Deposed as error:
+                self.note_deposed(str(error))
         raise Deposed(self._deposed)
 
     async def _cycle(self) -> None:
