--- a/redwingrun/jobs/laggards.py
+++ b/redwingrun/jobs/laggards.py
@@ -29,7 +29,7 @@
 # So many tasks on other workers must tell how the same step fares there.
 LEAST_OTHERS = 3
 # A worker that takes this many times as long as it should is slow.
-SLOW_FACTOR = 2.5
+SLOW_FACTOR = 3.0
 # What a move costs: the stop, and the start elsewhere.
 MOVE_S = 1.2
 RESUME_S = 0.3
--- a/redwingrun/jobs/sliceowner.py
+++ b/redwingrun/jobs/sliceowner.py
@@ -12,11 +12,6 @@
 
 from redwingrun.coordination.clock import Clock
 from redwingrun.coordination.table import (
-    HistoryLost,
-    Row,
-    Snapshot,
-    TableUnavailable,
-    TableUnknown,
     WatchedTable,
 )
 from redwingrun.coordination.verdict import Failure
@@ -26,27 +21,19 @@
 from redwingrun.jobs.ownerjournal import OwnerJournal
 from redwingrun.jobs.ports import (
     PolicyAnswer,
-    WorkerChanges,
     WorkerFault,
     WorkerPort,
     WorkerRegistry,
 )
-from redwingrun.jobs.progress import JobProgress
 from redwingrun.jobs.questions import Lane, Lanes
-from redwingrun.jobs.rows import (
-    CANCEL_SUFFIX,
-    jobs_prefix,
-    jobs_prefixes,
-    last_part,
-)
 from redwingrun.jobs.slicejournal import Deposed
+from redwingrun.jobs.slicereader import SliceReader
 from redwingrun.jobs.spec import (
     QueueSet,
     RunId,
     StepId,
-    decode_submission,
 )
-from redwingrun.jobs.workerlink import LEASE_S, SLOWEST_CLOCK, WorkerLink
+from redwingrun.jobs.workerlink import WorkerLink
 from redwingrun.jobs.workerpool import AskOrder, PaceOrder, StartOrder, StopOrder
 from redwingrun.logs import Log
 from redwingrun.metrics import Metrics
@@ -57,20 +44,10 @@
 # Changes that start nothing are stored together with those that come soon after.
 GATHER_S = 0.04
 GATHER_LEAST_S = 0.001
-FEED_WAIT_S = 1.0
-FEED_RETRY_S = 0.2
-# Heartbeats change the registrations all the time; they are read together. Of jobs
-# the owner hears from its peers first.
-REGISTRY_PAUSE_S = 0.25
-JOBS_PAUSE_S = 0.25
 ASK_RETRY_S = 0.1
 ASK_SLACK_S = 1.0
 # A planned stop waits so long for the table to take the hand-over.
 GIVE_UP_S = 1.0
-# A former owner that lost the store stops renewing leases within this time.
-STEP_DOWN_S = 3.0
-# What a former owner may have promised a worker that this one can't reach.
-INHERITED_LEASE_S = STEP_DOWN_S + LEASE_S / SLOWEST_CLOCK + 1.0
 
 
 @frozen
@@ -98,11 +75,12 @@
     """Owns a slice from a claim until it is deposed or gives up.
 
     :param journal: the claim.
+    :ivar deposed: why the ownership is over; empty while it is not.
     """
 
     def __init__(self, journal: OwnerJournal, parts: OwnerParts, queues: QueueSet):
-        self._journal = journal
-        self._parts = parts
+        self.journal = journal
+        self.parts = parts
         self.engine = Engine(parts.settings)
         self.engine.set_queues(queues)
         self.log = parts.log
@@ -112,12 +90,12 @@
         self._kicked = asyncio.Event()
         self._stored = asyncio.Event()
         self._durable: dict[str, int] = {}
-        self._deposed = ""
+        self.deposed = ""
         self._giving_up: str | None = None
         self._committed_s = parts.clock.now()
         self._stored_s = 0.0
         self._unsaved: set[str] = set()
-        self._is_loaded = False
+        self._reader = SliceReader(self)
         self._waiting: dict[str, int] = {}
 
     # What the links use.
@@ -125,11 +103,11 @@
     @property
     def fence(self) -> int:
         """The fence of each order."""
-        return self._journal.fence
+        return self.journal.fence
 
     def now(self) -> float:
         """Return steady seconds."""
-        return self._parts.clock.now()
+        return self.parts.clock.now()
 
     def kick(self) -> None:
         """Let the engine plan soon."""
@@ -170,8 +148,8 @@
 
     def note_deposed(self, why: str) -> None:
         """Stop owning the slice."""
-        self._deposed = self._deposed or why
-        self._journal.abandon()
+        self.deposed = self.deposed or why
+        self.journal.abandon()
         self.kick()
 
     def log_order(
@@ -195,16 +173,16 @@
         """Own the slice; returns why that ended."""
         try:
             await self._load()
-            while not self._deposed and self._giving_up is None:
+            while not self.deposed and self._giving_up is None:
                 await self._cycle()
-            if self._giving_up is not None and not self._deposed:
-                await self._journal.give_up(self._giving_up)
+            if self._giving_up is not None and not self.deposed:
+                await self.journal.give_up(self._giving_up)
                 return "given up"
         except Deposed as error:
-            self._deposed = str(error)
+            self.deposed = str(error)
         finally:
             await cancel_all(self._tasks)
-        return self._deposed
+        return self.deposed
 
     def give_up(self, successor: str) -> None:
         """Hand the slice to others, after what is being stored."""
@@ -217,6 +195,13 @@
         """Return how long nothing was stored."""
         return self.now() - self._committed_s
 
+    def hear(self, job_id: str, submission: str) -> None:
+        """Take a job or a cancellation that the table holds already.
+
+        :param submission: empty for a cancellation.
+        """
+        self._reader.hear(job_id, submission)
+
     def set_queues(self, queues: QueueSet) -> None:
         """Take a newer configuration."""
         self.engine.set_queues(queues)
@@ -227,16 +212,15 @@
         loaded = asyncio.Event()
         renewing = asyncio.get_running_loop().create_task(self._renew_until(loaded))
         try:
-            await self._load_all()
+            await self._reader.load()
         finally:
             loaded.set()
             await renewing
-        self._is_loaded = True
 
     async def _renew_until(self, loaded: asyncio.Event) -> None:
         while not loaded.is_set():
             try:
-                await self._journal.commit({}, self._waiting, self.spawn)
+                await self.journal.commit({}, self._waiting, self.spawn)
             except Deposed as error:
                 self.note_deposed(str(error))
                 return
@@ -244,79 +228,11 @@
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(loaded.wait(), RENEW_S)
 
-    async def _load_all(self) -> None:
-        self.engine.set_time(self._parts.unix_ms())
-        self.engine.set_inherited_lapse(self.now() + INHERITED_LEASE_S)
-        # Before both parts are claimed a former owner may still write.
-        workers, _ = await asyncio.gather(
-            self._persist(self._parts.registry.load),
-            self._persist(self._journal.claim_standby),
-        )
-        progress_by_id, submissions = await asyncio.gather(
-            self._persist(lambda: self._journal.load(self._parts.table)),
-            self._persist(self._all_jobs),
-        )
-        self._take_workers(workers)
-        self._take_all_jobs(progress_by_id, submissions.rows)
-        for worker_id in list(self.engine.worker_by_id):
-            self._link(worker_id)
-        self.spawn(self._follow_workers(workers.version))
-        self.spawn(self._follow_jobs(submissions.version))
-        self.log.event(
-            "owner-loaded",
-            fence=self.fence,
-            jobs=len(self.engine.job_by_id),
-            workers=len(self.engine.worker_by_id),
-        )
-
-    def _take_all_jobs(
-        self, progress_by_id: dict[str, JobProgress], rows: tuple[Row, ...]
-    ) -> None:
-        for job_id, progress in progress_by_id.items():
-            if progress.state.is_final:
-                self.engine.note_finished(job_id)
-        for row in rows:
-            job_id = last_part(row.key)
-            if not job_id.endswith(CANCEL_SUFFIX):
-                self._add_job(row, progress_by_id.get(job_id))
-        for row in rows:
-            self._take_cancel(row)
-
-    async def _all_jobs(self) -> Snapshot:
-        """Read the submissions of all parts."""
-        prefixes = jobs_prefixes(self._journal.slice_name)
-        table = self._parts.table
-        parts = await asyncio.gather(*(table.snapshot(prefix) for prefix in prefixes))
-        rows = tuple(row for part in parts for row in part.rows)
-        return Snapshot(rows, min(part.version for part in parts))
-
-    def _add_job(self, row: Row, progress: Any) -> None:
-        job_id = last_part(row.key)
-        submission = decode_submission(row.value)
-        self.engine.add_job(job_id, submission, progress, self.now())
-
-    def _take_cancel(self, row: Row) -> None:
-        job_id = last_part(row.key)
-        if job_id.endswith(CANCEL_SUFFIX):
-            self.engine.cancel_job(job_id.removesuffix(CANCEL_SUFFIX))
-
-    async def _persist(self, read: Callable[[], Coroutine[Any, Any, Any]]) -> Any:
-        """Read until the table answers."""
-        while not self._deposed:
-            try:
-                return await read()
-            except (TableUnavailable, TableUnknown) as error:
-                self.log.event("owner-read-failed", why=str(error))
-                await asyncio.sleep(FEED_RETRY_S)
-            except Deposed as error:
-                self.note_deposed(str(error))
-        raise Deposed(self._deposed)
-
     async def _cycle(self) -> None:
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._kicked.wait(), self._pause_s())
         self._kicked.clear()
-        self.engine.set_time(self._parts.unix_ms())
+        self.engine.set_time(self.parts.unix_ms())
         plan = self.engine.plan(self.now())
         for stop in plan.stops:
             self._send_stop(stop)
@@ -357,10 +273,10 @@
         if progress or not idle:
             self._stored_s = started_s
             self._waiting = self.engine.waiting_by_queue()
-            await self._journal.commit(progress, self._waiting, self.spawn)
+            await self.journal.commit(progress, self._waiting, self.spawn)
             self._committed_s = started_s
             self._log_finished(changed)
-            self._parts.metrics.seconds("commit_s", self.now() - started_s)
+            self.parts.metrics.seconds("commit_s", self.now() - started_s)
         self._durable.update(numbers)
         self._stored.set()
         self._stored = asyncio.Event()
@@ -401,7 +317,7 @@
         if link is None or not self.engine.is_wanted(order):
             self.engine.withdraw(order)
             return
-        self._parts.metrics.count("starts_total")
+        self.parts.metrics.count("starts_total")
         self.spawn(link.start(order))
 
     def _send_stop(self, order: StopOrder) -> None:
@@ -423,11 +339,12 @@
         if link is not None:
             self.spawn(link.pace(order))
 
-    def _link(self, worker_id: str) -> None:
+    def link(self, worker_id: str) -> None:
+        """Keep a worker held, if that is not done yet."""
         worker = self.engine.worker_by_id.get(worker_id)
         if worker is None or worker_id in self._link_by_worker:
             return
-        link = WorkerLink(self, self._parts.workers, worker_id)
+        link = WorkerLink(self, self.parts.workers, worker_id)
         self._link_by_worker[worker_id] = link
         self.spawn(self._run_link(worker_id, link))
 
@@ -438,107 +355,13 @@
             self._link_by_worker.pop(worker_id, None)
             self.forget_durable(worker_id)
 
-    def _take_workers(self, changes: WorkerChanges) -> None:
-        for info in changes.workers:
-            self.engine.see_worker(info)
-        if changes.whole:
-            listed = {info.worker_id for info in changes.workers}
-            gone = [key for key in self.engine.worker_by_id if key not in listed]
-        else:
-            gone = list(changes.gone)
-        for worker_id in gone:
-            self.engine.unlist_worker(worker_id)
-
-    async def _follow_workers(self, version: int) -> None:
-        registry = self._parts.registry
-        while True:
-            try:
-                changes = await registry.changes(version, FEED_WAIT_S)
-            except HistoryLost:
-                changes = await self._reload(registry.load)
-            except (TableUnavailable, TableUnknown) as error:
-                self.log.detail("registry-feed-failed", why=str(error))
-                await asyncio.sleep(FEED_RETRY_S)
-                continue
-            if changes is None:
-                continue
-            version = changes.version
-            self._take_workers(changes)
-            for info in changes.workers:
-                self._link(info.worker_id)
-            if changes.workers or changes.gone:
-                self.kick()
-            await asyncio.sleep(REGISTRY_PAUSE_S)
-
-    async def _follow_jobs(self, version: int) -> None:
-        prefix = jobs_prefix(self._journal.slice_name)
-        table = self._parts.table
-        failed = False
-        while True:
-            try:
-                changes = await table.changes(prefix, version, FEED_WAIT_S)
-            except HistoryLost:
-                changes = await self._reload(self._all_jobs)
-            except (TableUnavailable, TableUnknown) as error:
-                self.log.detail("jobs-feed-failed", why=str(error))
-                failed = True
-                await asyncio.sleep(FEED_RETRY_S)
-                continue
-            if changes is None:
-                continue
-            version = changes.version
-            self._take_jobs(changes.rows)
-            if failed:
-                # Some parts may have been away, and what they hold passed over.
-                failed = not await self._read_jobs_again()
-            await asyncio.sleep(JOBS_PAUSE_S)
-
-    async def _read_jobs_again(self) -> bool:
-        snapshot = await self._reload(self._all_jobs)
-        if snapshot is not None:
-            self._take_jobs(snapshot.rows)
-        return snapshot is not None
-
-    async def _reload(self, read: Callable[[], Coroutine[Any, Any, Any]]) -> Any:
-        try:
-            return await read()
-        except (TableUnavailable, TableUnknown) as error:
-            self.log.event("reload-failed", why=str(error))
-            await asyncio.sleep(FEED_RETRY_S)
-            return None
-
-    def hear(self, job_id: str, submission: str) -> None:
-        """Take a job or a cancellation that the table holds already.
-
-        What comes before everything is read is found there.
-
-        :param submission: empty for a cancellation.
-        """
-        if not self._is_loaded:
-            return
-        if submission:
-            job = decode_submission(submission)
-            self.engine.add_job(job_id, job, None, self.now())
-        else:
-            self.engine.cancel_job(job_id)
-        self.kick()
-
-    def _take_jobs(self, rows: tuple[Row, ...]) -> None:
-        for row in rows:
-            if not last_part(row.key).endswith(CANCEL_SUFFIX):
-                self._add_job(row, None)
-        for row in rows:
-            self._take_cancel(row)
-        if rows:
-            self.kick()
-
     async def _ask(self, order: AskOrder) -> None:
         now_s = self.now()
         lane = self.lanes.choose(order.decide_s, now_s)
         waits_s = max(0.0, lane.busy_until_s - now_s)
-        answer = await self._parts.ask(lane, order, waits_s + ASK_SLACK_S)
+        answer = await self.parts.ask(lane, order, waits_s + ASK_SLACK_S)
         self.engine.question_ended(order)
-        self._parts.metrics.seconds("policy_s", self.now() - now_s)
+        self.parts.metrics.seconds("policy_s", self.now() - now_s)
         if answer.is_error():
             self.lanes.failed(lane, self.now())
             self.log.event(
