--- a/tests/jobs/test_engine_mutants.py
+++ b/tests/jobs/test_engine_mutants.py
@@ -109,7 +109,7 @@
 
 
 def test_ends_are_acknowledged_only_when_they_are_stored(monkeypatch):
-    """The search does not hit the moment; this trace does, with the rule and without."""
+    """The search does not hit the moment; this trace does."""
     assert ends_while_the_table_is_away() == []
     monkeypatch.setattr(SliceOwner, "durable_end", _acknowledge_at_once)
     assert any(text.startswith("TWICE") for text in ends_while_the_table_is_away())
