--- a/redwingrun/jobs/laggards.py
+++ b/redwingrun/jobs/laggards.py
@@ -85,13 +85,16 @@
             return None
         return max(1.0, statistics.median_low(others))
 
-    def forget_job(self, job_id: str) -> None:
-        """Drop what was noted of a job that has ended."""
-        for step_id in [key for key in self._factors_by_step if key.job == job_id]:
-            del self._factors_by_step[step_id]
+    def _forget_ended(self) -> None:
+        """Drop what was noted of jobs that have ended."""
+        for step_id in list(self._factors_by_step):
+            job = self._state.job_by_id.get(step_id.job)
+            if job is None or job.is_final:
+                del self._factors_by_step[step_id]
 
     def runs_to_move(self, now_s: float) -> Iterable[tuple[Worker, Run]]:
         """Return the runs on slow workers that would end sooner elsewhere."""
+        self._forget_ended()
         for worker in self._state.worker_by_id.values():
             if worker.slowdown(now_s) < SLOW_FACTOR:
                 continue
--- a/redwingrun/jobs/workerreports.py
+++ b/redwingrun/jobs/workerreports.py
@@ -185,7 +185,6 @@
             return
         if job.is_final:
             self._state.finish(job)
-            self._laggards.forget_job(job.job_id)
         else:
             self._state.open(job, step_id.occurrence)
 
--- a/tests/jobs/test_dark_parts.py
+++ b/tests/jobs/test_dark_parts.py
@@ -43,6 +43,21 @@
     assert world.state(job_id(1)) is JobState.COMPLETED
 
 
+def test_an_old_row_of_the_standby_part_does_not_make_a_job_run_again(world: World):
+    """It was running in a first dark time and had ended before the second one."""
+    world.submit(job_id(1), job(step(3, 2.0), step(2, 3.0, after=(0,))))
+    world.run(1.0)
+    world.dark_parts = {OWNERS_PART}
+    world.run(3.0)
+    world.dark_parts = set()
+    world.run(4.0)
+    assert world.state(job_id(1)) is JobState.COMPLETED
+    fresh = world.add_member_now("m9")
+    world.dark_parts = {OWNERS_PART}
+    result = world.ask_state(fresh, job_id(1))
+    assert result.is_error() or result.ok is JobState.COMPLETED
+
+
 def test_what_was_stored_meanwhile_is_known_to_the_next_owner(world: World):
     """The owner dies before its own part is back: the next one reads both."""
     world.submit(job_id(1), job(step(3, 2.0), step(2, 6.0, after=(0,))))
