--- a/redwingrun/jobs/jobpeerservice.py
+++ b/redwingrun/jobs/jobpeerservice.py
@@ -78,5 +78,5 @@
         if request.claim:
             self._member.look_now(request.hands_over)
         await stream.send_message(
-            LookReply(table_silent_s=self._member.owner_row_age_s())
+            LookReply(owner_row_age_s=self._member.owner_row_age_s())
         )
--- a/redwingrun/jobs/peerlinks.py
+++ b/redwingrun/jobs/peerlinks.py
@@ -200,4 +200,4 @@
             return None
         request = LookRequest(claim=claim, hands_over=hands_over)
         reply = await self._client.call(address, "Look", request, LOOK_TIMEOUT_S)
-        return reply.ok.table_silent_s if reply.is_ok() else None
+        return reply.ok.owner_row_age_s if reply.is_ok() else None
--- a/tests/jobs/test_workerreports.py
+++ b/tests/jobs/test_workerreports.py
@@ -101,50 +101,49 @@
                 yield run_id, worker.worker_id
 
 
+def watched_gang(percent) -> list[str]:
+    """Watch a gang of six for ten seconds; returns why runs were stopped."""
+    pool = Pool()
+    pool.begin(step(6, 4.0, gang=True))
+    return pool.watch(10.0, percent)
+
+
 def test_members_of_a_gang_that_are_through_wait_for_the_slower_ones():
     """They end together: whoever stands at its end is not stuck.
 
     In an incident two gangs lost all their work this way, one of them twice.
     """
-    pool = Pool()
-    pool.begin(step(6, 4.0, gang=True))
 
     def percent(run_id, since_s):
         quick = run_id.task.index < 3
         return min(100, since_s * (100 if quick else 8))
 
-    assert pool.watch(10.0, percent) == []
+    assert watched_gang(percent) == []
 
 
 def test_a_gang_that_stands_still_is_stopped():
     """A member that makes no progress before its end holds up all others."""
-    pool = Pool()
-    pool.begin(step(6, 4.0, gang=True))
 
     def percent(run_id, since_s):
         return 40 if run_id.task.index == 2 else min(100, since_s * 50)
 
-    whys = pool.watch(10.0, percent)
+    whys = watched_gang(percent)
     assert any(why.startswith("stuck") for why in whys)
 
 
 def test_a_member_that_never_begins_is_stopped_once_the_others_work():
     """Before, a member that hung from its start on held up its gang for ever."""
-    pool = Pool()
-    pool.begin(step(6, 4.0, gang=True))
 
     def percent(run_id, since_s):
         return 0 if run_id.task.index == 2 else min(100, since_s * 20)
 
-    whys = pool.watch(10.0, percent)
+    whys = watched_gang(percent)
     assert any(why.startswith("stuck at 0") for why in whys)
 
 
 def test_a_gang_that_is_not_complete_yet_is_left_alone():
     """Nobody works before all are there."""
-    pool = Pool()
-    pool.begin(step(6, 4.0, gang=True))
-    assert pool.watch(10.0, lambda run_id, since_s: 0) == []
+    assert watched_gang(lambda run_id, since_s: 0) == []
 
 
 def test_jobs_that_fail_everywhere_leave_most_workers_in_use():
