A failed task is tried on another worker while one may hold it

Ruled out: the rule that puts a worker aside (it asks for several jobs to fail on it). Change: jobs/failedplaces.py names the workers a task is kept off; a gang is kept off all on which any member failed. Bars hold only while the others, empty, could hold the step, and the policy may allow them.

--- /dev/null
+++ b/redwingrun/jobs/failedplaces.py
@@ -0,0 +1,77 @@
+"""Which workers a task is kept off because it has failed there."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Sequence
+
+from redwingrun.jobs.jobbook import Job
+from redwingrun.jobs.spec import StepId, TaskId, TaskSize
+from redwingrun.jobs.workerpool import Worker
+
+
+def barred_by_index(
+    job: Job,
+    step_id: StepId,
+    waiting: Sequence[int],
+    candidates: Collection[Worker],
+) -> dict[int, frozenset[str]]:
+    """Return by task the workers that it should not be tried on again.
+
+    A worker on which everything fails always has room, so a failed task waits for
+    room elsewhere. It goes back only when it could never fit elsewhere.
+
+    :param candidates: the workers that may run the step, with room or without.
+    """
+    if not job.failed_workers:
+        return {}
+    if job.step(step_id).gang:
+        return _barred_for_gang(job, step_id, waiting, candidates)
+    barred = {}
+    for index in waiting:
+        failed = job.failed_workers.get(_task_id(step_id, index))
+        if failed and _fit_elsewhere(job, step_id, failed, candidates):
+            barred[index] = frozenset(failed)
+    return barred
+
+
+def _barred_for_gang(
+    job: Job,
+    step_id: StepId,
+    waiting: Sequence[int],
+    candidates: Collection[Worker],
+) -> dict[int, frozenset[str]]:
+    """Keep every member off the workers on which any of them failed."""
+    failed: set[str] = set()
+    for task_id in job.task_ids(step_id):
+        failed |= job.failed_workers.get(task_id, set())
+    if _fit_elsewhere(job, step_id, failed, candidates) < len(waiting):
+        return {}
+    return dict.fromkeys(waiting, frozenset(failed))
+
+
+def _fit_elsewhere(
+    job: Job, step_id: StepId, failed: set[str], candidates: Collection[Worker]
+) -> int:
+    """Count the step's tasks that the other workers hold when they are empty."""
+    step = job.step(step_id)
+    return sum(
+        _fit_on(worker, step.size, step.max_per_worker)
+        for worker in candidates
+        if worker.worker_id not in failed
+    )
+
+
+def _fit_on(worker: Worker, size: TaskSize, limit: int) -> int:
+    capacity = worker.info.capacity
+    counts = [limit] if limit else []
+    if size.cpu_milli:
+        counts.append(capacity.cpu_milli // size.cpu_milli)
+    if size.memory_mb:
+        counts.append(capacity.memory_mb // size.memory_mb)
+    if size.gpus:
+        counts.append(capacity.gpus // size.gpus)
+    return min(counts, default=1)
+
+
+def _task_id(step_id: StepId, index: int) -> TaskId:
+    return TaskId(step_id.job, step_id.occurrence, step_id.step, index)
--- a/redwingrun/jobs/placement.py
+++ b/redwingrun/jobs/placement.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
-from attrs import frozen
+from attrs import field, frozen
 
 from redwingrun.jobs.gate import StepGate
 from redwingrun.jobs.spec import StepId, StepSpec, TaskSize
@@ -65,6 +65,7 @@
 
     :param urgent: whether its tasks should get the fastest workers.
     :param far_factor: how much longer a task takes away from its data.
+    :param barred_by_index: workers that single tasks must not go to.
     """
 
     step_id: StepId
@@ -72,6 +73,11 @@
     urgent: bool
     gate: StepGate | None
     far_factor: float
+    barred_by_index: Mapping[int, frozenset[str]] = field(factory=dict)
+
+    def barred(self, index: int) -> frozenset[str]:
+        """Return the workers that a task must not go to."""
+        return self.barred_by_index.get(index, frozenset())
 
 
 class Placer:
@@ -176,8 +182,10 @@
         chosen: list[Placement] = []
         spread = view.step.lasting or not view.urgent
         for index in indexes:
-            best = _next_room(room, spread)
+            best = _next_room(room, spread, view.barred(index))
             if best is None:
+                if view.barred_by_index:
+                    continue
                 break
             best.take()
             gate = view.gate
@@ -187,9 +195,11 @@
         return chosen
 
 
-def _next_room(room: list[_Room], spread: bool) -> _Room | None:
+def _next_room(room: list[_Room], spread: bool, barred: frozenset[str]) -> _Room | None:
     """Return the room for the next task: the emptiest, or the first that fits."""
-    fitting = (item for item in room if item.fits())
+    fitting = (
+        item for item in room if item.fits() and item.worker.worker_id not in barred
+    )
     if spread:
         return min(fitting, key=lambda item: item.taken_share, default=None)
     return next(fitting, None)
--- a/redwingrun/jobs/stepserver.py
+++ b/redwingrun/jobs/stepserver.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from redwingrun.jobs.failedplaces import barred_by_index
 from redwingrun.jobs.gate import StepGate
 from redwingrun.jobs.jobbook import Job
 from redwingrun.jobs.placement import (
@@ -17,6 +18,7 @@
 from redwingrun.jobs.spec import (
     RunId,
     StepId,
+    StepSpec,
     TaskId,
 )
 from redwingrun.jobs.workerpool import (
@@ -68,24 +70,38 @@
             return
         if job.step(step_id).gang and len(waiting) < len(job.tasks(step_id)):
             return
-        view = self._view(job, step_id)
         workers = self._workers(job)
+        view = self._view(job, step_id, waiting, workers, now_s)
         placements = self._placer.place(view, waiting, workers, now_s)
         for placement in placements:
             starts.append(self._place(job, step_id, placement, now_s))
         if view.gate is not None and len(placements) < len(waiting):
-            self._ask(view, job, workers, now_s, asks)
+            self._ask(view, job, waiting, workers, now_s, asks)
 
-    def _view(self, job: Job, step_id: StepId) -> StepView:
+    def _view(
+        self,
+        job: Job,
+        step_id: StepId,
+        waiting: list[int],
+        workers: list[Worker],
+        now_s: float,
+    ) -> StepView:
+        step = job.step(step_id)
         gate = None
         if job.queue.gated:
             gate = self._state.gate_by_step.setdefault(step_id, StepGate())
+        candidates = []
+        if job.failed_workers:
+            candidates = [
+                worker for worker in workers if _may_run(step, gate, worker, now_s)
+            ]
         return StepView(
             step_id,
-            job.step(step_id),
+            step,
             urgent=job.queue.priority == URGENT_PRIORITY,
             gate=gate,
             far_factor=self._far_factor,
+            barred_by_index=barred_by_index(job, step_id, waiting, candidates),
         )
 
     def _workers(self, job: Job) -> list[Worker]:
@@ -132,6 +148,7 @@
         self,
         view: StepView,
         job: Job,
+        waiting: list[int],
         workers: list[Worker],
         now_s: float,
         asks: list[AskOrder],
@@ -140,7 +157,7 @@
         if gate.asking or now_s < gate.retry_s:
             return
         queue = job.queue
-        named = self._to_name(view, workers, now_s)
+        named = self._to_name(view, waiting, workers, now_s)
         if not named:
             return
         decide_s = (queue.decide_ms + queue.decide_each_ms * len(named)) / MS_PER_S
@@ -159,19 +176,34 @@
         self._long_questions -= order.decide_s > LONG_QUESTION_S
 
     def _to_name(
-        self, view: StepView, workers: list[Worker], now_s: float
+        self,
+        view: StepView,
+        waiting: list[int],
+        workers: list[Worker],
+        now_s: float,
     ) -> tuple[str, ...]:
         """Return the workers to ask about: with room, not refused, best first."""
         gate = view.gate
         size = reserved_size(view.step)
+        barred = frozenset.intersection(*(view.barred(index) for index in waiting))
         candidates = [
             worker
             for worker in workers
-            if usable(worker, now_s)
-            and suits(view.step, worker)
-            and gate.may_allow(worker.worker_id)
+            if _may_run(view.step, gate, worker, now_s)
+            and worker.worker_id not in barred
             and worker.fits(size)
             and gate.ticket(worker.worker_id, worker.info.born_ms, now_s) is None
         ]
         ranked = self._placer.ranked(view, candidates, now_s)
         return tuple(worker.worker_id for worker in ranked[:MAX_NAMED])
+
+
+def _may_run(
+    step: StepSpec, gate: StepGate | None, worker: Worker, now_s: float
+) -> bool:
+    """Tell whether a task of the step may go to the worker once that has room."""
+    return (
+        usable(worker, now_s)
+        and suits(step, worker)
+        and (gate is None or gate.may_allow(worker.worker_id))
+    )
--- a/tests/jobs/test_workerreports.py
+++ b/tests/jobs/test_workerreports.py
@@ -27,12 +27,17 @@
         self.engine = Engine(EngineSettings())
         self.engine.set_queues(make_queues())
         self.now_s = 100.0
-        self.names = [f"w{number}" for number in range(workers)]
-        for name in self.names:
-            capacity = TaskSize(4000, 64_000)
-            info = WorkerInfo(name, f"{name}:1", POOL, capacity=capacity, born_ms=7)
-            self.engine.see_worker(info)
-            self.report(name, {})
+        self.names: list[str] = []
+        for number in range(workers):
+            self.add_worker(f"w{number}")
+
+    def add_worker(self, name: str) -> None:
+        """Register a worker and let it answer."""
+        self.names.append(name)
+        capacity = TaskSize(4000, 64_000)
+        info = WorkerInfo(name, f"{name}:1", POOL, capacity=capacity, born_ms=7)
+        self.engine.see_worker(info)
+        self.report(name, {})
 
     def report(self, name: str, percent_by_run: dict) -> None:
         """Take a worker's list of runs with their progress."""
@@ -79,9 +84,10 @@
                 self.engine.start_accepted(order, self.now_s)
             self.now_s += 1.0
             for name in self.names:
-                self._end_runs(name, not only or name == only)
+                self.end_runs(name, not only or name == only)
 
-    def _end_runs(self, name: str, fails: bool) -> None:
+    def end_runs(self, name: str, fails: bool) -> None:
+        """End all runs of a worker, failed or done."""
         worker = self.engine.worker_by_id[name]
         kind = EndKind.FAILED if fails else EndKind.DONE
         ends = tuple(
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -6,7 +6,7 @@
 
 
 def test_a_host_whose_operator_lost_a_race_has_the_winner_in_force():
-    """With no look at the table between: the next version may be based on the answer."""
+    """With no look at the table between: what it reads next is based on the winner."""
     settings = {**FAST_LEASES, "config_poll_s": 6}
 
     async def scenario():
