A second standby part; a standby part is released only when all it holds is read and written back

Cause (2), found while reading for it: an owner that had claimed the standby part, but waited for the registrations, renewed its claim and marked the standby part as empty; if it died then, the next owner never read it: 'TWICE after done'. A renewal under way while the rows were read also forgot them unwritten. Change: two standby parts, tried at once, then the one that answered; both are claimed and read at a takeover. What is written back is forgotten by its text, and parts are released when nothing is left.

--- a/redwingrun/jobs/intake.py
+++ b/redwingrun/jobs/intake.py
@@ -25,7 +25,7 @@
     cancel_keys,
     job_keys,
     progress_key,
-    standby_name,
+    standby_names,
 )
 
 RETRY_S = 0.06
@@ -126,22 +126,25 @@
         return known.map(lambda there: JobState.QUEUED if there else None)
 
     async def _progress(self, job_id: str, until_s: float) -> Result:
-        """Read a job's progress, from the standby part while the other is silent.
+        """Read a job's progress, from a standby part while the primary is silent.
 
-        What the standby part says of a job that goes on may be old: it counts only
+        What a standby part says of a job that goes on may be old: it counts only
         if the job has ended.
         """
         usual = progress_key(self._slice, job_id)
-        standby = progress_key(standby_name(self._slice), job_id)
         failure = Error(not_run(TABLE_AWAY, "the owner's part is silent"))
         if not self._health.is_doubtful(usual):
             row = await self._read_once(usual, until_s)
             if row.is_ok():
                 return row
             failure = row
-        row = await self._read_once(standby, until_s)
-        if row.is_ok() and row.ok and decode_state(row.ok.value).is_final:
-            return row
+        for part in standby_names(self._slice):
+            standby = progress_key(part, job_id)
+            if self._health.is_doubtful(standby):
+                continue
+            row = await self._read_once(standby, until_s)
+            if row.is_ok() and row.ok and decode_state(row.ok.value).is_final:
+                return row
         row = await self._read_once(usual, until_s)
         return row if row.is_ok() else failure
 
--- a/redwingrun/jobs/ownerjournal.py
+++ b/redwingrun/jobs/ownerjournal.py
@@ -1,10 +1,10 @@
-"""What a slice's owner stores, in two parts of the table.
+"""What a slice's owner stores, in three parts of the table.
 
 The primary part holds the owner's row and the progress of all jobs. While it does not
-answer, the owner writes what changes into the standby part, and back into the primary
-one as soon as that answers again. A takeover claims both parts and reads both, so that
-neither an owner that is deposed nor a late transaction can hide what was stored last:
-of two rows of a job the one with the higher stamp counts.
+answer, the owner writes what changes into a standby part that does, and back into the
+primary one as soon as that answers again. A takeover claims all parts and reads those
+that were used, so that neither an owner that is deposed nor a late transaction can hide
+what was stored last: of two rows of a job the one with the highest stamp counts.
 """
 
 from __future__ import annotations
@@ -30,7 +30,7 @@
     last_part,
     progress_key,
     progress_prefix,
-    standby_name,
+    standby_names,
 )
 from redwingrun.jobs.slicejournal import (
     RETRY_S,
@@ -55,14 +55,17 @@
 class OwnerJournal:
     """The right to write for a slice, whichever part answers.
 
-    :ivar standby: ``None`` until the standby part is claimed.
+    :ivar standby_by_name: the standby parts that are claimed.
     """
 
     primary: SliceJournal
     log: Log
-    standby: SliceJournal | None = None
+    standby_by_name: dict[str, SliceJournal] = field(factory=dict)
     _primary_answers: asyncio.Event = field(factory=_set_event)
-    _standby_was_used: bool = False
+    # Standby parts with what a former owner left there, until that is read.
+    _unread: set[str] = field(factory=set)
+    # The standby part that took the last commit.
+    _answering: SliceJournal | None = None
     _sequence: int = 0
     _lost: str = ""
     # What the primary part does not hold yet, by job.
@@ -101,30 +104,38 @@
     @property
     def row(self) -> OwnerRow:
         """The owner's row as it was written last."""
-        journal = self.primary if self._primary_answers.is_set() else self.standby
-        return (journal or self.primary).row
+        if self._primary_answers.is_set() or self._answering is None:
+            return self.primary.row
+        return self._answering.row
 
     def abandon(self) -> None:
         """End a commit that waits for the table."""
-        self.primary.abandoned = True
-        if self.standby is not None:
-            self.standby.abandoned = True
+        for journal in (self.primary, *self.standby_by_name.values()):
+            journal.abandoned = True
 
-    async def claim_standby(self) -> None:
-        """Take the standby part, so that a former owner can't write there either.
+    async def claim_standbys(self) -> None:
+        """Take the standby parts, so that a former owner can't write there either.
 
-        :raises Deposed: when a later owner has it.
-        :raises TableUnavailable: when it does not answer; try again.
+        :raises Deposed: when a later owner has one.
+        :raises TableUnavailable: when one does not answer; try again.
         """
+        outcomes = await asyncio.gather(
+            *(self._claim_standby(name) for name in standby_names(self.slice_name)),
+            return_exceptions=True,
+        )
+        for outcome in outcomes:
+            if outcome is not None:
+                raise outcome
+
+    async def _claim_standby(self, name: str) -> None:
         primary = self.primary
-        name = standby_name(primary.slice_name)
-        while self.standby is None:
+        while name not in self.standby_by_name:
             seen = await primary.table.read(owner_key(name))
             found = read_owner(seen)
             if found is not None and found.claim > self.fence:
-                raise Deposed(f"the standby part belongs to claim {found.claim}")
-            self._standby_was_used = found is not None and found.used
-            self.standby = await SliceJournal.claim(
+                raise Deposed(f"the part {name} belongs to claim {found.claim}")
+            used = found is not None and found.used
+            journal = await SliceJournal.claim(
                 primary.table,
                 name,
                 primary.row.member,
@@ -132,25 +143,35 @@
                 seen,
                 self.log,
                 claim=self.fence,
-                used=self._standby_was_used,
+                used=used,
             )
+            if journal is None:
+                continue
+            self.standby_by_name[name] = journal
+            if used:
+                self.note_used(name)
+
+    def note_used(self, name: str) -> None:
+        """Note that a standby part may hold what the primary part lacks."""
+        self._unread.add(name)
 
     async def load(self, table: WatchedTable) -> dict[str, JobProgress]:
-        """Return the newest progress of each job that the two parts hold."""
+        """Return the newest progress of each job that the parts hold."""
         newest = await self._read(table, self.slice_name)
-        if not self._standby_was_used:
-            return newest
-        for job_id, progress in (await self._read(table, self._standby_name)).items():
-            if job_id not in newest or newest[job_id].stamp < progress.stamp:
-                newest[job_id] = progress
-                self._only_standby[job_id] = encode_progress(progress)
-        self.log.event("standby-read", jobs=len(self._only_standby), fence=self.fence)
+        for name in sorted(self._unread):
+            for job_id, progress in (await self._read(table, name)).items():
+                if job_id not in newest or newest[job_id].stamp < progress.stamp:
+                    newest[job_id] = progress
+                    self._only_standby[job_id] = encode_progress(progress)
+            self.log.event(
+                "standby-read",
+                part=name,
+                jobs=len(self._only_standby),
+                fence=self.fence,
+            )
+        self._unread.clear()
         return newest
 
-    @property
-    def _standby_name(self) -> str:
-        return standby_name(self.slice_name)
-
     async def _read(self, table: WatchedTable, part: str) -> dict[str, JobProgress]:
         snapshot = await table.snapshot(progress_prefix(part))
         return {last_part(row.key): decode_progress(row.value) for row in snapshot.rows}
@@ -163,7 +184,7 @@
     ) -> None:
         """Store changes; returns when they are certainly stored in one of the parts.
 
-        Waits for as long as neither part answers.
+        Waits for as long as no part answers.
 
         :param spawn: runs something until the owner ends.
         :raises Deposed: when another owner has claimed the slice.
@@ -173,7 +194,7 @@
             if self._primary_answers.is_set():
                 if await self._commit_primary(texts, waiting_by_queue):
                     return
-                if self.standby is not None:
+                if self.standby_by_name:
                     self._leave_primary(spawn)
             away = not self._primary_answers.is_set()
             if away and await self._try_standby(texts, waiting_by_queue):
@@ -206,15 +227,22 @@
         writes = _writes(self.slice_name, whole)
         if not await self.primary.try_commit(writes, waiting_by_queue):
             return False
-        self._only_standby.clear()
-        if self.standby is not None and self.standby.row.used:
-            await self.standby.try_commit((), {}, used=False)
+        for job_id, text in whole.items():
+            if self._only_standby.get(job_id) == text:
+                del self._only_standby[job_id]
+        if not self._only_standby and not self._unread:
+            await self._release_standbys()
         return True
 
+    async def _release_standbys(self) -> None:
+        """Let the next owner know that the primary part holds everything."""
+        used = [item for item in self.standby_by_name.values() if item.row.used]
+        await asyncio.gather(*(item.try_commit((), {}, used=False) for item in used))
+
     async def _try_standby(
         self, texts: dict[str, str], waiting_by_queue: dict[str, int]
     ) -> bool:
-        """Store in the standby part, unless the primary part is back sooner."""
+        """Store in a standby part, unless the primary part is back sooner."""
         loop = asyncio.get_running_loop()
         attempt = loop.create_task(self._commit_standby(texts, waiting_by_queue))
         back = loop.create_task(self._primary_answers.wait())
@@ -227,10 +255,46 @@
     async def _commit_standby(
         self, texts: dict[str, str], waiting_by_queue: dict[str, int]
     ) -> bool:
-        writes = _writes(self._standby_name, texts)
         # An attempt without an answer may take effect, too.
         self._only_standby.update(texts)
-        return await self.standby.try_commit(writes, waiting_by_queue, used=True)
+        if self._answering is not None:
+            candidates = [self._answering]
+        else:
+            candidates = list(self.standby_by_name.values())
+        self._answering = None
+        self._answering = await self._first_to_store(
+            candidates, texts, waiting_by_queue
+        )
+        return self._answering is not None
+
+    async def _first_to_store(
+        self,
+        candidates: list[SliceJournal],
+        texts: dict[str, str],
+        waiting_by_queue: dict[str, int],
+    ) -> SliceJournal | None:
+        """Try some parts at once; returns the first that has certainly stored."""
+        loop = asyncio.get_running_loop()
+        journal_by_attempt = {
+            loop.create_task(
+                journal.try_commit(
+                    _writes(journal.slice_name, texts), waiting_by_queue, used=True
+                )
+            ): journal
+            for journal in candidates
+        }
+        pending = set(journal_by_attempt)
+        try:
+            while pending:
+                done, pending = await asyncio.wait(
+                    pending, return_when=asyncio.FIRST_COMPLETED
+                )
+                for attempt in done:
+                    if attempt.result():
+                        return journal_by_attempt[attempt]
+            return None
+        finally:
+            await cancel_all(set(journal_by_attempt))
 
     def _leave_primary(
         self, spawn: Callable[[Coroutine[Any, Any, None]], None]
--- a/redwingrun/jobs/rows.py
+++ b/redwingrun/jobs/rows.py
@@ -37,9 +37,9 @@
     return [key + CANCEL_SUFFIX for key in job_keys(slice_name, job_id)]
 
 
-def standby_name(slice_name: str) -> str:
-    """Return the part that takes an owner's writes while its own does not answer."""
-    return f"{slice_name}-standby"
+def standby_names(slice_name: str) -> tuple[str, ...]:
+    """Return the parts that take an owner's writes while its own does not answer."""
+    return f"{slice_name}-standby", f"{slice_name}-standby-2"
 
 
 def progress_prefix(slice_name: str) -> str:
--- a/redwingrun/jobs/slicereader.py
+++ b/redwingrun/jobs/slicereader.py
@@ -53,13 +53,13 @@
         self._is_loaded = False
 
     async def load(self) -> None:
-        """Claim the standby part, read everything, and follow what changes."""
+        """Claim the standby parts, read everything, and follow what changes."""
         self._engine.set_time(self._parts.unix_ms())
         self._engine.set_inherited_lapse(self._owner.now() + INHERITED_LEASE_S)
-        # Before both parts are claimed a former owner may still write.
+        # Before all parts are claimed a former owner may still write.
         workers, _ = await asyncio.gather(
             self._persist(self._parts.registry.load),
-            self._persist(self._owner.journal.claim_standby),
+            self._persist(self._owner.journal.claim_standbys),
         )
         progress_by_id, submissions = await asyncio.gather(
             self._persist(lambda: self._owner.journal.load(self._parts.table)),
--- a/tests/jobs/test_dark_parts.py
+++ b/tests/jobs/test_dark_parts.py
@@ -5,7 +5,7 @@
 import pytest
 
 from redwingrun.jobs.progress import JobState
-from redwingrun.jobs.rows import job_parts
+from redwingrun.jobs.rows import job_parts, standby_names
 from tests.jobs.world import World, job, job_id, make_world, step
 
 OWNERS_PART = "s0"
@@ -34,6 +34,77 @@
     assert world.broken() == []
 
 
+@pytest.mark.parametrize("standby", standby_names(OWNERS_PART))
+def test_work_goes_on_while_one_standby_part_is_dark_as_well(world: World, standby):
+    """Both go silent in the same moment, so that none of them can be avoided before."""
+    world.submit(job_id(1), job(step(3, 2.0), step(2, 0.5, after=(0,))))
+    world.run(1.0)
+    before = world.owner_name()
+    world.dark_parts = {OWNERS_PART, standby}
+    world.run(5.0)
+    assert len(world.starts) == 5
+    world.dark_parts = set()
+    world.run(3.0)
+    assert world.state(job_id(1)) is JobState.COMPLETED
+    assert world.owner_name() == before
+    assert world.broken() == []
+
+
+@pytest.mark.parametrize("standby", standby_names(OWNERS_PART))
+def test_what_either_standby_part_holds_is_known_to_the_next_owner(
+    world: World, standby
+):
+    """The owner moves from one to the other and dies before its own part is back."""
+    first, second = standby_names(OWNERS_PART)
+    other = second if standby == first else first
+    world.submit(job_id(1), job(step(3, 2.0), step(2, 2.0, after=(0,)), step(2, 6.0)))
+    world.run(1.0)
+    world.dark_parts = {OWNERS_PART, standby}
+    world.run(4.0)
+    world.dark_parts = {OWNERS_PART, other}
+    world.run(3.0)
+    world.kill(world.owner_name())
+    world.run(0.5)
+    world.dark_parts = set()
+    world.run(10.0)
+    assert world.state(job_id(1)) is JobState.COMPLETED
+    assert len(world.starts) == 7
+    assert world.broken() == []
+
+
+def test_what_a_standby_part_holds_outlives_an_owner_that_never_read_all(world: World):
+    """It dies while it waits for the workers, and has renewed its claim till then."""
+    world.submit(job_id(1), job(step(3, 2.0), step(2, 9.0, after=(0,))))
+    world.run(1.0)
+    world.dark_parts = {OWNERS_PART}
+    world.run(3.5)
+    assert len(world.starts) == 5
+    world.kill(world.owner_name())
+    world.run(0.5)
+    world.dark_parts = set()
+    world.registry_is_dark = True
+    world.run(4.0)
+    world.kill(world.owner_name())
+    world.registry_is_dark = False
+    world.run(16.0)
+    assert world.state(job_id(1)) is JobState.COMPLETED
+    assert world.broken() == []
+    firsts = [run_id for _, run_id, _ in world.starts if run_id.task.step == 0]
+    assert len(firsts) == 3
+
+
+@pytest.mark.parametrize("standby", standby_names(OWNERS_PART))
+def test_a_job_that_ended_is_shown_by_the_standby_part_that_answers(
+    world: World, standby
+):
+    """The other one was tried before."""
+    world.submit(job_id(1), job(step(3, 2.0)))
+    world.run(1.0)
+    world.dark_parts = {OWNERS_PART, standby}
+    world.run(5.0)
+    assert world.state(job_id(1)) is JobState.COMPLETED
+
+
 def test_a_job_that_ended_meanwhile_is_shown_as_ended(world: World):
     """Its state is read from the standby part."""
     world.submit(job_id(1), job(step(3, 2.0)))
--- a/tests/jobs/test_engine_model.py
+++ b/tests/jobs/test_engine_model.py
@@ -28,6 +28,9 @@
     {"s0"},
     {"s0-standby"},
     {"s0", "s0-standby"},
+    {"s0", "s0-standby-2"},
+    {"s0-standby", "s0-standby-2"},
+    {"s0", "s0-standby", "s0-standby-2"},
     {f"s0-{number:x}" for number in range(8)},
     {"s0", *(f"s0-{number:x}" for number in range(8, 16))},
 ]
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -441,6 +441,8 @@
         """Return all."""
         await self._process.gate()
         await asyncio.sleep(HOP_S)
+        if self._world.registry_is_dark:
+            raise TableUnknown("the registrations can't be read")
         infos = tuple(
             minion.info for minion in self._world.minion_by_id.values() if minion.up
         )
@@ -572,6 +574,7 @@
     queues: QueueSet = field(factory=lambda: make_queues())
     history_from: int = 0
     dark_parts: set[str] = field(factory=set)
+    registry_is_dark: bool = False
     peers_are_deaf: bool = False
     feed_is_deaf: bool = False
     minion_by_id: dict[str, Minion] = field(factory=dict)
