A plan looks at its workers once, not once for each step that waits

Ruled out: looks at workers (0.29 s), the store (0.1 s), logs. Change: jobs/candidates.py holds a plan's usable workers by pool; a gated step looks only at workers it has a ticket for, and at nothing while a question is under way. Before: the new cost test counts 10,000 looks for 40 waiting steps and 500 for 2, at 50 workers.

--- a/redwingrun/jobs/engine.py
+++ b/redwingrun/jobs/engine.py
@@ -8,6 +8,7 @@
 
 from attrs import evolve, frozen
 
+from redwingrun.jobs.candidates import Candidates
 from redwingrun.jobs.gate import Ticket
 from redwingrun.jobs.jobbook import Job
 from redwingrun.jobs.placement import (
@@ -293,8 +294,9 @@
         self._reports.look_for_stuck(now_s)
         starts: list[StartOrder] = []
         asks: list[AskOrder] = []
+        candidates = Candidates(self.state.worker_by_id.values(), now_s)
         for step in sorted(self.state.open_step_by_id.values(), key=lambda s: s.order):
-            self._steps.serve(step, now_s, starts, asks)
+            self._steps.serve(step, candidates, now_s, starts, asks)
         stops, self.state.stops = self.state.stops, []
         paces = self._reports.take_paces()
         changed, self.state.changed = frozenset(self.state.changed), set()
--- a/redwingrun/jobs/gate.py
+++ b/redwingrun/jobs/gate.py
@@ -46,6 +46,15 @@
             return None
         return ticket
 
+    def holds_up(self, now_s: float) -> bool:
+        """Tell whether nothing can be done but wait for the policy."""
+        if not self.asking and now_s >= self.retry_s:
+            return False
+        return all(
+            now_s + TICKET_MARGIN_S > ticket.expires_s
+            for ticket in self.ticket_by_worker.values()
+        )
+
     def may_allow(self, worker_id: str) -> bool:
         """Tell whether the policy allows the worker or hasn't been asked."""
         return worker_id not in self.refused
--- a/redwingrun/jobs/laggards.py
+++ b/redwingrun/jobs/laggards.py
@@ -11,8 +11,9 @@
 import statistics
 from collections.abc import Iterable
 
+from redwingrun.jobs.candidates import is_usable
 from redwingrun.jobs.jobbook import Job
-from redwingrun.jobs.placement import reserved_size, suits, usable
+from redwingrun.jobs.placement import reserved_size, suits
 from redwingrun.jobs.slicestate import SliceState
 from redwingrun.jobs.spec import StepId
 from redwingrun.jobs.speeds import Speeds
@@ -157,7 +158,7 @@
         return any(
             worker.listed
             and worker.info.pool == job.queue.pool
-            and usable(worker, now_s)
+            and is_usable(worker, now_s)
             and suits(step, worker)
             and worker.slowdown(now_s) < SLOW_FACTOR
             and worker.fits(size)
--- a/redwingrun/jobs/placement.py
+++ b/redwingrun/jobs/placement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 
 from attrs import field, frozen
 
@@ -11,8 +11,6 @@
 from redwingrun.jobs.speeds import Speeds
 from redwingrun.jobs.workerpool import Worker
 
-# A worker that hasn't answered for so long gets nothing new.
-SILENT_S = 2.2
 # Costs are in average run times: what an empty worker is worth, and what a worker
 # costs where fillers and tasks that serve would run side by side.
 FREE_WEIGHT = 0.3
@@ -35,16 +33,6 @@
     return TaskSize(0, step.size.memory_mb, step.size.gpus)
 
 
-def usable(worker: Worker, now_s: float) -> bool:
-    """Tell whether anything new may start on the worker now."""
-    return (
-        worker.adopted
-        and not worker.info.draining
-        and now_s - worker.heard_s < SILENT_S
-        and now_s >= worker.avoid_until_s
-    )
-
-
 def suits(step: StepSpec, worker: Worker) -> bool:
     """Tell whether the worker could ever run a task of the step."""
     label = step.required_label
@@ -93,12 +81,14 @@
         self,
         view: StepView,
         indexes: Sequence[int],
-        workers: Iterable[Worker],
+        workers: Mapping[str, Worker],
         now_s: float,
     ) -> list[Placement]:
         """Choose workers for as many of the waiting tasks as fit.
 
         A gang gets a worker for every member or none.
+
+        :param workers: by name, those on which something new may start.
         """
         size = reserved_size(view.step)
         open_workers = self._open_workers(view, size, workers, now_s)
@@ -133,20 +123,17 @@
         self,
         view: StepView,
         size: TaskSize,
-        workers: Iterable[Worker],
+        workers: Mapping[str, Worker],
         now_s: float,
     ) -> list[Worker]:
         gate = view.gate
+        allowed: Iterable[Worker] = workers.values()
+        if gate is not None:
+            allowed = _with_ticket(gate, workers, now_s)
         return [
             worker
-            for worker in workers
-            if usable(worker, now_s)
-            and suits(view.step, worker)
-            and worker.fits(size)
-            and (
-                gate is None
-                or gate.ticket(worker.worker_id, worker.info.born_ms, now_s)
-            )
+            for worker in allowed
+            if suits(view.step, worker) and worker.fits(size)
         ]
 
     def _in_one_rack(
@@ -195,6 +182,16 @@
         return chosen
 
 
+def _with_ticket(
+    gate: StepGate, workers: Mapping[str, Worker], now_s: float
+) -> Iterator[Worker]:
+    """Return the workers that the policy allows now."""
+    for worker_id in gate.ticket_by_worker:
+        worker = workers.get(worker_id)
+        if worker and gate.ticket(worker_id, worker.info.born_ms, now_s):
+            yield worker
+
+
 def _next_room(room: list[_Room], spread: bool, barred: frozenset[str]) -> _Room | None:
     """Return the room for the next task: the emptiest, or the first that fits."""
     fitting = (
--- a/redwingrun/jobs/stepserver.py
+++ b/redwingrun/jobs/stepserver.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
+from redwingrun.jobs.candidates import Candidates
 from redwingrun.jobs.failedplaces import barred_by_index
 from redwingrun.jobs.gate import StepGate
 from redwingrun.jobs.jobbook import Job
@@ -11,7 +14,6 @@
     StepView,
     reserved_size,
     suits,
-    usable,
 )
 from redwingrun.jobs.progress import JobState, TaskState
 from redwingrun.jobs.slicestate import OpenStep, SliceState
@@ -52,12 +54,16 @@
     def serve(
         self,
         open_step: OpenStep,
+        candidates: Candidates,
         now_s: float,
         starts: list[StartOrder],
         asks: list[AskOrder],
     ) -> None:
         """Place what can be placed of a step, and ask about the rest."""
         job, step_id = open_step.job, open_step.step_id
+        gate = self._state.gate_by_step.get(step_id)
+        if gate is not None and gate.holds_up(now_s):
+            return
         waiting = [
             index
             for index in job.waiting(step_id)
@@ -70,8 +76,8 @@
             return
         if job.step(step_id).gang and len(waiting) < len(job.tasks(step_id)):
             return
-        workers = self._workers(job)
-        view = self._view(job, step_id, waiting, workers, now_s)
+        workers = candidates.of_pool(job.queue.pool)
+        view = self._view(job, step_id, waiting, workers)
         placements = self._placer.place(view, waiting, workers, now_s)
         for placement in placements:
             starts.append(self._place(job, step_id, placement, now_s))
@@ -83,17 +89,16 @@
         job: Job,
         step_id: StepId,
         waiting: list[int],
-        workers: list[Worker],
-        now_s: float,
+        workers: Mapping[str, Worker],
     ) -> StepView:
         step = job.step(step_id)
         gate = None
         if job.queue.gated:
             gate = self._state.gate_by_step.setdefault(step_id, StepGate())
-        candidates = []
+        elsewhere = []
         if job.failed_workers:
-            candidates = [
-                worker for worker in workers if _may_run(step, gate, worker, now_s)
+            elsewhere = [
+                worker for worker in workers.values() if _may_run(step, gate, worker)
             ]
         return StepView(
             step_id,
@@ -101,17 +106,9 @@
             urgent=job.queue.priority == URGENT_PRIORITY,
             gate=gate,
             far_factor=self._far_factor,
-            barred_by_index=barred_by_index(job, step_id, waiting, candidates),
+            barred_by_index=barred_by_index(job, step_id, waiting, elsewhere),
         )
 
-    def _workers(self, job: Job) -> list[Worker]:
-        pool = job.queue.pool
-        return [
-            worker
-            for worker in self._state.worker_by_id.values()
-            if worker.listed and worker.info.pool == pool
-        ]
-
     def _place(
         self, job: Job, step_id: StepId, placement: Placement, now_s: float
     ) -> StartOrder:
@@ -149,7 +146,7 @@
         view: StepView,
         job: Job,
         waiting: list[int],
-        workers: list[Worker],
+        workers: Mapping[str, Worker],
         now_s: float,
         asks: list[AskOrder],
     ) -> None:
@@ -179,7 +176,7 @@
         self,
         view: StepView,
         waiting: list[int],
-        workers: list[Worker],
+        workers: Mapping[str, Worker],
         now_s: float,
     ) -> tuple[str, ...]:
         """Return the workers to ask about: with room, not refused, best first."""
@@ -188,8 +185,8 @@
         barred = frozenset.intersection(*(view.barred(index) for index in waiting))
         candidates = [
             worker
-            for worker in workers
-            if _may_run(view.step, gate, worker, now_s)
+            for worker in workers.values()
+            if _may_run(view.step, gate, worker)
             and worker.worker_id not in barred
             and worker.fits(size)
             and gate.ticket(worker.worker_id, worker.info.born_ms, now_s) is None
@@ -198,12 +195,8 @@
         return tuple(worker.worker_id for worker in ranked[:MAX_NAMED])
 
 
-def _may_run(
-    step: StepSpec, gate: StepGate | None, worker: Worker, now_s: float
-) -> bool:
+def _may_run(step: StepSpec, gate: StepGate | None, worker: Worker) -> bool:
     """Tell whether a task of the step may go to the worker once that has room."""
-    return (
-        usable(worker, now_s)
-        and suits(step, worker)
-        and (gate is None or gate.may_allow(worker.worker_id))
-    )
+    if not suits(step, worker):
+        return False
+    return gate is None or gate.may_allow(worker.worker_id)
--- a/tests/jobs/test_costs.py
+++ b/tests/jobs/test_costs.py
@@ -9,7 +9,19 @@
 import pytest
 
 from redwingrun.jobs.progress import JobState
-from tests.jobs.world import Minion, World, job, job_id, make_world, step
+from redwingrun.jobs.spec import Submission
+from redwingrun.jobs.workerpool import Worker
+from tests.jobs.test_workerreports import Pool
+from tests.jobs.world import (
+    QUEUE,
+    Minion,
+    World,
+    job,
+    job_id,
+    make_queues,
+    make_world,
+    step,
+)
 
 FIRST_END_S = 0.5
 TASKS = 6
@@ -52,3 +64,30 @@
     assert world.state(job_id(1)) is JobState.COMPLETED
     assert len(looks) <= 5
     assert world.broken() == []
+
+
+def looks_of_a_plan(monkeypatch, steps: int) -> int:
+    """Count the workers that a plan looks at while steps wait for the policy."""
+    pool = Pool(50)
+    pool.engine.set_queues(make_queues(gated=True))
+    for number in range(steps):
+        submission = Submission(QUEUE, job(step(3, 1.0)), 0)
+        pool.engine.add_job(job_id(number + 1), submission, None, pool.now_s)
+    assert len(pool.engine.plan(pool.now_s).asks) >= 1
+    looks = []
+    spec = Worker.info
+    monkeypatch.setattr(
+        Worker,
+        "info",
+        property(lambda worker: looks.append(1) or spec.__get__(worker)),
+    )
+    pool.engine.plan(pool.now_s)
+    monkeypatch.undo()
+    return len(looks)
+
+
+def test_a_plan_does_not_look_at_all_workers_for_each_step_that_waits(monkeypatch):
+    """The pattern is a crest: the policy takes a while, and ends come all the time."""
+    few = looks_of_a_plan(monkeypatch, 2)
+    many = looks_of_a_plan(monkeypatch, 40)
+    assert many <= few + 50
