--- a/redwingrun/jobs/candidates.py
+++ b/redwingrun/jobs/candidates.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 from redwingrun.jobs.workerpool import Worker
 
@@ -11,22 +11,29 @@
 
 
 class Candidates:
-    """The usable workers by pool; made once a plan, not once a step.
+    """The usable workers by pool; found once a plan, for the first step that asks.
 
-    :param workers: all that the slice knows.
+    :param workers: all that the slice knows, by name.
     """
 
-    def __init__(self, workers: Iterable[Worker], now_s: float):
-        self._by_pool: dict[str, dict[str, Worker]] = {}
-        for worker in workers:
-            if worker.listed and is_usable(worker, now_s):
-                pool = self._by_pool.setdefault(worker.info.pool, {})
-                pool[worker.worker_id] = worker
+    def __init__(self, workers: Mapping[str, Worker], now_s: float):
+        self._workers = workers
+        self._now_s = now_s
+        self._by_pool: dict[str, dict[str, Worker]] | None = None
 
     def of_pool(self, pool: str) -> Mapping[str, Worker]:
         """Return a pool's usable workers by their names."""
+        if self._by_pool is None:
+            self._by_pool = self._sorted()
         return self._by_pool.get(pool, {})
 
+    def _sorted(self) -> dict[str, dict[str, Worker]]:
+        by_pool: dict[str, dict[str, Worker]] = {}
+        for worker_id, worker in self._workers.items():
+            if worker.listed and is_usable(worker, self._now_s):
+                by_pool.setdefault(worker.info.pool, {})[worker_id] = worker
+        return by_pool
+
 
 def is_usable(worker: Worker, now_s: float) -> bool:
     """Tell whether anything new may start on the worker now."""
--- a/redwingrun/jobs/engine.py
+++ b/redwingrun/jobs/engine.py
@@ -294,7 +294,7 @@
         self._reports.look_for_stuck(now_s)
         starts: list[StartOrder] = []
         asks: list[AskOrder] = []
-        candidates = Candidates(self.state.worker_by_id.values(), now_s)
+        candidates = Candidates(self.state.worker_by_id, now_s)
         for step in sorted(self.state.open_step_by_id.values(), key=lambda s: s.order):
             self._steps.serve(step, candidates, now_s, starts, asks)
         stops, self.state.stops = self.state.stops, []
