The slice is owned on a fast host where hosts differ

Cause: on the grown site machines have 0.39 to 2.15 of an ordinary core (share times speed, in each process's settings), whoever sees the empty row first owns the slice, and most are slow: first start p50 268 ms and 0.22 of a core in the mean on such an owner, while the plan itself is down to a third. Change: a member's row tells its host's speed. Members on slow hosts let faster ones claim first (0.3 s at most, times their share), a planned stop and a hand-over choose the fastest peer, and an owner that has settled for 5 s passes the slice on to a peer 1.5 times as fast that answers; once a minute at most. Before: no such rule.

--- a/redwingrun/jobs/member.py
+++ b/redwingrun/jobs/member.py
@@ -14,7 +14,7 @@
 from expression import Result
 
 from redwingrun.coordination.clock import Clock
-from redwingrun.coordination.codec import decode, encode
+from redwingrun.coordination.codec import encode
 from redwingrun.coordination.table import (
     Condition,
     HistoryLost,
@@ -32,6 +32,7 @@
 from redwingrun.jobs.jobservice import JobService
 from redwingrun.jobs.ownerjournal import OwnerJournal
 from redwingrun.jobs.peerlinks import PeerLinks
+from redwingrun.jobs.peerlist import MemberRow, PeerList
 from redwingrun.jobs.ports import (
     PolicyAnswer,
     PolicyPort,
@@ -72,33 +73,37 @@
 # Members claim one after the other, by a hash of their names.
 STAGGER_STEPS = 8
 STAGGER_S = 0.06
+# Members on slow hosts let those on faster ones claim first, for up to this time.
+SLOW_HOST_S = 0.3
 # A slice that was given up waits so long for the member that was asked to claim it.
 SUCCESSOR_S = 0.7
+# An owner on a slow host hands over once it has owned the slice for so long, and
+# tries again after a while.
+SETTLED_S = 5.0
+NEXT_MOVE_S = 60.0
 QUEUES_WAIT_S = 1.0
 RETRY_S = 0.2
 MEMBERS_S = 3.0
 
 
-@frozen
-class MemberRow:
-    """Where a member can be reached."""
-
-    name: str
-    address: str
-
-
 @frozen
 class MemberSettings:
     """How a member is set up.
 
     :param name: unique among all members.
     :param address: where peers reach the member.
+    :param speed: of the host's processor share; 1.0 is a whole ordinary core.
     """
 
     name: str
     address: str
     slice_name: str = "s0"
     engine: EngineSettings = EngineSettings()
+    speed: float = 1.0
+
+    def row(self) -> MemberRow:
+        """Return what peers know of the member."""
+        return MemberRow(self.name, self.address, self.speed)
 
 
 @frozen
@@ -159,14 +164,15 @@
         self._followed = ""
         self._leaving = False
         self._left = asyncio.Event()
-        self._peers: dict[str, str] = {}
+        self._peers = PeerList(settings.row())
+        self._next_move_s = -math.inf
         self._table_heard_s = 0.0
         self._owner_row_read_s = -math.inf
         self._read_s = 0.0
         self._tasks: list[asyncio.Task[Any]] = []
         self._news: set[asyncio.Task[Any]] = set()
         digest = zlib.crc32(settings.name.encode())
-        self._stagger_s = STAGGER_S * (digest % STAGGER_STEPS)
+        self._name_stagger_s = STAGGER_S * (digest % STAGGER_STEPS)
 
     @property
     def is_ready(self) -> bool:
@@ -189,7 +195,7 @@
 
     def peer_addresses(self) -> list[str]:
         """Return where the other members can be reached."""
-        return list(self._peers.values())
+        return self._peers.addresses()
 
     def waiting(self, queue: str) -> int | None:
         """Return how many of a queue's jobs have not begun; ``None`` if unknown."""
@@ -213,11 +219,14 @@
         self._leaving = True
         owner = self._owner
         if owner is not None:
-            successor = next(iter(sorted(self._peers)), "")
-            owner.give_up(successor)
-            await self._left.wait()
-            if successor:
-                await self._parts.peers.look(self._peers[successor], claim=True)
+            await self._pass_on(owner, next(iter(self._peers.fastest_first()), None))
+
+    async def _pass_on(self, owner: SliceOwner, successor: MemberRow | None) -> None:
+        """Give the slice up and ask a peer to claim it."""
+        owner.give_up(successor.name if successor else "")
+        await self._left.wait()
+        if successor is not None:
+            await self._parts.peers.look(successor.address, claim=True)
 
     async def close(self) -> None:
         """End everything that still runs."""
@@ -273,7 +282,7 @@
         secret = await self._until_done(self._shared_secret)
         await self._parts.peers.open(self, secret)
         prefix = node_prefix(self._settings.slice_name)
-        row = MemberRow(self._settings.name, self._settings.address)
+        row = self._settings.row()
         write = Write(prefix + row.name, encode(row))
         await self._until_done(
             lambda: self._parts.table.transact(Transaction((), (write,)))
@@ -309,18 +318,12 @@
         return row.value
 
     def _take_members(self, rows: tuple[Row, ...]) -> None:
-        peers = {}
-        for row in rows:
-            with contextlib.suppress(ValueError):
-                member = decode(MemberRow, row.value)
-                peers[member.name] = member.address
-        peers.pop(self._settings.name, None)
-        self._peers = peers
+        self._peers.take(rows)
         if self._owner is not None:
             self._set_lanes(self._owner)
 
     def _set_lanes(self, owner: SliceOwner) -> None:
-        owner.lanes.set_peers(list(self._peers.values()))
+        owner.lanes.set_peers(self._peers.addresses())
         owner.engine.set_ask_lanes(len(owner.lanes.lanes))
 
     def announce(self, job_id: str, submission: str) -> None:
@@ -408,10 +411,21 @@
     async def _owner_is_gone(self) -> bool:
         """Tell whether the owner's process has certainly ended."""
         owner = self._watch.owner
-        if owner is None or not owner.member or self._watch.still_s < GONE_LOOK_S:
+        look_s = GONE_LOOK_S + self._slow_host_s
+        if owner is None or not owner.member or self._watch.still_s < look_s:
             return False
         return await self._parts.peers.is_gone(owner.address)
 
+    @property
+    def _slow_host_s(self) -> float:
+        """How long the members on faster hosts may claim first."""
+        return SLOW_HOST_S * self._peers.faster_share()
+
+    @property
+    def _stagger_s(self) -> float:
+        """How long others may claim first."""
+        return self._name_stagger_s + self._slow_host_s
+
     async def _claim(self) -> None:
         settings = self._settings
         try:
@@ -457,6 +471,7 @@
         )
         self._owner = owner
         self._followed = ""
+        self._left.clear()
         self._set_lanes(owner)
         observer = asyncio.get_running_loop().create_task(self._mind(owner, journal))
         try:
@@ -469,9 +484,12 @@
             self._left.set()
 
     async def _mind(self, owner: SliceOwner, journal: OwnerJournal) -> None:
-        """Keep the counts current, and step down when only this member is cut off."""
+        """Keep the counts current, and step down where a peer would serve better."""
+        settled_s = self._parts.clock.now() + SETTLED_S
         while True:
             self._watch.owner = journal.row
+            if self._parts.clock.now() >= max(settled_s, self._next_move_s):
+                await self._move_to_faster(owner)
             if owner.silent_s() > HAND_OVER_S + SILENCE_READS * self._read_s:
                 near = await self._peer_near_table()
                 if near and not await self._owner_row_is_near():
@@ -479,6 +497,20 @@
                     return
             await asyncio.sleep(MIND_S)
 
+    async def _move_to_faster(self, owner: SliceOwner) -> None:
+        """Pass the slice on to a peer on a clearly faster host, if one answers."""
+        peer = self._peers.faster_peer()
+        if peer is None or self._leaving or owner.silent_s() > HAND_OVER_S:
+            return
+        self._next_move_s = self._parts.clock.now() + NEXT_MOVE_S
+        age_s = await self._parts.peers.look(peer.address, claim=False)
+        if age_s is None or age_s > TABLE_IS_NEAR_S:
+            return
+        self._log.event("owner-moves", to=peer.name, speed=peer.speed)
+        task = asyncio.get_running_loop().create_task(self._pass_on(owner, peer))
+        self._news.add(task)
+        task.add_done_callback(self._news.discard)
+
     async def _owner_row_is_near(self) -> bool:
         """Tell whether the owner's row can be read here."""
         key = owner_key(self._settings.slice_name)
@@ -492,7 +524,7 @@
     async def _peer_near_table(self) -> str:
         """Return the address of a peer that has just read the owner's row."""
         peers = self._parts.peers
-        addresses = list(self._peers.values())
+        addresses = [row.address for row in self._peers.fastest_first()]
         looks = [peers.look(address, claim=False) for address in addresses]
         ages = await asyncio.gather(*looks)
         for address, age in zip(addresses, ages, strict=True):
--- a/redwingrun/platform/__main__.py
+++ b/redwingrun/platform/__main__.py
@@ -96,7 +96,10 @@
         )
         engine = EngineSettings(settings.bounds.far_factor, settings.bounds.early_s)
         address = f"{settings.ip}:{settings.peer_port}"
-        return Member(MemberSettings(settings.node, address, engine=engine), parts)
+        member = MemberSettings(
+            settings.node, address, engine=engine, speed=settings.speed
+        )
+        return Member(member, parts)
 
     async def run(self) -> None:
         """Serve until the request to stop, then leave in good order."""
--- a/redwingrun/platform/settings.py
+++ b/redwingrun/platform/settings.py
@@ -38,6 +38,7 @@
 class PlatformSettings:
     """What a process is told at its start.
 
+    :param speed: of the machine's processor share; 1.0 is a whole ordinary core.
     :param store: address of the platform's store.
     :param advice: address of the placement policy; empty when there is none.
     :param peer_port: first of the ports that are free for our own protocol.
@@ -52,6 +53,7 @@
     store: str
     advice: str
     bounds: TimeBounds
+    speed: float = 1.0
 
 
 def settings_path() -> Path:
@@ -83,6 +85,7 @@
     listen = plain["listen"]
     bounds = plain.get("bounds") or {}
     defaults = TimeBounds()
+    limits = plain.get("limits") or {}
     return PlatformSettings(
         node=plain["nodeName"],
         zone=plain.get("zone") or "",
@@ -98,4 +101,7 @@
             far_factor=float(bounds.get("farX", defaults.far_factor)),
             keep_results_s=float(bounds.get("status_s", defaults.keep_results_s)),
         ),
+        # The platform counts the speed of a core as a number of cores.
+        speed=float(limits.get("cpuShare") or 1.0)
+        * float(limits.get("cpuCores") or 1.0),
     )
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -613,7 +613,7 @@
         self.minion_by_id[info.worker_id] = minion
         return minion
 
-    def add_member(self, name: str) -> Member:
+    def add_member(self, name: str, speed: float = 1.0) -> Member:
         """Start a member."""
         process = Process(name)
         self.process_by_name[name] = process
@@ -629,7 +629,8 @@
             QuietLog(name, self),
             Metrics(),
         )
-        member = Member(MemberSettings(name, name, engine=EngineSettings()), parts)
+        settings = MemberSettings(name, name, engine=EngineSettings(), speed=speed)
+        member = Member(settings, parts)
         self.member_by_name[name] = member
         member.start()
         return member
@@ -670,16 +671,20 @@
         if result.is_ok():
             self.accepted.add(job_id)
 
-    def add_member_now(self, name: str) -> Member:
+    def add_member_now(self, name: str, speed: float = 1.0) -> Member:
         """Start a member, and let it get ready."""
 
         async def start() -> Member:
-            return self.add_member(name)
+            return self.add_member(name, speed)
 
         member = self.loop.run_until_complete(start())
         self.run(1.0)
         return member
 
+    def claims(self) -> int:
+        """Return how often the slice was claimed."""
+        return sum(1 for _, _, kind, _ in self.lines if kind == "claimed")
+
     def ask_state(self, member: Member, job_id: str) -> Result[Any, Failure]:
         """Ask one member for a job's state."""
         return self.loop.run_until_complete(member.intake.state(job_id, 2.0))
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -37,6 +37,18 @@
     assert settings.bounds.early_s == 0.25
 
 
+@pytest.mark.parametrize(
+    ("limits", "speed"),
+    [({"cpuShare": 0.5, "cpuCores": 3}, 1.5), ({"cpuShare": 0.4}, 0.4), ({}, 1.0)],
+)
+def test_the_speed_of_a_host_is_its_share_of_a_core_as_fast_as_it_is(
+    tmp_path: Path, limits: dict, speed: float
+):
+    """A host that doesn't tell counts as a whole ordinary core."""
+    settings = load_settings(written(tmp_path, {**GOOD, "limits": limits}))
+    assert settings.speed == pytest.approx(speed)
+
+
 @pytest.mark.parametrize("name", ["nodeName", "listen", "portRange", "platform"])
 def test_a_missing_field_is_named_with_the_path(tmp_path: Path, name: str):
     """An operator finds the file and the field."""
