--- a/redwingrun/jobs/jobpeerservice.py
+++ b/redwingrun/jobs/jobpeerservice.py
@@ -2,25 +2,21 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from grpclib.server import Stream
 
 from redwingrun.coordination.verdict import Verdict
 from redwingrun.jobs.intake import TABLE_AWAY
 from redwingrun.jobs.jobpeer_grpc import JobPeerBase
 from redwingrun.jobs.jobpeer_pb2 import AskReply, LookReply, RelayReply, TellReply
+from redwingrun.jobs.memberport import MemberPort
 from redwingrun.jobs.spec import StepId
 from redwingrun.jobs.workerpool import AskOrder
 
-if TYPE_CHECKING:
-    from redwingrun.jobs.member import Member
-
 
 class JobPeerService(JobPeerBase):
     """The calls of :file:`jobpeer.proto`; the names are the protocol's."""
 
-    def __init__(self, member: Member):
+    def __init__(self, member: MemberPort):
         self._member = member
 
     async def Ask(self, stream: Stream) -> None:  # noqa: N802
--- a/redwingrun/jobs/jobservice.py
+++ b/redwingrun/jobs/jobservice.py
@@ -4,20 +4,18 @@
 
 import random
 from collections.abc import Callable, Coroutine
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from expression import Error, Ok, Result
 
 from redwingrun.coordination.clock import Clock
 from redwingrun.coordination.verdict import Failure, Verdict, may_have_run
 from redwingrun.jobs.intake import TABLE_AWAY, Intake
+from redwingrun.jobs.memberport import MemberPort
 from redwingrun.jobs.peerlinks import PeerLinks, RelayAnswer, RelayCall, RelayVerb
 from redwingrun.jobs.progress import JobState
 from redwingrun.logs import Log
 
-if TYPE_CHECKING:
-    from redwingrun.jobs.member import Member
-
 # The longest that the table is tried before a peer is.
 LOCAL_SHARE = 0.4
 RELAY_TIMEOUT_S = 0.8
@@ -37,7 +35,7 @@
         self,
         intake: Intake,
         peers: PeerLinks,
-        member: Member,
+        member: MemberPort,
         clock: Clock,
         log: Log,
     ):
--- a/redwingrun/jobs/member.py
+++ b/redwingrun/jobs/member.py
@@ -5,32 +5,30 @@
 import asyncio
 import contextlib
 import math
-import secrets
 import zlib
 from collections.abc import Callable
 from typing import Any
 
-from attrs import define, frozen
+from attrs import frozen
 from expression import Result
 
 from redwingrun.coordination.clock import Clock
-from redwingrun.coordination.codec import encode
 from redwingrun.coordination.table import (
-    Condition,
     HistoryLost,
     Row,
     TableUnavailable,
     TableUnknown,
-    Transaction,
     WatchedTable,
-    Write,
 )
 from redwingrun.coordination.verdict import Failure
 from redwingrun.jobs.cancelling import cancel_all
 from redwingrun.jobs.engine import EngineSettings
 from redwingrun.jobs.intake import Intake
 from redwingrun.jobs.jobservice import JobService
+from redwingrun.jobs.joining import Joining
+from redwingrun.jobs.memberport import MemberPort
 from redwingrun.jobs.ownerjournal import OwnerJournal
+from redwingrun.jobs.ownerwatch import POLL_S, SILENCE_READS, OwnerWatch
 from redwingrun.jobs.peerlinks import PeerLinks
 from redwingrun.jobs.peerlist import MemberRow, PeerList
 from redwingrun.jobs.ports import (
@@ -41,11 +39,8 @@
     WorkerRegistry,
 )
 from redwingrun.jobs.questions import Lane
-from redwingrun.jobs.rows import node_prefix
 from redwingrun.jobs.slicejournal import (
-    OwnerRow,
     owner_key,
-    read_owner,
 )
 from redwingrun.jobs.sliceowner import OwnerParts, SliceOwner
 from redwingrun.jobs.spec import QueueSet
@@ -53,17 +48,9 @@
 from redwingrun.logs import Log
 from redwingrun.metrics import Metrics
 
-POLL_S = 0.45
-# An owner whose row stands still for so long is taken to be gone.
-SILENCE_S = 1.4
-# While the table is slow the owner's renewals are slow, too.
-SILENCE_READS = 5
-READ_WEIGHT = 0.4
 # Without any answer for so long, and some reading times more, the table is away.
 TABLE_IS_AWAY_S = 0.7
 AWAY_READS = 3
-# An owner whose row stands still for so long is looked for at its address.
-GONE_LOOK_S = 0.8
 # An owner that could store nothing for so long looks for a peer that can.
 HAND_OVER_S = 0.65
 MIND_S = 0.2
@@ -75,8 +62,6 @@
 STAGGER_S = 0.06
 # Members on slow hosts let those on faster ones claim first, for up to this time.
 SLOW_HOST_S = 0.3
-# A slice that was given up waits so long for the member that was asked to claim it.
-SUCCESSOR_S = 0.7
 # An owner on a slow host hands over once it has owned the slice for so long, and
 # tries again after a while.
 SETTLED_S = 5.0
@@ -122,27 +107,7 @@
     metrics: Metrics
 
 
-@define
-class _Watch:
-    """What was last seen of the owner's row, and since when it stands still."""
-
-    row: Row | None = None
-    owner: OwnerRow | None = None
-    still_s: float = 0.0
-    polled_s: float | None = None
-
-    def see(self, row: Row | None, now_s: float) -> None:
-        """Take a reading; a long gap between two says little."""
-        same = (row.version if row else 0) == (self.row.version if self.row else 0)
-        gap_s = 0.0 if self.polled_s is None else now_s - self.polled_s
-        self.still_s = self.still_s + min(gap_s, 2 * POLL_S) if same else 0.0
-        self.polled_s = now_s
-        if not same or self.row is None:
-            self.row = row
-            self.owner = read_owner(row)
-
-
-class Member:
+class Member(MemberPort):
     """One process of the slice.
 
     :param settings: who it is.
@@ -159,7 +124,7 @@
         )
         self.jobs = JobService(self.intake, parts.peers, self, parts.clock, parts.log)
         self._owner: SliceOwner | None = None
-        self._watch = _Watch()
+        self._watch = OwnerWatch()
         self._look_now = asyncio.Event()
         self._followed = ""
         self._leaving = False
@@ -168,7 +133,6 @@
         self._next_move_s = -math.inf
         self._table_heard_s = 0.0
         self._owner_row_read_s = -math.inf
-        self._read_s = 0.0
         self._tasks: list[asyncio.Task[Any]] = []
         self._news: set[asyncio.Task[Any]] = set()
         digest = zlib.crc32(settings.name.encode())
@@ -187,7 +151,7 @@
     def table_is_away(self) -> bool:
         """Tell whether the table has answered nothing here for some time."""
         silent_s = self._parts.clock.now() - self._table_heard_s
-        return silent_s > TABLE_IS_AWAY_S + AWAY_READS * self._read_s
+        return silent_s > TABLE_IS_AWAY_S + AWAY_READS * self._watch.read_s
 
     def owner_row_age_s(self) -> float:
         """Return how long the owner's row could not be read here."""
@@ -279,44 +243,15 @@
 
     async def _join(self) -> None:
         """Make this member known and keep the list of the others."""
-        secret = await self._until_done(self._shared_secret)
-        await self._parts.peers.open(self, secret)
-        prefix = node_prefix(self._settings.slice_name)
-        row = self._settings.row()
-        write = Write(prefix + row.name, encode(row))
-        await self._until_done(
-            lambda: self._parts.table.transact(Transaction((), (write,)))
-        )
+        parts = self._parts
+        joining = Joining(parts.table, self._settings.slice_name, parts.log)
+        await parts.peers.open(self, await joining.secret())
+        await joining.register(self._settings.row())
         while True:
             with contextlib.suppress(TableUnavailable, TableUnknown):
-                rows = await self._parts.table.scan(prefix)
-                self._take_members(rows)
+                self._take_members(await joining.members())
             await asyncio.sleep(MEMBERS_S)
 
-    async def _until_done(self, work: Callable[[], Any]) -> Any:
-        while True:
-            try:
-                return await work()
-            except (TableUnavailable, TableUnknown) as error:
-                self._log.event("join-waits", why=str(error))
-                await asyncio.sleep(RETRY_S)
-
-    async def _shared_secret(self) -> str:
-        """Return the secret of all members; the first one draws it."""
-        key = f"secrets/{self._settings.slice_name}/peers"
-        table = self._parts.table
-        row = await table.read(key)
-        if row is not None:
-            return row.value
-        drawn = secrets.token_hex(16)
-        await table.transact(
-            Transaction((Condition.absent(key),), (Write(key, drawn),))
-        )
-        row = await table.read(key)
-        if row is None:
-            raise TableUnknown("the peers' secret is not stored yet")
-        return row.value
-
     def _take_members(self, rows: tuple[Row, ...]) -> None:
         self._peers.take(rows)
         if self._owner is not None:
@@ -382,50 +317,30 @@
                 row = await self._parts.table.read(owner_key(self._settings.slice_name))
             except (TableUnavailable, TableUnknown) as error:
                 self._log.detail("owner-unread", why=str(error))
-                self._watch.polled_s = None
+                self._watch.miss()
                 continue
             now_s = self._parts.clock.now()
             self._table_heard_s = now_s
             self._owner_row_read_s = now_s
-            self._read_s += READ_WEIGHT * (now_s - asked_s - self._read_s)
-            self._watch.see(row, now_s)
-            claims = self._should_claim() or await self._owner_is_gone()
+            self._watch.see(row, now_s - asked_s, now_s)
+            claims = self._may_claim() or await self._owner_is_gone()
             if claims and not self._leaving:
                 await self._claim()
 
-    def _should_claim(self) -> bool:
-        watch = self._watch
-        owner = watch.owner
-        if owner is None:
-            return watch.still_s >= self._stagger_s
-        if owner.member in (self._settings.name, self._followed):
-            # An earlier life of this member, or an owner that asked to be followed.
-            return True
-        if owner.member:
-            silence_s = SILENCE_S + SILENCE_READS * self._read_s
-            return watch.still_s >= silence_s + self._stagger_s
-        if owner.successor == self._settings.name:
-            return True
-        return watch.still_s >= SUCCESSOR_S + self._stagger_s
+    def _may_claim(self) -> bool:
+        stagger_s = self._name_stagger_s + self._slow_host_s
+        return self._watch.may_claim(self._settings.name, self._followed, stagger_s)
 
     async def _owner_is_gone(self) -> bool:
         """Tell whether the owner's process has certainly ended."""
-        owner = self._watch.owner
-        look_s = GONE_LOOK_S + self._slow_host_s
-        if owner is None or not owner.member or self._watch.still_s < look_s:
-            return False
-        return await self._parts.peers.is_gone(owner.address)
+        address = self._watch.address_to_look_at(self._slow_host_s)
+        return bool(address) and await self._parts.peers.is_gone(address)
 
     @property
     def _slow_host_s(self) -> float:
         """How long the members on faster hosts may claim first."""
         return SLOW_HOST_S * self._peers.faster_share()
 
-    @property
-    def _stagger_s(self) -> float:
-        """How long others may claim first."""
-        return self._name_stagger_s + self._slow_host_s
-
     async def _claim(self) -> None:
         settings = self._settings
         try:
@@ -480,7 +395,7 @@
         finally:
             observer.cancel()
             self._owner = None
-            self._watch = _Watch()
+            self._watch.begin_anew()
             self._left.set()
 
     async def _mind(self, owner: SliceOwner, journal: OwnerJournal) -> None:
@@ -490,7 +405,7 @@
             self._watch.owner = journal.row
             if self._parts.clock.now() >= max(settled_s, self._next_move_s):
                 await self._move_to_faster(owner)
-            if owner.silent_s() > HAND_OVER_S + SILENCE_READS * self._read_s:
+            if owner.silent_s() > HAND_OVER_S + SILENCE_READS * self._watch.read_s:
                 near = await self._peer_near_table()
                 if near and not await self._owner_row_is_near():
                     await self._hand_over(owner, near)
--- /dev/null
+++ b/redwingrun/jobs/ownerwatch.py
@@ -0,0 +1,86 @@
+"""What a member sees of its slice's owner, and when it may claim the slice."""
+
+from __future__ import annotations
+
+from attrs import define
+
+from redwingrun.coordination.table import Row
+from redwingrun.jobs.slicejournal import OwnerRow, read_owner
+
+POLL_S = 0.45
+# An owner whose row stands still for so long is taken to be gone.
+SILENCE_S = 1.4
+# While the table is slow the owner's renewals are slow, too.
+SILENCE_READS = 5
+READ_WEIGHT = 0.4
+# An owner whose row stands still for so long is looked for at its address.
+GONE_LOOK_S = 0.8
+# A slice that was given up waits so long for the member that was asked to claim it.
+SUCCESSOR_S = 0.7
+
+
+@define
+class OwnerWatch:
+    """What was last seen of the owner's row, and since when it stands still.
+
+    :ivar read_s: how long reading the row takes lately.
+    """
+
+    row: Row | None = None
+    owner: OwnerRow | None = None
+    still_s: float = 0.0
+    polled_s: float | None = None
+    read_s: float = 0.0
+
+    def see(self, row: Row | None, took_s: float, now_s: float) -> None:
+        """Take a reading; a long gap between two says little.
+
+        :param took_s: how long the reading took.
+        """
+        self.read_s += READ_WEIGHT * (took_s - self.read_s)
+        same = (row.version if row else 0) == (self.row.version if self.row else 0)
+        gap_s = 0.0 if self.polled_s is None else now_s - self.polled_s
+        self.still_s = self.still_s + min(gap_s, 2 * POLL_S) if same else 0.0
+        self.polled_s = now_s
+        if not same or self.row is None:
+            self.row = row
+            self.owner = read_owner(row)
+
+    def miss(self) -> None:
+        """Note that a reading failed: the next gap says nothing."""
+        self.polled_s = None
+
+    def begin_anew(self) -> None:
+        """Forget the row: this member has written it itself meanwhile."""
+        self.row = None
+        self.owner = None
+        self.still_s = 0.0
+        self.polled_s = None
+
+    def may_claim(self, own_name: str, followed: str, stagger_s: float) -> bool:
+        """Tell whether the slice is this member's to claim.
+
+        :param followed: the owner that asked to be followed.
+        :param stagger_s: how long others may claim first.
+        """
+        owner = self.owner
+        if owner is None:
+            return self.still_s >= stagger_s
+        if owner.member in (own_name, followed):
+            # An earlier life of this member, or an owner that asked to be followed.
+            return True
+        if owner.member:
+            return self.still_s >= SILENCE_S + SILENCE_READS * self.read_s + stagger_s
+        if owner.successor == own_name:
+            return True
+        return self.still_s >= SUCCESSOR_S + stagger_s
+
+    def address_to_look_at(self, after_s: float) -> str:
+        """Return where to look for an owner that is still, empty if it needn't be.
+
+        :param after_s: how much longer than usual others are waited for.
+        """
+        owner = self.owner
+        if owner is None or not owner.member or self.still_s < GONE_LOOK_S + after_s:
+            return ""
+        return owner.address
--- a/redwingrun/jobs/peerlinks.py
+++ b/redwingrun/jobs/peerlinks.py
@@ -4,7 +4,6 @@
 
 from abc import ABC, abstractmethod
 from enum import Enum
-from typing import TYPE_CHECKING
 
 from attrs import frozen
 from expression import Error, Ok, Result
@@ -18,14 +17,12 @@
     TellRequest,
 )
 from redwingrun.jobs.jobpeerservice import JobPeerService
+from redwingrun.jobs.memberport import MemberPort
 from redwingrun.jobs.ports import PolicyAnswer
 from redwingrun.jobs.progress import JobState
 from redwingrun.jobs.workerpool import AskOrder
 from redwingrun.peers import PeerClient, PeerServer
 
-if TYPE_CHECKING:
-    from redwingrun.jobs.member import Member
-
 LOOK_TIMEOUT_S = 0.6
 TELL_TIMEOUT_S = 0.6
 
@@ -65,7 +62,7 @@
     """How a member reaches the others, and they reach it."""
 
     @abstractmethod
-    async def open(self, member: Member, secret: str) -> None:
+    async def open(self, member: MemberPort, secret: str) -> None:
         """Serve the peers' calls, and be ready to call them."""
 
     @abstractmethod
@@ -121,7 +118,7 @@
         self._client: PeerClient | None = None
         self._server: PeerServer | None = None
 
-    async def open(self, member: Member, secret: str) -> None:
+    async def open(self, member: MemberPort, secret: str) -> None:
         """Serve the peers' calls, and be ready to call them."""
         self._client = PeerClient(secret, JobPeerStub)
         self._server = PeerServer(JobPeerService(member), secret)
