--- a/redwingrun/jobs/engine.py
+++ b/redwingrun/jobs/engine.py
@@ -11,9 +11,7 @@
 from redwingrun.jobs.candidates import Candidates
 from redwingrun.jobs.gate import Ticket
 from redwingrun.jobs.jobbook import Job
-from redwingrun.jobs.placement import (
-    Placer,
-)
+from redwingrun.jobs.placement import Placer
 from redwingrun.jobs.progress import JobProgress, JobState
 from redwingrun.jobs.slicestate import SliceState
 from redwingrun.jobs.spec import (
--- a/redwingrun/jobs/member.py
+++ b/redwingrun/jobs/member.py
@@ -39,9 +39,7 @@
     WorkerRegistry,
 )
 from redwingrun.jobs.questions import Lane
-from redwingrun.jobs.slicejournal import (
-    owner_key,
-)
+from redwingrun.jobs.slicejournal import owner_key
 from redwingrun.jobs.sliceowner import OwnerParts, SliceOwner
 from redwingrun.jobs.spec import QueueSet
 from redwingrun.jobs.workerpool import AskOrder
--- a/redwingrun/jobs/sliceowner.py
+++ b/redwingrun/jobs/sliceowner.py
@@ -11,9 +11,7 @@
 from expression import Result
 
 from redwingrun.coordination.clock import Clock
-from redwingrun.coordination.table import (
-    WatchedTable,
-)
+from redwingrun.coordination.table import WatchedTable
 from redwingrun.coordination.verdict import Failure
 from redwingrun.jobs.cancelling import cancel_all
 from redwingrun.jobs.engine import Engine, EngineSettings
--- a/redwingrun/jobs/slicestate.py
+++ b/redwingrun/jobs/slicestate.py
@@ -8,9 +8,7 @@
 
 from redwingrun.jobs.gate import StepGate
 from redwingrun.jobs.jobbook import Job, apply_loss
-from redwingrun.jobs.placement import (
-    reserved_size,
-)
+from redwingrun.jobs.placement import reserved_size
 from redwingrun.jobs.spec import (
     RunId,
     StepId,
--- a/redwingrun/jobs/workerreports.py
+++ b/redwingrun/jobs/workerreports.py
@@ -8,9 +8,7 @@
 from redwingrun.jobs.laggards import LaggardWatch
 from redwingrun.jobs.pacing import pace_orders
 from redwingrun.jobs.slicestate import SliceState
-from redwingrun.jobs.spec import (
-    RunId,
-)
+from redwingrun.jobs.spec import RunId
 from redwingrun.jobs.speeds import Speeds
 from redwingrun.jobs.workerpool import (
     EndKind,
