An owner can wait at a thousand workers: handles for calls are made as they are needed

The owner waits at each worker with one call, and all calls to workers had 320 handles: with 500 workers holds and starts waited for each other, leases lapsed. Ruled out: memory (120 MB at the busiest), descriptors (1,203), processor (29 % of a core). Change: at most 2,000 calls to workers; handles are made when all are in use, not for all at the start. Before: the new test of the planned size fails (320 >= 1,280).

--- a/redwingrun/httpclient.py
+++ b/redwingrun/httpclient.py
@@ -18,8 +18,10 @@
 VERDICT_HEADER = "X-Verdict"
 FROM_HEADER = "X-From"
 MAX_CLIENTS = 128
+# Calls at the same time for which handles are made at once; more when they are needed.
+FIRST_CLIENTS = 8
 # Open connections that are kept for later calls.
-KEPT_CONNECTIONS = 1024
+KEPT_CONNECTIONS = 2048
 
 # Failures before curl had a connection: nothing can have been sent.
 NOT_SENT = frozenset(
@@ -111,16 +113,26 @@
 
 
 class _KeepingClient(CurlAsyncHTTPClient):
-    """Keeps connections between waves of calls.
+    """Keeps connections between waves of calls, and makes handles as they are needed.
 
     By default libcurl keeps four times the number of calls under way, and closes the
-    rest each time that a wave is over.
+    rest each time that a wave is over; tornado makes a handle for each call that
+    there may ever be.
     """
 
-    def initialize(self, *args: object, **kwargs: object) -> None:
-        super().initialize(*args, **kwargs)
+    def initialize(self, max_clients: int, **kwargs: object) -> None:
+        super().initialize(min(FIRST_CLIENTS, max_clients), **kwargs)
+        self._max_clients = max_clients
         self._multi.setopt(pycurl.M_MAXCONNECTS, KEPT_CONNECTIONS)
 
+    def fetch_impl(self, request: object, callback: object) -> None:
+        """Send a request, with a new handle if all are in use."""
+        if not self._free_list and len(self._curls) < self._max_clients:
+            curl = self._curl_create()
+            self._curls.append(curl)
+            self._free_list.append(curl)
+        super().fetch_impl(request, callback)
+
 
 def _never_resend(curl: pycurl.Curl) -> None:
     """Keep libcurl from sending a request again by itself.
--- a/redwingrun/platform/__main__.py
+++ b/redwingrun/platform/__main__.py
@@ -44,9 +44,10 @@
 # What is left of the grace period for the end of the process.
 EXIT_MARGIN_S = 1.0
 SETTINGS_EVERY_S = 2.0
-# Most calls at the same time; a process keeps memory for each of them.
+# Most calls at the same time. An owner waits at each of its workers, and may send
+# each of them an order meanwhile.
 SERVICE_CALLS = 96
-WORKER_CALLS = 320
+WORKER_CALLS = 2000
 LOG_LINES_A_SECOND = 200
 SETTINGS_EXIT = 2
 
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -10,9 +10,11 @@
 from lab.cell import free_ports
 from redwingrun.coordination.verdict import Verdict
 from redwingrun.httpclient import Call, HttpClient
+from redwingrun.platform.__main__ import WORKER_CALLS
 
 BODY = b"answer"
 WORKERS = 120
+PLANNED_WORKERS = 640
 GOOD = (
     b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\nX-Digest: "
     + hashlib.sha256(BODY).hexdigest().encode()
@@ -27,6 +29,8 @@
     def __init__(self, *scripts: bytes | None):
         self._scripts = list(scripts)
         self.requests = 0
+        self.wanted = 0
+        self.all_wanted_came = asyncio.Event()
         self.port = free_ports(1)[0]
 
     async def __aenter__(self) -> Server:
@@ -45,6 +49,8 @@
                 )
                 await reader.readexactly(length)
                 self.requests += 1
+                if self.requests == self.wanted:
+                    self.all_wanted_came.set()
                 script = self._scripts.pop(0) if self._scripts else b""
                 if script is None:
                     await asyncio.sleep(30)
@@ -162,3 +168,29 @@
         assert counter.connections == WORKERS
 
     asyncio.run(scenario())
+
+
+def test_handles_are_made_as_they_are_needed():
+    """Calls that wait for answers hold up no others until the most is reached."""
+
+    async def scenario():
+        async with Server(*[None] * 20) as server:
+            server.wanted = 16
+            client = HttpClient("", max_clients=16)
+            url = f"http://127.0.0.1:{server.port}/"
+            call = Call("POST", url, timeout_s=5, body=b"x")
+            calls = [asyncio.ensure_future(client.send(call)) for _ in range(20)]
+            await server.all_wanted_came.wait()
+            await asyncio.sleep(0.1)
+            assert server.requests == 16
+            for waiting in calls:
+                waiting.cancel()
+            await asyncio.gather(*calls, return_exceptions=True)
+            client.close()
+
+    asyncio.run(asyncio.wait_for(scenario(), 20))
+
+
+def test_an_owner_of_the_planned_size_can_hold_and_order_all_its_workers_at_once():
+    """With 320 calls, five hundred workers lost their leases and all their work."""
+    assert WORKER_CALLS >= 2 * PLANNED_WORKERS
