What stood in a standby part never replaces what came after it

Since a text that had been written back was forgotten only if it was the newest of its job: when the job went on in the very commit that wrote it back, the older text stayed and was written over the newer one by the next commit. A later owner, or a reader, then took done tasks for undone. Ruled out: the load during a commit (its test passes). Change: what is forgotten is what was known before the commit, text by text. Before: the new test fails (state 0 of stamp 5,1 over state 2 of stamp 5,2). After: passes.

--- a/redwingrun/jobs/ownerjournal.py
+++ b/redwingrun/jobs/ownerjournal.py
@@ -224,11 +224,13 @@
     async def _commit_primary(
         self, texts: dict[str, str], waiting_by_queue: dict[str, int] | None
     ) -> bool:
-        whole = {**self._only_standby, **texts}
+        # More may come in while this is being stored.
+        written_back = dict(self._only_standby)
+        whole = {**written_back, **texts}
         writes = _writes(self.slice_name, whole)
         if not await self.primary.try_commit(writes, waiting_by_queue):
             return False
-        for job_id, text in whole.items():
+        for job_id, text in written_back.items():
             if self._only_standby.get(job_id) == text:
                 del self._only_standby[job_id]
         if not self._only_standby and not self._unread:
--- a/tests/jobs/test_ownerjournal.py
+++ b/tests/jobs/test_ownerjournal.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from redwingrun.coordination.table import TableUnavailable
 from redwingrun.jobs.ownerjournal import OwnerJournal
 from redwingrun.jobs.progress import JobProgress, JobState, encode_progress
 from redwingrun.jobs.rows import progress_key, standby_names
@@ -24,9 +25,16 @@
         self.abandoned = False
         self.stored: dict[str, str] = {}
         self.may_store = asyncio.Event()
+        self.answers = True
+
+    async def check(self):
+        if not self.answers:
+            raise TableUnavailable("silent")
 
     async def try_commit(self, writes, waiting_by_queue, used=False):
         await self.may_store.wait()
+        if not self.answers:
+            return False
         self.row = OwnerRow("m0", "m0", "t", 0, used=used)
         self.stored.update({write.key: write.value for write in writes})
         return True
@@ -80,3 +88,33 @@
         assert not standby.row.used
 
     asyncio.run(scenario())
+
+
+def test_what_was_stored_in_a_standby_part_never_replaces_what_came_after_it():
+    """The job goes on in the commit that writes it back, and rests in the next one.
+
+    Seen in a hunt: the older row came back, and the next owner ran done tasks again.
+    """
+
+    async def scenario():
+        name = standby_names(SLICE)[0]
+        key = progress_key(SLICE, job_id(1))
+        primary, standby = Part(SLICE), Part(name)
+        primary.may_store.set()
+        standby.may_store.set()
+        journal = OwnerJournal(primary, Log("member", "quiet"), {name: standby})
+        primary.answers = False
+        progress = JobProgress.fresh()
+        probes = []
+        await journal.commit({job_id(1): progress}, {}, probes.append)
+        assert progress_key(name, job_id(1)) in standby.stored
+        primary.answers = True
+        await probes.pop()
+        progress.state = JobState.COMPLETED
+        await journal.commit({job_id(1): progress}, {}, probes.append)
+        newest = primary.stored[key]
+        await journal.commit({}, {}, probes.append)
+        assert primary.stored[key] == newest
+        assert not standby.row.used
+
+    asyncio.run(scenario())
