Read as a newcomer: one way to name a step's task, the order of claims and a member's settings apart

Cause: the names of tasks were put together in four places; note_used stood there for a test alone; member.py held settings, parts and the order of claims beside the member; two tests of dark parts began with the same nine lines. No decision and no check changed. tests/jobs, tests/platform, tests/test_boundaries: 143 passed.

--- a/redwingrun/jobs/candidates.py
+++ b/redwingrun/jobs/candidates.py
@@ -24,10 +24,10 @@
     def of_pool(self, pool: str) -> Mapping[str, Worker]:
         """Return a pool's usable workers by their names."""
         if self._by_pool is None:
-            self._by_pool = self._sorted()
+            self._by_pool = self._grouped()
         return self._by_pool.get(pool, {})
 
-    def _sorted(self) -> dict[str, dict[str, Worker]]:
+    def _grouped(self) -> dict[str, dict[str, Worker]]:
         by_pool: dict[str, dict[str, Worker]] = {}
         for worker_id, worker in self._workers.items():
             if worker.listed and is_usable(worker, self._now_s):
--- a/redwingrun/jobs/failedplaces.py
+++ b/redwingrun/jobs/failedplaces.py
@@ -5,7 +5,7 @@
 from collections.abc import Collection, Sequence
 
 from redwingrun.jobs.jobbook import Job
-from redwingrun.jobs.spec import StepId, TaskId, TaskSize
+from redwingrun.jobs.spec import StepId, TaskSize
 from redwingrun.jobs.workerpool import Worker
 
 
@@ -28,8 +28,8 @@
         return _barred_for_gang(job, step_id, waiting, candidates)
     barred = {}
     for index in waiting:
-        failed = job.failed_workers.get(_task_id(step_id, index))
-        if failed and _fit_elsewhere(job, step_id, failed, candidates):
+        failed = job.failed_workers.get(step_id.task(index))
+        if failed and _room_elsewhere(job, step_id, failed, candidates):
             barred[index] = frozenset(failed)
     return barred
 
@@ -44,24 +44,28 @@
     failed: set[str] = set()
     for task_id in job.task_ids(step_id):
         failed |= job.failed_workers.get(task_id, set())
-    if _fit_elsewhere(job, step_id, failed, candidates) < len(waiting):
+    if _room_elsewhere(job, step_id, failed, candidates) < len(waiting):
         return {}
     return dict.fromkeys(waiting, frozenset(failed))
 
 
-def _fit_elsewhere(
+def _room_elsewhere(
     job: Job, step_id: StepId, failed: set[str], candidates: Collection[Worker]
 ) -> int:
     """Count the step's tasks that the other workers hold when they are empty."""
     step = job.step(step_id)
     return sum(
-        _fit_on(worker, step.size, step.max_per_worker)
+        _most_on(worker, step.size, step.max_per_worker)
         for worker in candidates
         if worker.worker_id not in failed
     )
 
 
-def _fit_on(worker: Worker, size: TaskSize, limit: int) -> int:
+def _most_on(worker: Worker, size: TaskSize, limit: int) -> int:
+    """Count the tasks that an empty worker holds.
+
+    :param limit: most tasks of the step on a worker; 0 for no limit.
+    """
     capacity = worker.info.capacity
     counts = [limit] if limit else []
     if size.cpu_milli:
@@ -71,7 +75,3 @@
     if size.gpus:
         counts.append(capacity.gpus // size.gpus)
     return min(counts, default=1)
-
-
-def _task_id(step_id: StepId, index: int) -> TaskId:
-    return TaskId(step_id.job, step_id.occurrence, step_id.step, index)
--- a/redwingrun/jobs/jobbook.py
+++ b/redwingrun/jobs/jobbook.py
@@ -58,7 +58,7 @@
     def task_ids(self, step_id: StepId) -> Iterator[TaskId]:
         """Return the names of a step's tasks."""
         for index in range(len(self.tasks(step_id))):
-            yield TaskId(step_id.job, step_id.occurrence, step_id.step, index)
+            yield step_id.task(index)
 
     def task(self, task_id: TaskId) -> TaskProgress | None:
         """Return a task, ``None`` when the job has no such task open."""
--- a/redwingrun/jobs/member.py
+++ b/redwingrun/jobs/member.py
@@ -5,46 +5,36 @@
 import asyncio
 import contextlib
 import math
-import zlib
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from typing import Any
 
-from attrs import frozen
 from expression import Result
 
-from redwingrun.coordination.clock import Clock
 from redwingrun.coordination.table import (
     HistoryLost,
     Row,
     TableUnavailable,
     TableUnknown,
-    WatchedTable,
 )
 from redwingrun.coordination.verdict import Failure
 from redwingrun.jobs.cancelling import cancel_all
-from redwingrun.jobs.engine import EngineSettings
+from redwingrun.jobs.claimorder import ClaimOrder
 from redwingrun.jobs.intake import Intake
 from redwingrun.jobs.jobservice import JobService
 from redwingrun.jobs.joining import Joining
+from redwingrun.jobs.memberparts import MemberParts, MemberSettings
 from redwingrun.jobs.memberport import MemberPort
 from redwingrun.jobs.ownerjournal import OwnerJournal
 from redwingrun.jobs.ownerwatch import GONE_LOOK_S, SILENCE_READS, OwnerWatch
-from redwingrun.jobs.peerlinks import PeerLinks
 from redwingrun.jobs.peerlist import MemberRow, PeerList
 from redwingrun.jobs.ports import (
     PolicyAnswer,
-    PolicyPort,
-    QueueSource,
-    WorkerPort,
-    WorkerRegistry,
 )
 from redwingrun.jobs.questions import Lane
 from redwingrun.jobs.slicejournal import owner_key
 from redwingrun.jobs.sliceowner import OwnerParts, SliceOwner
 from redwingrun.jobs.spec import QueueSet
 from redwingrun.jobs.workerpool import AskOrder
-from redwingrun.logs import Log
-from redwingrun.metrics import Metrics
 
 # Without any answer for so long, and some reading times more, the table is away.
 TABLE_IS_AWAY_S = 0.7
@@ -55,13 +45,6 @@
 OWN_LOOK_S = 0.8
 # A peer that has read the owner's row within this time reaches the table.
 TABLE_IS_NEAR_S = 0.7
-# Members claim one after the other, by a hash of their names.
-STAGGER_STEPS = 8
-STAGGER_S = 0.06
-# Those on hosts that are clearly slower than others follow a step after these, and
-# look so much later whether an owner's process is gone.
-FAST_STEPS = STAGGER_STEPS // 2
-SLOW_HOST_S = 0.25
 # An owner on a slow host hands over once it has owned the slice for so long, and
 # tries again after a while.
 SETTLED_S = 3.0
@@ -71,42 +54,6 @@
 MEMBERS_S = 3.0
 
 
-@frozen
-class MemberSettings:
-    """How a member is set up.
-
-    :param name: unique among all members.
-    :param address: where peers reach the member.
-    :param speed: of the host's processor share; 1.0 is a whole ordinary core.
-    """
-
-    name: str
-    address: str
-    slice_name: str = "s0"
-    engine: EngineSettings = EngineSettings()
-    speed: float = 1.0
-
-    def row(self) -> MemberRow:
-        """Return what peers know of the member."""
-        return MemberRow(self.name, self.address, self.speed)
-
-
-@frozen
-class MemberParts:
-    """What a member works with."""
-
-    table: WatchedTable
-    queues: QueueSource
-    workers: WorkerPort
-    registry: WorkerRegistry
-    policy: PolicyPort
-    peers: PeerLinks
-    clock: Clock
-    unix_ms: Callable[[], int]
-    log: Log
-    metrics: Metrics
-
-
 class Member(MemberPort):
     """One process of the slice.
 
@@ -138,7 +85,7 @@
         self._owner_row_read_s = -math.inf
         self._tasks: list[asyncio.Task[Any]] = []
         self._side_tasks: set[asyncio.Task[Any]] = set()
-        self._digest = zlib.crc32(settings.name.encode())
+        self._order = ClaimOrder(settings.name, self._peers)
 
     @property
     def is_ready(self) -> bool:
@@ -339,21 +286,13 @@
     def _pause_s(self) -> float:
         """Return how long to wait with the next look at the owner's row."""
         return self._watch.pause_s(
-            self._claim_after_s(), GONE_LOOK_S + self._slow_host_s
+            self._claim_after_s(), GONE_LOOK_S + self._order.look_later_s()
         )
 
     def _claim_after_s(self) -> float:
-        name, stagger_s = self._settings.name, STAGGER_S * self._stagger_step()
+        name, stagger_s = self._settings.name, self._order.stagger_s()
         return self._watch.claim_after_s(name, self._followed, stagger_s)
 
-    def _stagger_step(self) -> int:
-        """Return this member's place in the order of claims."""
-        if self._peers.faster():
-            return FAST_STEPS + 1 + self._digest % FAST_STEPS
-        if self._peers.has_slower():
-            return self._digest % FAST_STEPS
-        return self._digest % STAGGER_STEPS
-
     def _owner_is_gone(self) -> bool:
         """Tell whether the owner's process has certainly ended, as far as is known.
 
@@ -362,7 +301,7 @@
         """
         if self._gone_row is not None and self._gone_row == self._watch.row:
             return True
-        address = self._watch.address_to_look_at(self._slow_host_s)
+        address = self._watch.address_to_look_at(self._order.look_later_s())
         if address and not self._is_looking:
             self._is_looking = True
             self._spawn(self._look_for_owner(address, self._watch.row))
@@ -376,11 +315,6 @@
         finally:
             self._is_looking = False
 
-    @property
-    def _slow_host_s(self) -> float:
-        """How long the members on faster hosts may claim first."""
-        return SLOW_HOST_S if self._peers.faster() else 0.0
-
     async def _claim(self) -> None:
         settings = self._settings
         try:
--- a/redwingrun/jobs/ownerjournal.py
+++ b/redwingrun/jobs/ownerjournal.py
@@ -149,11 +149,7 @@
                 continue
             self.standby_by_name[name] = journal
             if used:
-                self.note_used(name)
-
-    def note_used(self, name: str) -> None:
-        """Note that a standby part may hold what the primary part lacks."""
-        self._unread.add(name)
+                self._unread.add(name)
 
     async def load(self, table: WatchedTable) -> dict[str, JobProgress]:
         """Return the newest progress of each job that the parts hold."""
--- a/redwingrun/jobs/ownerwatch.py
+++ b/redwingrun/jobs/ownerwatch.py
@@ -20,8 +20,6 @@
 GONE_LOOK_S = 0.8
 # A slice that was given up waits so long for the member that was asked to claim it.
 SUCCESSOR_S = 0.7
-
-
 # Counts in a row that has stood still for so long may be wrong by now.
 COUNTS_S = 3.0
 
--- a/redwingrun/jobs/spec.py
+++ b/redwingrun/jobs/spec.py
@@ -114,6 +114,10 @@
     occurrence: int
     step: int
 
+    def task(self, index: int) -> TaskId:
+        """Return the name of one of the step's tasks."""
+        return TaskId(self.job, self.occurrence, self.step, index)
+
 
 @frozen(cache_hash=True)
 class TaskId:
--- a/redwingrun/jobs/stepserver.py
+++ b/redwingrun/jobs/stepserver.py
@@ -21,7 +21,6 @@
     RunId,
     StepId,
     StepSpec,
-    TaskId,
 )
 from redwingrun.jobs.workerpool import (
     AskOrder,
@@ -67,8 +66,7 @@
         waiting = [
             index
             for index in job.waiting(step_id)
-            if TaskId(step_id.job, step_id.occurrence, step_id.step, index)
-            not in self._state.live_runs
+            if step_id.task(index) not in self._state.live_runs
         ]
         if not waiting:
             if not job.waiting(step_id):
@@ -112,7 +110,7 @@
     def _place(
         self, job: Job, step_id: StepId, placement: Placement, now_s: float
     ) -> StartOrder:
-        task_id = TaskId(step_id.job, step_id.occurrence, step_id.step, placement.index)
+        task_id = step_id.task(placement.index)
         task = job.task(task_id)
         gang = job.step(step_id).gang
         task.run = (
--- a/redwingrun/platform/__main__.py
+++ b/redwingrun/platform/__main__.py
@@ -14,7 +14,8 @@
 from redwingrun.errors import RedwingrunError
 from redwingrun.httpclient import HttpClient
 from redwingrun.jobs.engine import EngineSettings
-from redwingrun.jobs.member import Member, MemberParts, MemberSettings
+from redwingrun.jobs.member import Member
+from redwingrun.jobs.memberparts import MemberParts, MemberSettings
 from redwingrun.jobs.peerlinks import GrpcPeerLinks
 from redwingrun.logs import Log
 from redwingrun.metrics import Metrics
--- a/tests/jobs/test_dark_parts.py
+++ b/tests/jobs/test_dark_parts.py
@@ -25,6 +25,18 @@
     made.close()
 
 
+def kill_owner_after_a_step_in_the_dark(world: World, second_step_s: float) -> None:
+    """Let only a standby part know that three tasks are done and two run."""
+    first, second = step(3, 2.0), step(2, second_step_s, after=(0,))
+    world.submit(job_id(1), job(first, second))
+    world.run(1.0)
+    world.dark_parts = {OWNERS_PART}
+    world.run(3.5)
+    assert len(world.starts) == 5
+    world.kill(world.owner_name())
+    world.run(0.5)
+
+
 @DARK
 def test_work_goes_on_while_parts_of_the_owner_are_dark(world: World, dark: set[str]):
     """A standby part that answers takes the intents: the next step starts, once.
@@ -68,13 +80,7 @@
 
 def test_what_a_standby_part_holds_outlives_an_owner_that_never_read_all(world: World):
     """It dies while it waits for the workers, and has renewed its claim till then."""
-    world.submit(job_id(1), job(step(3, 2.0), step(2, 9.0, after=(0,))))
-    world.run(1.0)
-    world.dark_parts = {OWNERS_PART}
-    world.run(3.5)
-    assert len(world.starts) == 5
-    world.kill(world.owner_name())
-    world.run(0.5)
+    kill_owner_after_a_step_in_the_dark(world, second_step_s=9.0)
     world.dark_parts = set()
     world.registry_is_dark = True
     world.run(4.0)
@@ -114,13 +120,7 @@
 
 def test_what_was_stored_meanwhile_is_known_to_the_next_owner(world: World):
     """The owner dies before its own part is back: the next one reads both."""
-    world.submit(job_id(1), job(step(3, 2.0), step(2, 6.0, after=(0,))))
-    world.run(1.0)
-    world.dark_parts = {OWNERS_PART}
-    world.run(3.5)
-    assert len(world.starts) == 5
-    world.kill(world.owner_name())
-    world.run(0.5)
+    kill_owner_after_a_step_in_the_dark(world, second_step_s=6.0)
     world.dark_parts = set()
     world.run(10.0)
     assert world.state(job_id(1)) is JobState.COMPLETED
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -31,7 +31,8 @@
 from redwingrun.coordination.verdict import Failure, may_have_run, not_run
 from redwingrun.jobs.engine import EngineSettings
 from redwingrun.jobs.intake import TABLE_AWAY
-from redwingrun.jobs.member import Member, MemberParts, MemberSettings
+from redwingrun.jobs.member import Member
+from redwingrun.jobs.memberparts import MemberParts, MemberSettings
 from redwingrun.jobs.peerlinks import (
     LOOK_TIMEOUT_S,
     PeerLinks,
