--- /dev/null
+++ b/tests/jobs/minion.py
@@ -0,0 +1,201 @@
+"""A minion as the platform's pages describe it, in virtual time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, evolve, field
+
+from redwingrun.jobs.ports import (
+    HoldCall,
+)
+from redwingrun.jobs.spec import (
+    RunId,
+    TaskId,
+)
+from redwingrun.jobs.workerpool import (
+    EndKind,
+    Refusal,
+    RunEnd,
+    Sighting,
+    StartOrder,
+    StopOrder,
+    WorkerInfo,
+    WorkerReport,
+)
+
+if TYPE_CHECKING:
+    from tests.jobs.world import World
+
+STOP_TAKES_S = 0.3
+
+
+@define
+class MinionRun:
+    """A run on a minion."""
+
+    run_id: RunId
+    started_s: float
+    works_s: float
+    saved_s: float
+    fails: bool
+    stopping_s: float | None = None
+    alone_s: float | None = None
+
+
+@define
+class Minion:
+    """A minion as the platform's pages describe it."""
+
+    world: World
+    info: WorkerInfo
+    rate: float = 1.0
+    up: bool = True
+    life_s: float = 0.0
+    fence: int = 0
+    deadline_ms: float = 0
+    runs: dict[RunId, MinionRun] = field(factory=dict)
+    ends: list[RunEnd] = field(factory=list)
+    next_end: int = 1
+    highest_ended: dict[TaskId, int] = field(factory=dict)
+    lapsed_ends: set[int] = field(factory=set)
+    hangs: bool = False
+    cut: set[str] = field(factory=set)
+
+    def clock_ms(self) -> float:
+        """The minion's steady clock."""
+        return (self.world.loop.time() - self.life_s) * self.rate * 1000
+
+    def crash(self) -> None:
+        """Die: nothing runs, nothing answers."""
+        for run_id in list(self.runs):
+            self.world.judge_gone(run_id, self)
+        self.runs.clear()
+        self.up = False
+
+    def start_again(self) -> None:
+        """Begin a new life under the old id."""
+        self.life_s = self.world.loop.time()
+        self.fence = 0
+        self.deadline_ms = 0
+        self.ends.clear()
+        self.lapsed_ends.clear()
+        self.next_end = 1
+        self.highest_ended.clear()
+        self.up = True
+        self.info = evolve(self.info, born_ms=int(self.world.loop.time() * 1000))
+
+    def settle(self) -> None:
+        """Let time do its work: ends, lapses, stops."""
+        now_s = self.world.loop.time()
+        if self.clock_ms() > self.deadline_ms:
+            # An end whose lease lapsed before it is acknowledged isn't taken note of.
+            self.lapsed_ends.update(end.number for end in self.ends)
+            for run in list(self.runs.values()):
+                if run.run_id in self.runs:
+                    self._end(run, EndKind.LAPSED)
+        for run in list(self.runs.values()):
+            if run.run_id not in self.runs:
+                continue
+            if run.stopping_s is not None and now_s >= run.stopping_s:
+                self._end(run, EndKind.STOPPED)
+            elif self.world.is_alone(run, now_s):
+                self._end(run, EndKind.ALONE)
+            elif not self.hangs and self.world.has_worked(run, now_s):
+                self._end(run, EndKind.FAILED if run.fails else EndKind.DONE)
+
+    def _end(self, run: MinionRun, kind: EndKind) -> None:
+        del self.runs[run.run_id]
+        task = run.run_id.task
+        before = self.highest_ended.get(task, 0)
+        self.highest_ended[task] = max(before, run.run_id.run)
+        self.ends.append(RunEnd(self.next_end, run.run_id, kind, ""))
+        self.next_end += 1
+        self.world.judge_end(run.run_id, kind, self)
+        if kind is not EndKind.BROKEN and self.world.step_of(task).gang:
+            others = EndKind.DONE if kind is EndKind.DONE else EndKind.BROKEN
+            self.world.end_gang(run.run_id, others)
+
+    def end_as_member(self, run: MinionRun, kind: EndKind) -> None:
+        """End a run because another member of its gang ended."""
+        del self.runs[run.run_id]
+        task = run.run_id.task
+        before = self.highest_ended.get(task, 0)
+        self.highest_ended[task] = max(before, run.run_id.run)
+        self.ends.append(RunEnd(self.next_end, run.run_id, kind, ""))
+        self.next_end += 1
+        self.world.judge_end(run.run_id, kind, self)
+
+    def start(
+        self, order: StartOrder, fence: int, deadline_ms: float
+    ) -> Refusal | None:
+        """Carry out a start."""
+        self.settle()
+        if fence < self.fence:
+            return Refusal.FENCE
+        self.fence = fence
+        self.deadline_ms = max(self.deadline_ms, deadline_ms)
+        if order.run_id in self.runs:
+            return None
+        if order.run_id.run <= self.highest_ended.get(order.run_id.task, 0):
+            return Refusal.OLD
+        if any(run_id.task == order.run_id.task for run_id in self.runs):
+            return Refusal.OLD
+        if self.clock_ms() >= self.deadline_ms:
+            return Refusal.LATE
+        spec = self.world.step_of(order.run_id.task)
+        run = MinionRun(
+            order.run_id,
+            self.world.loop.time(),
+            spec.estimate_ms / 1000,
+            0.0,
+            fails=self.world.fails(order.run_id.task, self),
+        )
+        self.runs[order.run_id] = run
+        self.world.judge_start(order.run_id, self)
+        return None
+
+    def stop(self, order: StopOrder, fence: int) -> Refusal | None:
+        """Carry out a stop."""
+        self.settle()
+        if fence < self.fence:
+            return Refusal.FENCE
+        self.fence = fence
+        task = order.run_id.task
+        before = self.highest_ended.get(task, 0)
+        self.highest_ended[task] = max(before, order.run_id.run)
+        for run_id, run in self.runs.items():
+            if run_id.task == task and run_id.run <= order.run_id.run:
+                run.stopping_s = run.stopping_s or self.world.loop.time() + STOP_TAKES_S
+        return None
+
+    def hold(self, call: HoldCall) -> Refusal | None:
+        """Take a hold's lease and acknowledgement."""
+        self.settle()
+        if call.fence < self.fence:
+            return Refusal.FENCE
+        self.fence = call.fence
+        if call.deadline_ms is not None:
+            self.deadline_ms = max(self.deadline_ms, call.deadline_ms)
+        for end in self.ends:
+            if end.number <= call.seen_end:
+                self.world.judge_noted(end, self)
+        self.ends = [end for end in self.ends if end.number > call.seen_end]
+        return None
+
+    def report(self) -> WorkerReport:
+        """Return the lists."""
+        now_s = self.world.loop.time()
+        running = tuple(
+            Sighting(
+                run.run_id,
+                "",
+                0
+                if self.hangs
+                else round(100 * (now_s - run.started_s) / max(0.001, run.works_s)),
+            )
+            for run in self.runs.values()
+        )
+        return WorkerReport(
+            self.clock_ms(), running, tuple(self.ends), self.info.born_ms
+        )
