Members: say which configuration decided a request, and how it arrived

'queues-in-force' and 'queues-unread' said neither how much was read nor how, and a 404 or a count left no line at all.

Change: the follower of the configuration moves out of Member into queuefollower.py, its logic as it was. It logs 'queues-read' (by load or feed, versions and bytes in the answer, time taken, age), 'queues-unread' with the place to continue from, and 'queues-history-truncated'. 'accepted', 'counted' and 'unknown-queue' carry the version and its age. New metrics: queues_version, queues_age_seconds, queues_read_s, queues_reads_failed_total.

--- a/redwingrun/jobs/member.py
+++ b/redwingrun/jobs/member.py
@@ -11,7 +11,6 @@
 from expression import Result
 
 from redwingrun.coordination.table import (
-    HistoryTruncated,
     Row,
     TableUnavailable,
     TableUnknown,
@@ -31,6 +30,7 @@
 from redwingrun.jobs.ports import (
     PolicyAnswer,
 )
+from redwingrun.jobs.queuefollower import QueueFollower
 from redwingrun.jobs.sliceowner import OwnerDependencies, SliceOwner
 from redwingrun.jobs.slicewriter import SliceWriter
 from redwingrun.jobs.spec import QueueSet
@@ -51,8 +51,6 @@
 # this after its claim; HAND_OVER_RETRY_INTERVAL_S is the time between two attempts.
 MIN_OWNERSHIP_S = 3.0
 HAND_OVER_RETRY_INTERVAL_S = 60.0
-QUEUES_WAIT_S = 1.0
-RETRY_INTERVAL_S = 0.2
 MEMBERS_POLL_INTERVAL_S = 3.0
 
 
@@ -61,7 +59,6 @@
 
     :param settings: the member's name, address and slice.
     :param dependencies: the table, workers, policy and peers that the member uses.
-    :ivar queues: the configuration in force; ``None`` until it has been read.
     :ivar job_store: stores and reads jobs through the table only.
     :ivar jobs: serves clients' requests through the table or a peer.
     """
@@ -70,7 +67,14 @@
         self._settings = settings
         self._dependencies = dependencies
         self._log = dependencies.log
-        self.queues: QueueSet | None = None
+        self._queue_follower = QueueFollower(
+            dependencies.queues,
+            dependencies.clock,
+            dependencies.log,
+            dependencies.metrics,
+            self._queues_changed,
+        )
+        self._has_queues = False
         self.job_store = JobStore(
             dependencies.table,
             settings.slice_name,
@@ -95,13 +99,20 @@
         # The owner's row at the time when no process listened at the owner's address.
         self._down_owner_row: Row | None = None
         self._is_probing = False
-        # Monotonic time of the last answer from the table.
-        self._table_answered_s = 0.0
         self._owner_row_read_s = -math.inf
         self._tasks: list[asyncio.Task[Any]] = []
         self._background_tasks: set[asyncio.Task[Any]] = set()
         self._claim_order = ClaimOrder(settings.name, self._peers)
 
+    @property
+    def queues(self) -> QueueSet | None:
+        """The configuration in force; ``None`` until it has been read."""
+        return self._queue_follower.queues
+
+    def queues_age_s(self) -> float:
+        """Return the seconds since the configuration was last read or confirmed."""
+        return self._queue_follower.age_s()
+
     @property
     def is_ready(self) -> bool:
         """Whether clients should be sent here."""
@@ -119,7 +130,8 @@
         average read times. Only reads of the owner's row and of the configuration of
         queues count.
         """
-        since_answer_s = self._dependencies.clock.now() - self._table_answered_s
+        answered_s = max(self._owner_row_read_s, self._queue_follower.answered_s)
+        since_answer_s = self._dependencies.clock.now() - answered_s
         return (
             since_answer_s
             > TABLE_UNAVAILABLE_AFTER_S
@@ -141,7 +153,7 @@
     def start(self) -> None:
         """Start the tasks that follow the configuration, the peers and the owner."""
         loop = asyncio.get_running_loop()
-        for work in (self._follow_queues(), self._join(), self._watch_owner()):
+        for work in (self._queue_follower.run(), self._join(), self._watch_owner()):
             task = loop.create_task(work)
             task.add_done_callback(self._task_ended)
             self._tasks.append(task)
@@ -174,44 +186,12 @@
 
     # Configuration.
 
-    async def _follow_queues(self) -> None:
-        """Read the configuration of queues, and apply newer versions."""
-        version: int | None = None
-        while True:
-            try:
-                source = self._dependencies.queues
-                if version is None:
-                    change = await source.load()
-                else:
-                    change = await source.changes(version, QUEUES_WAIT_S)
-            except HistoryTruncated:
-                version = None
-                continue
-            except (TableUnavailable, TableUnknown) as error:
-                self._log.event("queues-unread", why=str(error))
-                await asyncio.sleep(RETRY_INTERVAL_S)
-                continue
-            version = change.version
-            self._table_answered_s = self._dependencies.clock.now()
-            if change.queues is not None:
-                self._apply_queues(change.queues)
-            elif self.queues is None:
-                version = None
-                await asyncio.sleep(RETRY_INTERVAL_S)
-
-    def _apply_queues(self, queues: QueueSet) -> None:
-        if self.queues is not None and queues.version <= self.queues.version:
-            return
-        self._log.event(
-            "queues-in-force",
-            version=queues.version,
-            before=self.queues.version if self.queues else 0,
-            queues=len(queues.queue_by_name),
-        )
-        if self.queues is None:
+    def _queues_changed(self, queues: QueueSet) -> None:
+        """Tell the owner of a newer configuration; look at its row after the first."""
+        if not self._has_queues:
             # Without a configuration this member could not claim the slice until now.
+            self._has_queues = True
             self._poll_now.set()
-        self.queues = queues
         if self._owner is not None:
             self._owner.set_queues(queues)
 
@@ -329,7 +309,6 @@
                 self._watch.record_failed_read()
                 continue
             now_s = self._dependencies.clock.now()
-            self._table_answered_s = now_s
             self._owner_row_read_s = now_s
             self._watch.record_read(row, now_s - started_s, now_s)
             claim_is_due = self._watch.unchanged_s >= self._claim_after_s()
--- a/redwingrun/jobs/ports.py
+++ b/redwingrun/jobs/ports.py
@@ -160,10 +160,14 @@
     :param queues: ``None`` if there is no newer one.
     :param version: version of the table from which to request the next change; not that
         of the configuration.
+    :param row_count: how many versions of the configuration the answer held.
+    :param value_bytes: their size without the encoding of the answer.
     """
 
     queues: QueueSet | None
     version: int = 0
+    row_count: int = 0
+    value_bytes: int = 0
 
 
 class QueueSource(ABC):
--- a/redwingrun/platform/clientapi.py
+++ b/redwingrun/platform/clientapi.py
@@ -104,8 +104,10 @@
 
     def get(self) -> None:
         """Reply with all metrics."""
+        metrics = self.dependencies.metrics
+        metrics.gauge("queues_age_seconds", self.dependencies.member.queues_age_s())
         self.set_header("Content-Type", "text/plain")
-        self.finish(self.dependencies.metrics.text())
+        self.finish(metrics.text())
 
 
 class JobHandler(_Handler):
@@ -126,10 +128,21 @@
         host = self.request.host.partition(":")[0]
         self.address = queues.find(host, self.request.path)
         if self.address is None:
+            self._log_lookup("unknown-queue", host=host, path=self.request.path)
             self.reply(404, {"error": "no such queue"})
         elif len(self.request.body) > queues.limits.body_bytes:
             self.reply(413, {"error": "the body is too large"})
 
+    def _log_lookup(self, what: str, **fields: object) -> None:
+        """Log a decision with the configuration that it rests on, and its age."""
+        member = self.dependencies.member
+        self.dependencies.log.event(
+            what,
+            **fields,
+            queues_version=member.queues.version,
+            queues_age_s=round(member.queues_age_s(), 3),
+        )
+
     def _job_id(self) -> str | None:
         """Return the job's id in the path, or reply 400 and return ``None``."""
         job_id = self.request.path[len(self.address.path_prefix) :].strip("/")
@@ -166,12 +179,11 @@
         self.dependencies.metrics.seconds(
             "accept_s", self.dependencies.clock.now() - started_s
         )
-        self.dependencies.log.event(
+        self._log_lookup(
             "accepted",
             job=job_id,
             queue=submission.queue,
             took_s=round(self.dependencies.clock.now() - started_s, 4),
-            queues_version=self.dependencies.member.queues.version,
         )
         self.reply(200, {})
 
@@ -212,6 +224,7 @@
             self.set_header("Retry-After", RETRY_AFTER_S)
             self.reply(503, {"error": "the number of waiting jobs is not known yet"})
         else:
+            self._log_lookup("counted", queue=self.address.queue, count=waiting_count)
             self.reply(200, {"pending": waiting_count})
 
 
--- a/redwingrun/platform/queues.py
+++ b/redwingrun/platform/queues.py
@@ -89,7 +89,7 @@
     async def load(self) -> QueueChange:
         """Return the newest configuration."""
         snapshot = await self._table.snapshot(OPERATOR_PREFIX)
-        return QueueChange(self._decode_newest(snapshot.rows), snapshot.version)
+        return self._newest(snapshot.rows, snapshot.version)
 
     async def changes(self, after: int, wait_s: float) -> QueueChange:
         """Return the newest configuration if it changed after a version.
@@ -97,16 +97,16 @@
         :param wait_s: longest wait for a change, in seconds.
         """
         changes = await self._table.changes(OPERATOR_PREFIX, after, wait_s)
-        return QueueChange(self._decode_newest(changes.rows), changes.version)
+        return self._newest(changes.rows, changes.version)
 
-    def _decode_newest(self, rows: Iterable[Row]) -> QueueSet | None:
+    def _newest(self, rows: Iterable[Row], table_version: int) -> QueueChange:
         """Return the last readable configuration of the rows, if any."""
         newest = None
-        for row in rows:
-            if row.key != CONFIG_KEY:
-                continue
+        values = [row.value for row in rows if row.key == CONFIG_KEY]
+        for value in values:
             try:
-                newest = decode_queues(row.value)
+                newest = decode_queues(value)
             except ValueError as error:
                 self._log.fault("configuration-unreadable", why=str(error))
-        return newest
+        size = sum(len(value) for value in values)
+        return QueueChange(newest, table_version, len(values), size)
