--- /dev/null
+++ b/tests/jobs/test_queuefollower.py
@@ -0,0 +1,175 @@
+"""The follower of the configuration, on the platform's table behind a slow link."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+from collections.abc import Callable
+
+import orjson
+import pytest
+from attrs import define
+
+from redwingrun.jobs.queuefollower import QueueFollower
+from redwingrun.logs import Log
+from redwingrun.metrics import Metrics
+from redwingrun.platform.jsonclient import JsonClient
+from redwingrun.platform.queues import PlatformQueues
+from redwingrun.platform.table import PlatformTable
+from tests.helpers import LoopClock, VirtualLoop, close_loop
+from tests.platform.fakestore import FakeStore
+from tests.platform.slowlink import SlowLinkClient
+
+BYTES_PER_MBIT = 125_000
+SLOW_LINK = 10 * BYTES_PER_MBIT
+SLOWEST_LINK = 2 * BYTES_PER_MBIT
+# The platform's bound from the acknowledgement of a version to its use by all members
+# that reach the store.
+CONFIGURATION_DEADLINE_S = 3.0
+SMALL_READ_INTERVAL_S = 0.45
+
+
+@define
+class Follower:
+    """A follower with its link, and the operator who publishes versions."""
+
+    loop: VirtualLoop
+    store: FakeStore
+    link: SlowLinkClient
+    table: PlatformTable
+    follower: QueueFollower
+    routes: int
+    published: int = 0
+
+    def publish(self) -> None:
+        """Write the next version of the configuration."""
+        self.published += 1
+        write_configuration(self.store, self.published, self.routes)
+
+    def run(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+    def publish_storm(self, count: int, gap_s: float) -> None:
+        """Publish versions in quick succession."""
+        for _ in range(count):
+            self.publish()
+            self.run(gap_s)
+
+    @property
+    def version(self) -> int:
+        """The version in force; 0 if there is none."""
+        return self.follower.queues.version if self.follower.queues else 0
+
+
+def write_configuration(store: FakeStore, version: int, routes: int) -> None:
+    """Write a configuration as the operator does, about 180 bytes for each route."""
+    value = {
+        "version": version,
+        "routes": [
+            {
+                "name": f"r-{number:06d}",
+                "hostname": "hura70.example",
+                "pathPrefix": f"/{number:08d}/",
+                "kind": "safe",
+                "timeoutMs": 1000,
+                "sloMs": 1000,
+                "priority": 0,
+                "backend": "kaba98a",
+                "attempts": 2,
+                "stretch": 2.0,
+            }
+            for number in range(routes)
+        ],
+        "services": [{"name": "kaba98a"}],
+    }
+    encoded = base64.b64encode(orjson.dumps(value)).decode()
+    row = {"table": "op", "part": "", "key": "config", "value": encoded}
+    store.transact({"expectedRev": [], "writes": [row], "remove": []})
+
+
+async def read_small_row(table: PlatformTable) -> None:
+    """Poll a small row, as each member polls the owner's."""
+    while True:
+        await table.read("owner/s0/owner")
+        await asyncio.sleep(SMALL_READ_INTERVAL_S)
+
+
+@pytest.fixture
+def make_follower():
+    """Return a function that starts a follower with the first version in force."""
+    loop = VirtualLoop()
+    asyncio.set_event_loop(loop)
+
+    def start(bytes_per_s: float, routes: int) -> Follower:
+        store = FakeStore()
+        link = SlowLinkClient(store, bytes_per_s)
+        clock = LoopClock(loop)
+        table = PlatformTable(JsonClient(link, "store:1", clock), Metrics())
+        log = Log("test", "quiet")
+        follower = QueueFollower(
+            PlatformQueues(table, log), clock, log, Metrics(), lambda queues: None
+        )
+        made = Follower(loop, store, link, table, follower, routes)
+        made.publish()
+        loop.create_task(follower.run())
+        return made
+
+    yield start
+    close_loop(loop)
+
+
+# Guards against a member that missed versions and asks for all of them at once, in an
+# answer that never arrives within the read's timeout: it kept the old configuration.
+def test_member_that_missed_many_versions_has_the_newest_within_the_deadline(
+    make_follower: Callable[..., Follower],
+):
+    """The store refuses the member while 40 versions are published."""
+    member = make_follower(SLOW_LINK, routes=400)
+    member.run(2.0)
+    assert member.version == 1
+    member.link.is_refused = True
+    member.publish_storm(40, 0.2)
+    member.link.is_refused = False
+    member.run(CONFIGURATION_DEADLINE_S)
+    assert member.version == 41
+
+
+# Guards against the same in a member that the store serves all the time: each answer
+# holds the versions that came while the one before was on its way.
+def test_storm_that_outruns_the_link_leaves_the_newest_within_the_deadline(
+    make_follower: Callable[..., Follower],
+):
+    """Versions come twice as fast as the link carries them."""
+    member = make_follower(SLOW_LINK, routes=400)
+    member.run(2.0)
+    member.publish_storm(100, 0.04)
+    member.run(CONFIGURATION_DEADLINE_S)
+    assert member.version == 101
+
+
+# Guards against a timeout learned from small answers and applied to a large one.
+def test_answer_that_takes_longer_than_other_reads_arrives(
+    make_follower: Callable[..., Follower],
+):
+    """One version takes 1.3 s on the link; a small row is polled meanwhile."""
+    member = make_follower(SLOWEST_LINK, routes=1300)
+    poll = member.loop.create_task(read_small_row(member.table))
+    member.run(10.0)
+    assert member.version == 1
+    member.publish()
+    member.run(10.0)
+    poll.cancel()
+    assert member.version == 2
+
+
+def test_configuration_that_does_not_change_is_not_read_again(
+    make_follower: Callable[..., Follower],
+):
+    """Only the first read carries the configuration."""
+    member = make_follower(SLOW_LINK, routes=400)
+    member.run(2.0)
+    received = member.link.received_bytes
+    member.run(10.0)
+    assert member.version == 1
+    assert member.link.received_bytes - received < 2000
--- a/tests/platform/fakestore.py
+++ b/tests/platform/fakestore.py
@@ -77,6 +77,20 @@
             "schemaVer": self.version,
         }
 
+    def feed(self, table: str, after: int) -> tuple[int, dict[str, Any]]:
+        """Return all versions of a table's rows that are newer than ``after``.
+
+        :return: HTTP status and body; status 410 if the history starts later.
+        """
+        if after < self.history_from:
+            return 410, {}
+        rows = [
+            row
+            for row in self.history
+            if row["schemaVer"] > after and row["table"] == table
+        ]
+        return 200, {"rows": rows, "schemaVer": self.version}
+
 
 def _row_key(item: dict[str, Any]) -> tuple[str, str, str]:
     base64.b64decode(item.get("value", ""), validate=True)
@@ -121,17 +135,8 @@
 
 class _Feed(_Handler):
     def get(self) -> None:
-        after = int(self.get_argument("after"))
-        if after < self.store.history_from:
-            self.reply(410, {})
-            return
         table = self.get_argument("table")
-        rows = [
-            row
-            for row in self.store.history
-            if row["schemaVer"] > after and row["table"] == table
-        ]
-        self.reply(200, {"rows": rows, "schemaVer": self.store.version})
+        self.reply(*self.store.feed(table, int(self.get_argument("after"))))
 
 
 def store_application(store: FakeStore) -> Application:
