Members that missed versions of the configuration read the newest one only

Cause: after a failed read the follower asked the feed for all versions since the last one that it had. That answer grows with the time missed; the time allowed for it does not, and a timeout began again at the same version. Small reads reset the backoff of the large one. Class: catching up without a bound, under a fixed timeout.

Change: after a failure, and after an answer with several versions, the follower reads the row itself, one version, until it brings nothing newer. That read does not wait behind scans of the owner. Large reads have a timeout of their own, which doubles to 8 s while they fail, and is not reset by small ones. Why it works: what is read no longer depends on what was missed, and any answer fits after some doublings.

--- a/redwingrun/coordination/table.py
+++ b/redwingrun/coordination/table.py
@@ -172,6 +172,10 @@
     async def snapshot(self, prefix: str) -> Snapshot:
         """Return all rows under a prefix, with the version to follow changes from."""
 
+    @abstractmethod
+    async def snapshot_row(self, key: str) -> Snapshot:
+        """Return one row, if there is one, with the version to follow changes from."""
+
     @abstractmethod
     async def changes(self, prefix: str, after: int, wait_s: float) -> Changes:
         """Return the changes after version ``after``.
--- a/redwingrun/jobs/queuefollower.py
+++ b/redwingrun/jobs/queuefollower.py
@@ -20,11 +20,17 @@
 # How long a read waits for a change.
 WAIT_S = 1.0
 RETRY_INTERVAL_S = 0.2
+# Time between two reads while versions come faster than they can be read.
+CATCH_UP_INTERVAL_S = 0.2
 
 
 class QueueFollower:
     """Reads the configuration of queues, and never goes back to an older version.
 
+    A feed of changes returns every version since the last one that was read, so an
+    answer can grow without a bound. It is used only while each version is read as it
+    comes. A member that missed some reads the present configuration, and nothing else.
+
     :param source: the configuration, as the table holds it.
     :param apply: called with each newer version, after ``queues`` is set.
     :ivar queues: the configuration in force; ``None`` until it has been read.
@@ -49,6 +55,8 @@
         # Version of the table from which to request changes; ``None`` to read the
         # present configuration instead.
         self._after: int | None = None
+        # Set by an answer with several versions, until there is no newer version.
+        self._is_behind = False
 
     def age_s(self) -> float:
         """Return the seconds since the table last answered, infinite before that."""
@@ -66,6 +74,7 @@
                 continue
             except (TableUnavailable, TableUnknown) as error:
                 self._log_failed_read(str(error), self._clock.now() - started_s)
+                self._after = None
                 await asyncio.sleep(RETRY_INTERVAL_S)
                 continue
             took_s = self._clock.now() - started_s
@@ -73,22 +82,24 @@
             age_s = self.age_s()
             self._after = change.version
             self.answered_s = self._clock.now()
+            is_newer = change.queues is not None and self._put_in_force(change.queues)
             if change.queues is not None:
                 self._log_read(change, source, took_s, age_s)
-                self._put_in_force(change.queues)
-            elif self.queues is None:
+            self._is_behind = is_newer and (self._is_behind or change.row_count > 1)
+            if self.queues is None or self._is_behind:
                 self._after = None
-                await asyncio.sleep(RETRY_INTERVAL_S)
+                await asyncio.sleep(CATCH_UP_INTERVAL_S)
 
     async def _read(self) -> QueueChange:
         if self._after is None:
             return await self._source.load()
         return await self._source.changes(self._after, WAIT_S)
 
-    def _put_in_force(self, queues: QueueSet) -> None:
+    def _put_in_force(self, queues: QueueSet) -> bool:
+        """Apply a configuration; return whether it is newer than the one in force."""
         before = self._version()
         if self.queues is not None and queues.version <= before:
-            return
+            return False
         self.queues = queues
         self._log.event(
             "queues-in-force",
@@ -98,6 +109,7 @@
         )
         self._metrics.gauge("queues_version", queues.version)
         self._apply(queues)
+        return True
 
     def _version(self) -> int:
         """Return the version in force; 0 if there is none."""
--- a/redwingrun/platform/jsonclient.py
+++ b/redwingrun/platform/jsonclient.py
@@ -19,6 +19,9 @@
 # When a reply is lost, nothing more arrives on that connection. Reads can be
 # repeated, so it is better to time out early and send the read again.
 MAX_READ_TIMEOUT_S = 1.0
+# A large reply that did not arrive in time gets more time when it is requested again:
+# how long it takes depends on the link.
+MAX_LARGE_READ_BACKOFF_S = 8.0
 
 
 @frozen
@@ -40,19 +43,42 @@
         self._client = client
         self._clock = clock
         self._read_timeout = AdaptiveTimeout(MAX_READ_TIMEOUT_S)
+        # Kept apart, because replies to small reads say nothing about large ones.
+        self._large_read_timeout = AdaptiveTimeout(
+            MAX_READ_TIMEOUT_S, MAX_LARGE_READ_BACKOFF_S
+        )
         self._write_timeout = AdaptiveTimeout()
 
     async def get(
         self, path: str, query: dict[str, Any], server_wait_s: float = 0
     ) -> Result[JsonReply, Failure]:
-        """Send a GET request.
+        """Send a GET request whose reply is small.
 
         :param server_wait_s: how long the service may hold the request before it
             replies; added to the timeout.
         """
-        return await self._send(
-            "GET", f"{path}?{urlencode(query)}", None, server_wait_s
-        )
+        timeout = self._read_timeout
+        return await self._get(path, query, server_wait_s, timeout, timeout.current_s())
+
+    async def get_large(
+        self, path: str, query: dict[str, Any], server_wait_s: float = 0
+    ) -> Result[JsonReply, Failure]:
+        """Send a GET request whose reply may be large, such as a page of rows."""
+        timeout = self._large_read_timeout
+        timeout_s = max(timeout.current_s(), self._read_timeout.current_s())
+        return await self._get(path, query, server_wait_s, timeout, timeout_s)
+
+    async def _get(
+        self,
+        path: str,
+        query: dict[str, Any],
+        server_wait_s: float,
+        timeout: AdaptiveTimeout,
+        timeout_s: float,
+    ) -> Result[JsonReply, Failure]:
+        url = f"{path}?{urlencode(query)}"
+        call = self._call("GET", url, None, timeout_s + server_wait_s)
+        return await self._send(call, timeout, holds_reply=server_wait_s > 0)
 
     async def post(
         self, path: str, data: dict[str, Any], server_wait_s: float = 0
@@ -62,23 +88,35 @@
         :param server_wait_s: how long the service may hold the request before it
             replies; added to the timeout.
         """
-        return await self._send("POST", path, orjson.dumps(data), server_wait_s)
+        timeout = self._write_timeout
+        timeout_s = timeout.current_s() + server_wait_s
+        call = self._call("POST", path, orjson.dumps(data), timeout_s)
+        return await self._send(call, timeout, holds_reply=server_wait_s > 0)
+
+    def _call(
+        self, method: str, path: str, body: bytes | None, timeout_s: float
+    ) -> HttpCall:
+        url = f"http://{self.address}{path}"
+        connect_timeout_s = min(CONNECT_TIMEOUT_S, timeout_s)
+        return HttpCall(method, url, timeout_s, body, JSON_HEADERS, connect_timeout_s)
 
     async def _send(
-        self, method: str, path: str, body: bytes | None, server_wait_s: float
+        self, call: HttpCall, timeout: AdaptiveTimeout, holds_reply: bool
     ) -> Result[JsonReply, Failure]:
+        """Send a call, and adapt the timeout to how it ends.
+
+        :param holds_reply: whether the service may hold the request, so that the
+            response time says nothing about the service.
+        """
         started_s = self._clock.now()
-        timeout = self._read_timeout if method == "GET" else self._write_timeout
-        timeout_s = timeout.current_s() + server_wait_s
-        url = f"http://{self.address}{path}"
-        connect_timeout_s = min(CONNECT_TIMEOUT_S, timeout_s)
-        call = HttpCall(method, url, timeout_s, body, JSON_HEADERS, connect_timeout_s)
         reply = await self._client.send(call)
         if reply.is_error():
             if reply.error.verdict is Verdict.MAY_HAVE_RUN:
                 timeout.record_timeout()
             return reply
-        if not server_wait_s:
+        if holds_reply:
+            timeout.reset_backoff()
+        else:
             timeout.record_reply(self._clock.now() - started_s)
         return decode_reply(reply.ok.status, reply.ok.body)
 
--- a/redwingrun/platform/queues.py
+++ b/redwingrun/platform/queues.py
@@ -20,7 +20,6 @@
     get_string,
 )
 
-OPERATOR_PREFIX = "op//"
 CONFIG_KEY = "op//config"
 
 
@@ -88,7 +87,7 @@
 
     async def load(self) -> QueueChange:
         """Return the newest configuration."""
-        snapshot = await self._table.snapshot(OPERATOR_PREFIX)
+        snapshot = await self._table.snapshot_row(CONFIG_KEY)
         return self._newest(snapshot.rows, snapshot.version)
 
     async def changes(self, after: int, wait_s: float) -> QueueChange:
@@ -96,17 +95,21 @@
 
         :param wait_s: longest wait for a change, in seconds.
         """
-        changes = await self._table.changes(OPERATOR_PREFIX, after, wait_s)
+        changes = await self._table.changes(CONFIG_KEY, after, wait_s)
         return self._newest(changes.rows, changes.version)
 
     def _newest(self, rows: Iterable[Row], table_version: int) -> QueueChange:
         """Return the last readable configuration of the rows, if any."""
-        newest = None
         values = [row.value for row in rows if row.key == CONFIG_KEY]
-        for value in values:
+        size = sum(len(value) for value in values)
+        return QueueChange(
+            self._last_readable(values), table_version, len(values), size
+        )
+
+    def _last_readable(self, values: list[str]) -> QueueSet | None:
+        for value in reversed(values):
             try:
-                newest = decode_queues(value)
+                return decode_queues(value)
             except ValueError as error:
                 self._log.fault("configuration-unreadable", why=str(error))
-        size = sum(len(value) for value in values)
-        return QueueChange(newest, table_version, len(values), size)
+        return None
--- a/redwingrun/platform/table.py
+++ b/redwingrun/platform/table.py
@@ -51,6 +51,18 @@
     return {"table": table, "part": partition, "key": row_key}
 
 
+def _row_query(key: str) -> dict[str, Any]:
+    """Return the parameters that request one row."""
+    table, partition, row_key = split_key(key)
+    return {
+        "table": table,
+        "part": partition,
+        "from": row_key,
+        "maxItems": 1,
+        "target": row_key + "\0",
+    }
+
+
 def _decode_value(value: str) -> str:
     return base64.b64decode(value).decode(errors="replace")
 
@@ -110,13 +122,16 @@
 
     async def read(self, key: str) -> Row | None:
         """Return one row, ``None`` if there is none."""
-        table, partition, row_key = split_key(key)
-        query = {"table": table, "part": partition, "from": row_key, "maxItems": 1}
-        query["target"] = row_key + "\0"
-        reply = await self._get("/-/rows-get", query)
+        reply = await self._get("/-/rows-get", _row_query(key))
         rows = reply.body.get("rows") or []
         return _decode_row(rows[0]) if rows else None
 
+    async def snapshot_row(self, key: str) -> Snapshot:
+        """Return one row, if there is one; do not wait for scans that are under way."""
+        reply = await self._get_large("/-/rows-get", _row_query(key))
+        rows = tuple(_decode_row(item) for item in reply.body.get("rows") or [])
+        return Snapshot(rows, int(reply.body["schemaVer"]))
+
     async def scan(self, prefix: str) -> tuple[Row, ...]:
         """Return all rows under a prefix."""
         return (await self.snapshot(prefix)).rows
@@ -135,7 +150,7 @@
             if start:
                 query["from"] = start
             async with self._page_reads:
-                reply = await self._get("/-/rows-get", query)
+                reply = await self._get_large("/-/rows-get", query)
             if version is None:
                 # Use the first page's version: a change made while later pages are
                 # read is then reported again by `changes`, and none is missed.
@@ -153,7 +168,7 @@
         """
         table = prefix.partition("/")[0]
         query = {"table": table, "after": after, "waitMs": int(wait_s * MS_PER_S)}
-        reply = await self._get("/-/rows-feed", query, wait_s)
+        reply = await self._get_large("/-/rows-feed", query, wait_s)
         rows: list[Row] = []
         deleted: list[str] = []
         for data in reply.body.get("rows") or []:
@@ -167,11 +182,16 @@
         version = int(reply.body["schemaVer"])
         return Changes(tuple(rows), tuple(deleted), version)
 
-    async def _get(
+    async def _get(self, path: str, query: dict[str, Any]) -> JsonReply:
+        self._metrics.count("table_calls_total", call="read")
+        result = await self._client.get(path, query)
+        return self._check_reply(result, (OK_STATUS,))
+
+    async def _get_large(
         self, path: str, query: dict[str, Any], server_wait_s: float = 0
     ) -> JsonReply:
         self._metrics.count("table_calls_total", call="read")
-        result = await self._client.get(path, query, server_wait_s)
+        result = await self._client.get_large(path, query, server_wait_s)
         return self._check_reply(result, (OK_STATUS,))
 
     def _check_reply(self, result: Any, expected: tuple[int, ...]) -> JsonReply:
--- a/tests/jobs/clusterports.py
+++ b/tests/jobs/clusterports.py
@@ -124,6 +124,12 @@
         version = self._rows.version
         return Snapshot(await self.scan(prefix), version)
 
+    async def snapshot_row(self, key: str) -> Snapshot:
+        """Return one row."""
+        version = self._rows.version
+        row = await self.read(key)
+        return Snapshot((row,) if row else (), version)
+
     async def changes(self, prefix: str, after: int, wait_s: float) -> Changes:
         """Return the changes after a version.
 
@@ -284,8 +290,10 @@
         self._process = process
 
     async def load(self) -> QueueChange:
-        """Return the configuration."""
+        """Return the configuration, unless the table is down."""
         await self._process.wait_until_resumed()
+        if self._process.table_mode == DOWN:
+            raise TableUnavailable(DOWN)
         return QueueChange(self._cluster.queues, 1)
 
     async def changes(self, after: int, wait_s: float) -> QueueChange:
