Adapter: odd entries of other writers are refused one by one

It could: an address that is not ASCII or holds a null byte, or a key that can't be a header, was taken; the call to it raised ValueError or UnicodeEncodeError. By reading: 'owner-task-failed' follows, the member gives up the slice, and the next one reads the same list. Ports out of range and capacities beyond 2**53 were taken as workers. Deep nesting and numbers beyond floats were refused already. Class: input checked less than its users assume.

HttpClient returns a failure for a call that can't be formed.

--- a/redwingrun/httpclient.py
+++ b/redwingrun/httpclient.py
@@ -101,7 +101,8 @@
         )
         try:
             response = await self._curl.fetch(request, raise_error=False)
-        except (HTTPClientError, OSError) as error:
+        except (HTTPClientError, OSError, ValueError) as error:
+            # A ValueError is raised for a URL or a header that can't be encoded.
             return Error(failure_from_error(error))
         if response.code == NO_RESPONSE_STATUS:
             return Error(failure_from_error(response.error))
--- a/redwingrun/platform/queues.py
+++ b/redwingrun/platform/queues.py
@@ -14,9 +14,9 @@
 from redwingrun.platform.jsonfields import (
     BadFieldError,
     get_integer,
-    get_list,
     get_number,
     get_object,
+    get_objects,
     get_string,
 )
 
@@ -27,14 +27,13 @@
     """Decode a configuration.
 
     :raises ValueError: if the value is not JSON or a field has the wrong type.
-    :raises AttributeError: if a route or a service is not a JSON object.
     """
     data = orjson.loads(value)
     if not isinstance(data, dict):
         raise BadFieldError("the configuration is not a JSON object")
     queue_by_name = {}
     addresses_by_host: dict[str, list[QueueAddress]] = {}
-    for route in get_list(data, "routes"):
+    for route in get_objects(data, "routes"):
         queue = _decode_queue(route)
         queue_by_name[queue.name] = queue
         host = get_string(route, "hostname")
@@ -54,7 +53,7 @@
         ),
         enforces_capacity_by_pool={
             get_string(service, "name"): bool(service.get("enforcesCapacity"))
-            for service in get_list(data, "services")
+            for service in get_objects(data, "services")
         },
     )
 
--- a/redwingrun/platform/workerclient.py
+++ b/redwingrun/platform/workerclient.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
 from typing import Any
 
 import orjson
@@ -24,6 +23,9 @@
 from redwingrun.platform.jsonclient import JSON_HEADERS, JsonReply, decode_reply
 from redwingrun.platform.jsonfields import (
     BadFieldError,
+    checked_integer,
+    checked_number,
+    checked_string,
     get_integer,
     get_list,
     get_number,
@@ -140,7 +142,7 @@
             return reply
         try:
             return Ok(decode_report(reply.ok.body))
-        except (ValueError, TypeError, IndexError) as error:
+        except ValueError as error:
             return Error(WorkerFault(may_have_run("damaged", repr(error))))
 
     async def _send_order(
@@ -190,8 +192,6 @@
     """Decode a minion's report of its running and ended runs.
 
     :raises ValueError: if a field is missing or has the wrong type.
-    :raises TypeError: if a row of a list is not a list.
-    :raises AttributeError: if a task's id is not a string.
     """
     if "clockMs" not in data:
         raise BadFieldError("the report has no clockMs")
@@ -203,14 +203,37 @@
     )
 
 
-def _decode_status(row: Sequence[Any]) -> RunStatus:
-    task_id, run, checkpoint, percent = row[:4]
+def _decode_status(row: Any) -> RunStatus:
+    task_id, run, checkpoint, percent = _columns(row, 4)
     metric_value = row[4] if len(row) > 4 else 0
-    run_id = RunId(decode_task_id(task_id), run)
-    return RunStatus(run_id, checkpoint or "", percent, metric_value or 0)
+    return RunStatus(
+        _decode_run_id(task_id, run),
+        checked_string("" if checkpoint is None else checkpoint, "the checkpoint"),
+        checked_number(percent, "the percentage"),
+        checked_number(0 if metric_value is None else metric_value, "the metric"),
+    )
+
+
+def _decode_end(row: Any) -> RunEnd:
+    number, task_id, run, kind, checkpoint = _columns(row, 5)
+    return RunEnd(
+        checked_integer(number, "the end's number"),
+        _decode_run_id(task_id, run),
+        EndKind(checked_string(kind, "the kind of end")),
+        checked_string("" if checkpoint is None else checkpoint, "the checkpoint"),
+    )
+
+
+def _columns(row: Any, count: int) -> list[Any]:
+    """Return the first columns of a row.
+
+    :raises BadFieldError: if it is not a list or has fewer columns.
+    """
+    if not isinstance(row, list) or len(row) < count:
+        raise BadFieldError(f"a row of the report must be a list of {count} or more")
+    return row[:count]
 
 
-def _decode_end(row: Sequence[Any]) -> RunEnd:
-    number, task_id, run, kind, checkpoint = row[:5]
-    run_id = RunId(decode_task_id(task_id), run)
-    return RunEnd(number, run_id, EndKind(kind), checkpoint or "")
+def _decode_run_id(task_id: Any, run: Any) -> RunId:
+    task = decode_task_id(checked_string(task_id, "the task's id"))
+    return RunId(task, checked_integer(run, "the run's number"))
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -127,6 +127,32 @@
     asyncio.run(scenario())
 
 
+# Guards against an address or an id of another writer that makes the client raise: the
+# task that called ended, and with it the ownership of the slice.
+@pytest.mark.parametrize(
+    "call",
+    [
+        HttpCall("GET", "http://127.0.0.1\0:80/", 0.5),
+        HttpCall("GET", "http://\xe9:80/", 0.5),
+        HttpCall("GET", "http://127.0.0.1:1/", 0.5, headers={"X-Id": "\u20ac"}),
+        HttpCall("GET", "http://127.0.0.1:99999/", 0.5),
+    ],
+    ids=["null byte", "not ASCII", "header", "port"],
+)
+def test_a_call_that_cannot_be_formed_is_a_failure(call: HttpCall):
+    """Nothing is raised, whatever the address and the headers hold."""
+
+    async def run() -> None:
+        client = HttpClient("")
+        try:
+            result = await client.send(call)
+        finally:
+            client.close()
+        assert result.is_error()
+
+    asyncio.run(run())
+
+
 def test_a_complete_response_is_returned():
     async def scenario():
         async with Server(VALID_RESPONSE) as server:
