Owner: after a failed read, the present registrations are read instead of all changes

Each worker renews its registration every heartbeat, so the answer grows with the time missed, and an owner on a slow link that was refused for long knew no new worker after that.

'registry-unread' is logged as an event.

--- a/redwingrun/jobs/slicereader.py
+++ b/redwingrun/jobs/slicereader.py
@@ -131,17 +131,24 @@
 
     async def _follow_workers(self, version: int) -> None:
         registry = self._dependencies.registry
+        # Whether to read the present registrations: after a failed read, the changes
+        # since the last one may be too many to arrive in time.
+        reload = False
         while True:
             try:
-                changes = await registry.changes(version, FEED_WAIT_S)
+                if reload:
+                    changes = await registry.load()
+                else:
+                    changes = await registry.changes(version, FEED_WAIT_S)
             except HistoryTruncated:
-                changes = await self._reload(registry.load)
+                reload = True
+                continue
             except (TableUnavailable, TableUnknown) as error:
-                self._owner.log.detail("registry-feed-failed", why=str(error))
+                self._owner.log.event("registry-unread", why=str(error), reload=reload)
+                reload = True
                 await asyncio.sleep(FEED_RETRY_INTERVAL_S)
                 continue
-            if changes is None:
-                continue
+            reload = False
             version = changes.version
             self._apply_worker_changes(changes)
             for info in changes.workers:
--- a/tests/jobs/clusterports.py
+++ b/tests/jobs/clusterports.py
@@ -279,6 +279,8 @@
     async def changes(self, after: int, wait_s: float) -> WorkerChanges:
         """Return all registrations after the wait."""
         await asyncio.sleep(wait_s)
+        if self._cluster.registry_changes_time_out:
+            raise TableUnknown("the answer did not arrive in time")
         return await self.load()
 
 
--- a/tests/jobs/test_faults.py
+++ b/tests/jobs/test_faults.py
@@ -154,3 +154,21 @@
         assert result.error.verdict is Verdict.NOT_RUN
     assert sorted(took_s)[-2] < 0.2
     cluster.process_by_name[names[1]].resumed.set()
+
+
+# Guards against an owner that asks for all changes of the registrations since a version,
+# in an answer that never arrives in time: it knew no worker that came after that.
+def test_a_worker_registered_while_changes_time_out_gets_work(
+    cluster: SimulatedCluster,
+):
+    """The present registrations can be read all the time."""
+    cluster.registry_changes_time_out = True
+    cluster.run(2.0)
+    for worker in list(cluster.worker_by_id.values()):
+        worker.crash()
+    new = cluster.add_worker()
+    cluster.run(3.0)
+    cluster.submit(job_id(1), job(step(2, 0.3)))
+    cluster.run(2.0)
+    assert {worker_id for _, _, worker_id in cluster.starts} == {new.info.worker_id}
+    assert cluster.all_violations() == []
