Members: a task that ends by an unexpected exception is started again

Class: one error stops a loop that everything else relies on.

Change: the three tasks of a member (configuration, peers, owner) are started again after 1 s; 'member-task-failed' is logged each time, as a fault. The fake configuration of the simulated cluster now changes.

Evidence: test_the_configuration_is_followed_after_an_unexpected_error failed before (version 1 at all three members) and passes now; tests/jobs pass.

--- a/redwingrun/jobs/member.py
+++ b/redwingrun/jobs/member.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import math
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from expression import Result
@@ -52,6 +52,7 @@
 MIN_OWNERSHIP_S = 3.0
 HAND_OVER_RETRY_INTERVAL_S = 60.0
 MEMBERS_POLL_INTERVAL_S = 3.0
+TASK_RESTART_INTERVAL_S = 1.0
 
 
 class Member(MemberPort):
@@ -75,6 +76,7 @@
             self._queues_changed,
         )
         self._has_queues = False
+        self._has_joined = False
         self.job_store = JobStore(
             dependencies.table,
             settings.slice_name,
@@ -153,10 +155,22 @@
     def start(self) -> None:
         """Start the tasks that follow the configuration, the peers and the owner."""
         loop = asyncio.get_running_loop()
-        for work in (self._queue_follower.run(), self._join(), self._watch_owner()):
-            task = loop.create_task(work)
-            task.add_done_callback(self._task_ended)
-            self._tasks.append(task)
+        for work in (self._queue_follower.run, self._join, self._watch_owner):
+            self._tasks.append(loop.create_task(self._run_until_done(work)))
+
+    async def _run_until_done(
+        self, work: Callable[[], Coroutine[Any, Any, None]]
+    ) -> None:
+        """Run a coroutine, and start it again if it ends by an exception.
+
+        Without its tasks a member would go on serving clients with what it knew last.
+        """
+        while True:
+            try:
+                return await work()
+            except Exception as error:
+                self._log.fault("member-task-failed", why=repr(error))
+                await asyncio.sleep(TASK_RESTART_INTERVAL_S)
 
     def _task_ended(self, task: asyncio.Task[Any]) -> None:
         if not task.cancelled() and task.exception() is not None:
@@ -203,8 +217,10 @@
         member_registry = MemberRegistry(
             dependencies.table, self._settings.slice_name, dependencies.log
         )
-        await dependencies.peers.open(self, await member_registry.shared_secret())
-        await member_registry.register(self._settings.row())
+        if not self._has_joined:
+            await dependencies.peers.open(self, await member_registry.shared_secret())
+            await member_registry.register(self._settings.row())
+            self._has_joined = True
         while True:
             with contextlib.suppress(TableUnavailable, TableUnknown):
                 self._apply_members(await member_registry.members())
--- a/tests/jobs/cluster.py
+++ b/tests/jobs/cluster.py
@@ -70,6 +70,7 @@
     :ivar history_from: the table's feed has no changes before this version.
     :ivar unavailable_partitions: partitions that do not answer any member.
     :ivar registry_is_unavailable: the registrations of workers can't be read.
+    :ivar queues_error: raised by reads of the configuration.
     :ivar registry_changes_time_out: changes of the registrations can't be read in time;
         their present state can.
     :ivar notifications_are_lost: notifications between members are lost.
@@ -94,6 +95,7 @@
     history_from: int = 0
     unavailable_partitions: set[str] = field(factory=set)
     registry_is_unavailable: bool = False
+    queues_error: Exception | None = None
     registry_changes_time_out: bool = False
     notifications_are_lost: bool = False
     feed_is_silent: bool = False
--- a/tests/jobs/clusterports.py
+++ b/tests/jobs/clusterports.py
@@ -285,7 +285,7 @@
 
 
 class SimulatedQueues(QueueSource):
-    """A configuration that never changes."""
+    """The configuration, whose changes are reported at the end of the wait."""
 
     def __init__(self, cluster: SimulatedCluster, process: FakeProcess):
         self._cluster = cluster
@@ -296,15 +296,15 @@
         await self._process.wait_until_resumed()
         if self._process.table_mode == DOWN:
             raise TableUnavailable(DOWN)
-        return QueueChange(self._cluster.queues, 1)
+        if self._cluster.queues_error is not None:
+            raise self._cluster.queues_error
+        return QueueChange(self._cluster.queues, self._cluster.queues.version, 1)
 
     async def changes(self, after: int, wait_s: float) -> QueueChange:
-        """Return that there is no newer configuration, after the wait."""
+        """Return the configuration if it is newer, after the wait."""
         await asyncio.sleep(wait_s)
-        await self._process.wait_until_resumed()
-        if self._process.table_mode == DOWN:
-            raise TableUnavailable(DOWN)
-        return QueueChange(None, 1)
+        change = await self.load()
+        return change if change.version > after else QueueChange(None, after)
 
 
 class SimulatedPolicy(PolicyPort):
--- a/tests/jobs/test_faults.py
+++ b/tests/jobs/test_faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+from attrs import evolve
 
 from redwingrun.coordination.verdict import Verdict
 from redwingrun.jobs.progress import JobState
@@ -156,8 +157,8 @@
     cluster.process_by_name[names[1]].resumed.set()
 
 
-# Guards against an owner that asks for all changes of the registrations since a version,
-# in an answer that never arrives in time: it knew no worker that came after that.
+# Guards against an owner that asks for all changes of the registrations since one
+# version, in an answer that never arrives in time: it knew no worker that came later.
 def test_a_worker_registered_while_changes_time_out_gets_work(
     cluster: SimulatedCluster,
 ):
@@ -172,3 +173,19 @@
     cluster.run(2.0)
     assert {worker_id for _, _, worker_id in cluster.starts} == {new.info.worker_id}
     assert cluster.all_violations() == []
+
+
+# Guards against an exception that no one expects in the follower of the configuration:
+# its task ended, and the member kept the version that it had until it was restarted.
+def test_the_configuration_is_followed_after_an_unexpected_error(
+    cluster: SimulatedCluster,
+):
+    """The error is logged as a fault, and the member's task is started again."""
+    cluster.queues_error = KeyError("schemaVer")
+    cluster.run(2.0)
+    cluster.queues_error = None
+    cluster.queues = evolve(cluster.queues, version=2)
+    cluster.run(3.0)
+    versions = {name: m.queues.version for name, m in cluster.member_by_name.items()}
+    assert versions == {"m0": 2, "m1": 2, "m2": 2}
+    assert any("TASK FAILED" in text for text in cluster.violations)
