Adapter: a damaged answer of the store raises the errors that callers expect

Change: an answer or a row without key or version is TableUnknown: callers try again. A value that can't be read is returned as text that is no JSON, so that its row is passed over by itself.

--- a/redwingrun/platform/table.py
+++ b/redwingrun/platform/table.py
@@ -34,6 +34,8 @@
 HISTORY_TRUNCATED_STATUS = 410
 NO_EFFECT_STATUSES = frozenset({400, 403, 404, 429, 503, 507})
 MS_PER_S = 1000
+# Stands for a value that is not base64. It is no JSON, so nothing takes it for a row.
+UNREADABLE_VALUE = "\ufffd"
 # At most this many pages of this many rows are read at the same time, about 150 KB.
 # The slowest links carry that well before the calls time out.
 MAX_CONCURRENT_PAGES = 2
@@ -63,13 +65,43 @@
     }
 
 
-def _decode_value(value: str) -> str:
-    return base64.b64decode(value).decode(errors="replace")
+def _decode_value(value: Any) -> str:
+    """Return the text of a value, ``UNREADABLE_VALUE`` if another writer damaged it."""
+    try:
+        return base64.b64decode(value).decode(errors="replace")
+    except (ValueError, TypeError):
+        return UNREADABLE_VALUE
+
+
+def _key_of(data: dict[str, Any]) -> str:
+    """Return the key of a row as the store sends it.
+
+    :raises TableUnknown: if a part of the key is missing.
+    """
+    try:
+        return f"{data['table']}/{data.get('part', '')}/{data['key']}"
+    except (KeyError, TypeError, AttributeError) as error:
+        raise TableUnknown(f"damaged row: {error!r}") from error
 
 
 def _decode_row(data: dict[str, Any]) -> Row:
-    key = f"{data['table']}/{data.get('part', '')}/{data['key']}"
-    return Row(key, _decode_value(data.get("value", "")), int(data["schemaVer"]))
+    """Decode a row as the store sends it.
+
+    :raises TableUnknown: if its key or version is missing.
+    """
+    key = _key_of(data)
+    return Row(key, _decode_value(data.get("value", "")), _decode_version(data))
+
+
+def _version_of(reply: JsonReply) -> int:
+    return _decode_version(reply.body)
+
+
+def _decode_version(data: dict[str, Any]) -> int:
+    version = data.get("schemaVer")
+    if not isinstance(version, int):
+        raise TableUnknown("damaged answer: it has no version")
+    return version
 
 
 class PlatformTable(WatchableTable):
@@ -109,7 +141,7 @@
         reply = self._check_reply(result, (OK_STATUS, CONFLICT_STATUS))
         if reply.status == CONFLICT_STATUS:
             return Conflict(tuple(item.key for item in transaction.conditions))
-        return Committed(int(reply.body["schemaVer"]))
+        return Committed(_version_of(reply))
 
     def _encode_condition(self, condition: Condition) -> dict[str, Any]:
         if condition.expect is Expect.PRESENT:
@@ -130,7 +162,7 @@
         """Return one row, if there is one; do not wait for scans that are under way."""
         reply = await self._get_large("/-/rows-get", _row_query(key))
         rows = tuple(_decode_row(item) for item in reply.body.get("rows") or [])
-        return Snapshot(rows, int(reply.body["schemaVer"]))
+        return Snapshot(rows, _version_of(reply))
 
     async def scan(self, prefix: str) -> tuple[Row, ...]:
         """Return all rows under a prefix."""
@@ -154,7 +186,7 @@
             if version is None:
                 # Use the first page's version: a change made while later pages are
                 # read is then reported again by `changes`, and none is missed.
-                version = int(reply.body["schemaVer"])
+                version = _version_of(reply)
             page = [_decode_row(item) for item in reply.body.get("rows") or []]
             rows.extend(row for row in page if row.key.startswith(prefix))
             if not reply.body.get("hasMore") or not page:
@@ -172,14 +204,14 @@
         rows: list[Row] = []
         deleted: list[str] = []
         for data in reply.body.get("rows") or []:
-            key = f"{data['table']}/{data.get('part', '')}/{data['key']}"
+            key = _key_of(data)
             if not key.startswith(prefix):
                 continue
             if data.get("deleted"):
                 deleted.append(key)
             else:
                 rows.append(_decode_row(data))
-        version = int(reply.body["schemaVer"])
+        version = _version_of(reply)
         return Changes(tuple(rows), tuple(deleted), version)
 
     async def _get(self, path: str, query: dict[str, Any]) -> JsonReply:
--- a/tests/platform/test_table.py
+++ b/tests/platform/test_table.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+import orjson
 import pytest
 from tornado.httpserver import HTTPServer
 from tornado.testing import bind_unused_port
@@ -17,6 +18,7 @@
     Conflict,
     HistoryTruncated,
     TableUnavailable,
+    TableUnknown,
     Transaction,
     Write,
 )
@@ -159,3 +161,47 @@
             await table.transact(write_transaction(KEY, "1"))
 
     run_with_store(scenario)
+
+
+# Guards against a row of another writer that ends whoever reads the table.
+@pytest.mark.parametrize("value", ["***a", 3, None, "/w=="])
+def test_a_row_that_cannot_be_read_does_not_hide_the_others(value: object):
+    """Its value is returned as text that is not JSON."""
+
+    async def scenario(table: PlatformTable, store: FakeStore) -> None:
+        await table.transact(write_transaction("servers//b", "{}"))
+        store.version += 1
+        odd = {"table": "servers", "part": "", "key": "a", "value": value}
+        odd["schemaVer"] = store.version
+        store.rows["servers", "", "a"] = odd
+        store.history.append(odd)
+        for rows in (
+            (await table.snapshot("servers//")).rows,
+            (await table.changes("servers//", 0, 0.1)).rows,
+        ):
+            value_by_key = {row.key: row.value for row in rows}
+            assert value_by_key["servers//b"] == "{}"
+            with pytest.raises(ValueError, match=r"\w"):
+                orjson.loads(value_by_key["servers//a"])
+
+    run_with_store(scenario)
+
+
+# Guards against an answer that raises an error which no caller expects.
+def test_an_answer_without_a_version_is_unknown():
+    """The callers try again."""
+
+    async def scenario(table: PlatformTable, store: FakeStore) -> None:
+        store.version = None
+        store.transact = lambda data: (200, {})
+        store.feed = lambda table, after: (200, {"rows": [{"table": "servers"}]})
+        with pytest.raises(TableUnknown):
+            await table.transact(write_transaction(KEY, "1"))
+        with pytest.raises(TableUnknown):
+            await table.snapshot("servers//")
+        with pytest.raises(TableUnknown):
+            await table.snapshot_row("servers//a")
+        with pytest.raises(TableUnknown):
+            await table.changes("servers//", 0, 0.1)
+
+    run_with_store(scenario)
