Publish: an attempt of unknown outcome is never reported as not run

Cause: the first attempt took effect and its answer was lost; the read that should settle it, or the next attempt, was refused, and that refusal was passed on as the outcome of the whole. Change: after an attempt without an answer, a refusal raises TableUnknown, 'may have run'.

--- a/redwingrun/coordination/follower.py
+++ b/redwingrun/coordination/follower.py
@@ -13,6 +13,7 @@
     Condition,
     Row,
     Table,
+    TableUnavailable,
     TableUnknown,
     Transaction,
     Write,
@@ -127,8 +128,7 @@
         """Publish ``content`` as the successor of version ``based_on``.
 
         :raises TableUnavailable: if the table refused a call or was not reached.
-            Nothing was published, unless an earlier attempt of this publication had
-            an unknown outcome: it may still take effect.
+            Nothing was published, and nothing will be.
         :raises TableUnknown: if it is not known whether the content was published.
         :raises ObjectStoreUnavailable: if the store did not confirm the content;
             nothing was published.
@@ -157,15 +157,21 @@
             Write(audit_key(row.number), encode(audit)),
         )
         change = Transaction((condition,), writes)
+        is_uncertain = False
         for _ in range(MAX_COMMIT_ATTEMPTS):
             try:
                 result = await self.table.transact(change)
             except TableUnknown:
                 # An absent audit row proves nothing: the change may still take effect.
                 # Only another attempt at the same change shows the outcome.
+                is_uncertain = True
                 if await self._is_ours(row, audit):
                     return True
                 continue
+            except TableUnavailable as error:
+                if is_uncertain:
+                    raise _uncertain(row) from error
+                raise
             return isinstance(result, Committed) or await self._is_ours(row, audit)
         raise TableUnknown(
             f"the table neither confirmed nor refused version {row.number}"
@@ -173,9 +179,20 @@
         )
 
     async def _is_ours(self, row: VersionRow, audit: AuditRow) -> bool:
+        """Return whether an attempt that was made took effect.
+
+        :raises TableUnknown: if the table does not say; the attempt may have run.
+        """
         # The audit row stays, even after a later publication replaces the version row.
         key = audit_key(row.number)
-        return await confirm_write(self.table, key, encode(audit)) is not None
+        try:
+            return await confirm_write(self.table, key, encode(audit)) is not None
+        except TableUnavailable as error:
+            raise _uncertain(row) from error
+
+
+def _uncertain(row: VersionRow) -> TableUnknown:
+    return TableUnknown(f"an earlier attempt may have published version {row.number}")
 
 
 def audit_key(number: int) -> str:
