Configuration task: content is checked against its digest before it is parsed

Change: the digest is checked where content is fetched, so a peer is asked next; content that is intact but unreadable to this release is logged and not applied. New fault lines: config-damaged, config-unreadable.

--- a/redwingrun/configtask.py
+++ b/redwingrun/configtask.py
@@ -14,6 +14,7 @@
     ObjectStore,
     ObjectStoreUnavailable,
     VersionRow,
+    digest_of,
 )
 from redwingrun.coordination.table import Table, TableUnavailable, TableUnknown
 from redwingrun.logs import Log
@@ -106,19 +107,26 @@
             self._apply(latest, content)
 
     async def _fetch(self, digest: str, address: str) -> bytes | None:
+        """Return the content with a digest, from the object store or from a peer."""
         try:
             content = await self._store.get(digest)
-            if content is not None:
+            if content is not None and self._is_intact(content, digest, "store"):
                 return content
         except ObjectStoreUnavailable as error:
             self._log.event("object-store-unreachable", error=str(error))
         candidates = [address] if address else []
         for candidate in candidates + self._addresses():
             content = await self._fetch_from_peer(candidate, digest)
-            if content:
+            if content and self._is_intact(content, digest, candidate):
                 return content
         return None
 
+    def _is_intact(self, content: bytes, digest: str, source: str) -> bool:
+        if digest_of(content) == digest:
+            return True
+        self._log.fault("config-damaged", digest=digest, source=source)
+        return False
+
     async def _fetch_from_peer(self, address: str, digest: str) -> bytes:
         timeout_s = self._settings.table_timeout_s
         request = ConfigRequest(digest=digest)
@@ -126,7 +134,12 @@
         return result.ok.content if result.is_ok() else b""
 
     def _apply(self, row: VersionRow, content: bytes) -> None:
-        objects = ObjectSet.from_content(content)
+        try:
+            objects = ObjectSet.from_content(content)
+        except (ValueError, TypeError, AttributeError) as error:
+            # Another release may have published what this one can't read.
+            self._log.fault("config-unreadable", version=row.number, error=repr(error))
+            return
         if not self.follower.accept(row, content):
             return
         self.content = content
