List of hosts: odd entries are passed over one by one

Change: such entries are logged and passed over, such a body is HostListUnavailable, which callers expect.

--- a/redwingrun/node.py
+++ b/redwingrun/node.py
@@ -93,7 +93,9 @@
         self.store = HttpObjectStore(
             self.http, settings.object_store_url, timeout_s, self.metrics
         )
-        self._host_list = HttpHostList(self.http, settings.host_list_url, timeout_s)
+        self._host_list = HttpHostList(
+            self.http, settings.host_list_url, timeout_s, self.log
+        )
         self.writer = GroupCommit(self.table, settings.group_commit_settings())
         self.peers = PeerClient(self._secret)
         self.membership = Membership(
--- a/redwingrun/serviceclients.py
+++ b/redwingrun/serviceclients.py
@@ -4,6 +4,7 @@
 
 from abc import ABC, abstractmethod
 from enum import Enum
+from typing import Any
 
 import orjson
 from attrs import frozen
@@ -21,6 +22,7 @@
 )
 from redwingrun.coordination.verdict import Failure, Verdict
 from redwingrun.httpclient import HttpCall, HttpClient, HttpReply
+from redwingrun.logs import Log
 from redwingrun.metrics import Metrics
 
 CONFLICT_STATUS = 409
@@ -177,12 +179,13 @@
 
 
 class HttpHostList(HostList):
-    """Client of the list of hosts."""
+    """Client of the list of hosts, which passes over entries that name no host."""
 
-    def __init__(self, client: HttpClient, url: str, timeout_s: float):
+    def __init__(self, client: HttpClient, url: str, timeout_s: float, log: Log):
         self._client = client
         self._url = url.rstrip("/")
         self._timeout_s = timeout_s
+        self._log = log
 
     async def hosts(self) -> dict[str, ListedHost]:
         """Return the hosts by name."""
@@ -195,7 +198,38 @@
             raise HostListUnavailable(
                 f"the list of hosts replied with status {result.ok.status}"
             )
-        hosts = {}
-        for item in orjson.loads(result.ok.body):
-            hosts[item["name"]] = ListedHost(item["name"], HostState(item["state"]))
-        return hosts
+        host_by_name = {}
+        for item in _decode_list(result.ok.body):
+            try:
+                host = _decode_host(item)
+            except ValueError as error:
+                self._log.event(
+                    "host-passed-over", entry=repr(item)[:80], why=str(error)
+                )
+                continue
+            host_by_name[host.name] = host
+        return host_by_name
+
+
+def _decode_list(body: bytes) -> list[Any]:
+    """Decode a JSON list.
+
+    :raises HostListUnavailable: if the body is anything else.
+    """
+    try:
+        items = orjson.loads(body)
+    except ValueError as error:
+        raise HostListUnavailable(f"the list of hosts is no JSON: {error}") from error
+    if not isinstance(items, list):
+        raise HostListUnavailable("the list of hosts is not a list")
+    return items
+
+
+def _decode_host(item: Any) -> ListedHost:
+    """Decode an entry of the list.
+
+    :raises ValueError: if the name or the state is missing or unknown.
+    """
+    if not isinstance(item, dict) or not isinstance(item.get("name"), str):
+        raise ValueError("the entry has no name")
+    return ListedHost(item["name"], HostState(item.get("state")))
--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -26,6 +26,7 @@
 )
 from redwingrun.coordination.verdict import Verdict
 from redwingrun.httpclient import HttpClient
+from redwingrun.logs import Log
 from redwingrun.metrics import Metrics
 from redwingrun.minions import HttpMinionClient, MinionCall, MinionClient
 from redwingrun.objects import Resources
@@ -128,7 +129,9 @@
 
 async def host_list(cell: StandInCell, client: HttpClient) -> None:
     await cell.set_hosts({"routeboard-m0": "leaving"})
-    hosts = await HttpHostList(client, cell.platform_url, 1.0).hosts()
+    hosts = await HttpHostList(
+        client, cell.platform_url, 1.0, Log("test", "quiet")
+    ).hosts()
     assert hosts["routeboard-m0"].state is HostState.LEAVING
     assert hosts["routeboard-m1"].state is HostState.LIVE
 
