Peers: calls after a timeout do not use the silent connection again

The owner's lines: 'policy-failed' with 'timeout', via one peer after the other, every 2.3 s, and never an answer again.

Cause: PeerClient kept its one HTTP/2 connection to a peer after a call had timed out. A connection that is silent without a reset takes every later call with it. Change: after a timeout new calls open a new connection; the old one is closed when its last call has ended, so that a slow answer to another call still arrives.

--- a/redwingrun/peers.py
+++ b/redwingrun/peers.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from attrs import define
 from expression import Error, Ok, Result
 from grpclib.client import Channel, UnaryUnaryMethod
 from grpclib.const import Status
@@ -20,9 +21,25 @@
 SECRET_METADATA_KEY = "x-peer-secret"
 
 
+@define
+class _Connection:
+    """One connection to a peer.
+
+    :param calls: number of calls in progress.
+    :param is_retired: whether it gets no new calls, and is closed after the last one.
+    """
+
+    channel: Channel
+    calls: int = 0
+    is_retired: bool = False
+
+
 class PeerClient:
     """Calls peers over one connection each.
 
+    After a call that timed out, further calls use a new connection: the other one may
+    be silent without having been reset.
+
     :param secret: shared secret that is sent with each call.
     :param stub: class of the generated client for the peers' service.
     """
@@ -30,7 +47,7 @@
     def __init__(self, secret: str, stub: Callable[[Channel], Any] = PeerStub):
         self._stub = stub
         self._metadata = {SECRET_METADATA_KEY: secret}
-        self._channel_by_address: dict[str, Channel] = {}
+        self._connection_by_address: dict[str, _Connection] = {}
 
     async def call(
         self, address: str, method: str, message: Any, timeout_s: float
@@ -40,22 +57,30 @@
         :param address: address of the peer as ``IP:port``.
         :param timeout_s: maximum time for the whole call, in seconds.
         """
-        stub = self._stub(self._channel(address))
+        connection = self._connection(address)
+        stub = self._stub(connection.channel)
         bound: UnaryUnaryMethod = getattr(stub, method)
         progress = _Progress()
+        connection.calls += 1
         try:
             reply = await asyncio.wait_for(
                 self._send_and_receive(bound, message, progress, timeout_s), timeout_s
             )
         except TimeoutError:
+            self._retire(address, connection)
             return Error(
                 progress.failure("timeout", f"no reply within {timeout_s:.3f} s")
             )
         except (OSError, StreamTerminatedError) as error:
-            self._close_channel(address)
+            self._retire(address, connection)
+            connection.channel.close()
             return Error(progress.failure("peer-lost", str(error)))
         except GRPCError as error:
             return Error(_failure_from_error(error))
+        finally:
+            connection.calls -= 1
+            if connection.is_retired and not connection.calls:
+                connection.channel.close()
         if reply is None:
             return Error(
                 progress.failure("peer-lost", "the peer closed the connection")
@@ -76,24 +101,25 @@
             await stream.send_message(message, end=True)
             return await stream.recv_message()
 
-    def _channel(self, address: str) -> Channel:
-        channel = self._channel_by_address.get(address)
-        if channel is None:
+    def _connection(self, address: str) -> _Connection:
+        connection = self._connection_by_address.get(address)
+        if connection is None:
             host, _, port = address.rpartition(":")
-            channel = Channel(host, int(port))
-            self._channel_by_address[address] = channel
-        return channel
+            connection = _Connection(Channel(host, int(port)))
+            self._connection_by_address[address] = connection
+        return connection
 
-    def _close_channel(self, address: str) -> None:
-        channel = self._channel_by_address.pop(address, None)
-        if channel is not None:
-            channel.close()
+    def _retire(self, address: str, connection: _Connection) -> None:
+        """Send no new calls over a connection, and close it after its last call."""
+        connection.is_retired = True
+        if self._connection_by_address.get(address) is connection:
+            del self._connection_by_address[address]
 
     def close(self) -> None:
-        """Close all connections."""
-        for channel in self._channel_by_address.values():
-            channel.close()
-        self._channel_by_address.clear()
+        """Close all connections; retired ones are closed after their last call."""
+        for connection in self._connection_by_address.values():
+            connection.channel.close()
+        self._connection_by_address.clear()
 
 
 class _Progress:
