HTTP client: after a call without any answer, older connections to that server are not reused

Cause: libcurl closes a connection on which a call timed out, and takes the next idle one, which went silent at the same moment. Change: the client remembers when a server gave no answer at all, and reuses no connection to it that is older. A timeout with a part of the answer has a reason of its own, 'incomplete': that connection works. Evidence: two new tests of test_httpclient failed before (second call: timeout after 10 s; 'timeout' for 'incomplete') and pass now.

--- a/redwingrun/httpclient.py
+++ b/redwingrun/httpclient.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import hashlib
+from functools import partial
 
 import pycurl
 from attrs import field, frozen
@@ -31,6 +33,13 @@
         pycurl.E_URL_MALFORMAT,
     }
 )
+# Reasons of failures: nothing was received until the timeout, or a part of the reply.
+TIMEOUT = "timeout"
+INCOMPLETE = "incomplete"
+# What libcurl says in the first case.
+NOTHING_RECEIVED = "with 0 bytes received"
+# libcurl closes connections that were idle for longer.
+MAX_IDLE_S = 118.0
 # Status that tornado sets when there is no reply.
 NO_RESPONSE_STATUS = 599
 
@@ -67,6 +76,9 @@
 class HttpClient:
     """Sends calls with curl and reuses its connections.
 
+    After a call to a server that got no answer, connections to it that are older than
+    that are not reused: they may have gone silent, without a reset, with the first.
+
     :param sender: name of this process, sent with each call for the server's logs,
         along with a digest of the body; empty to send neither header.
     :param max_clients: most calls at the same time; further calls wait.
@@ -74,6 +86,8 @@
 
     def __init__(self, sender: str, max_clients: int = DEFAULT_MAX_CLIENTS):
         self._sender = sender
+        # Time of the last call to a server that timed out without any answer.
+        self._silent_s_by_server: dict[str, float] = {}
         self._curl = _PooledCurlClient(force_instance=True, max_clients=max_clients)
 
     async def send(self, call: HttpCall) -> Result[HttpReply, Failure]:
@@ -87,6 +101,8 @@
             headers[FROM_HEADER] = self._sender
         if self._sender and call.body is not None:
             headers[DIGEST_HEADER] = digest(call.body)
+        server = call.url.split("/")[2]
+        max_age_s = self._max_connection_age_s(server)
         request = HTTPRequest(
             call.url,
             method=call.method,
@@ -97,17 +113,37 @@
             allow_nonstandard_methods=True,
             follow_redirects=False,
             decompress_response=False,
-            prepare_curl_callback=_disable_resend,
+            prepare_curl_callback=partial(_prepare, max_connection_age_s=max_age_s),
         )
         try:
             response = await self._curl.fetch(request, raise_error=False)
         except (HTTPClientError, OSError, ValueError) as error:
             # A ValueError is raised for a URL or a header that can't be encoded.
-            return Error(failure_from_error(error))
+            return self._failed(server, error)
         if response.code == NO_RESPONSE_STATUS:
-            return Error(failure_from_error(response.error))
+            return self._failed(server, response.error)
         return _check_digest(response)
 
+    def _failed(
+        self, server: str, error: BaseException | None
+    ) -> Result[HttpReply, Failure]:
+        """Return the failure of a call, and remember a server that was silent."""
+        failure = failure_from_error(error)
+        if failure.reason == TIMEOUT:
+            self._silent_s_by_server[server] = asyncio.get_running_loop().time()
+        return Error(failure)
+
+    def _max_connection_age_s(self, server: str) -> int:
+        """Return how old a connection may be to be reused, 0 for no limit."""
+        silent_s = self._silent_s_by_server.get(server)
+        if silent_s is None:
+            return 0
+        since_s = asyncio.get_running_loop().time() - silent_s
+        if since_s > MAX_IDLE_S:
+            del self._silent_s_by_server[server]
+            return 0
+        return max(1, int(since_s))
+
     def close(self) -> None:
         """Close all connections."""
         self._curl.close()
@@ -135,13 +171,14 @@
         super().fetch_impl(request, callback)
 
 
-def _disable_resend(curl: pycurl.Curl) -> None:
-    """Prevent libcurl from sending a request a second time.
+def _prepare(curl: pycurl.Curl, max_connection_age_s: int) -> None:
+    """Limit the age of a reused connection, and prevent a second sending.
 
     When a reused connection fails before the first byte of the reply, libcurl
     rewinds the body and sends the request again on a new connection, although the
     first one may have run. If rewinding fails, it returns an error instead.
     """
+    curl.setopt(pycurl.MAXLIFETIME_CONN, max_connection_age_s)
     curl.setopt(pycurl.SEEKFUNCTION, lambda offset, origin: pycurl.SEEKFUNC_FAIL)
 
 
@@ -168,7 +205,9 @@
     # out" once it is connected. Older versions report "Connection timeout after".
     if "Connection time" in text or "Failed to connect" in text:
         return not_run("not-connected", text)
-    return may_have_run("timeout", text)
+    if NOTHING_RECEIVED in text:
+        return may_have_run(TIMEOUT, text)
+    return may_have_run(INCOMPLETE, text)
 
 
 def _check_digest(response: HTTPResponse) -> Result[HttpReply, Failure]:
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -6,14 +6,20 @@
 import hashlib
 
 import pytest
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
 
 from lab.cell import free_ports
 from redwingrun.coordination.verdict import Verdict
 from redwingrun.httpclient import HttpCall, HttpClient
 from redwingrun.platform.__main__ import MAX_CONCURRENT_WORKER_CALLS
+from tests.silentproxy import SilentProxy
 
 BODY = b"answer"
 WORKERS = 120
+# A connection counts as older than a timeout from about this age on.
+CONNECTION_AGE_S = 2.5
+SLOW_ANSWER_S = 0.05
 PLANNED_WORKERS = 640
 VALID_RESPONSE = (
     b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\nX-Digest: "
@@ -23,6 +29,14 @@
 )
 
 
+class _SlowHandler(RequestHandler):
+    """Answers after a while, so that calls at the same time need a connection each."""
+
+    async def get(self) -> None:
+        await asyncio.sleep(SLOW_ANSWER_S)
+        self.finish(b"{}")
+
+
 class Server:
     """Reads whole requests and answers each with the next of its responses.
 
@@ -118,6 +132,47 @@
     asyncio.run(scenario())
 
 
+# Guards against a client that reuses one silent connection after the other: each of
+# them cost a timeout, and a member had no newer configuration meanwhile.
+def test_older_connections_are_not_reused_after_a_call_without_any_answer():
+    """Six connections go silent at the same moment; the second call gets through."""
+
+    async def run() -> None:
+        port, proxy_port = free_ports(2)
+        server = HTTPServer(Application([(r"/", _SlowHandler)]))
+        server.listen(port, "127.0.0.1")
+        proxy = SilentProxy(proxy_port, port)
+        await proxy.start()
+        client = HttpClient("")
+        url = f"http://127.0.0.1:{proxy_port}/"
+        try:
+            calls = [client.send(HttpCall("GET", url, 10.0)) for _ in range(6)]
+            assert all(reply.is_ok() for reply in await asyncio.gather(*calls))
+            await asyncio.sleep(CONNECTION_AGE_S)
+            proxy.silence()
+            first = await client.send(HttpCall("GET", url, 0.5))
+            assert first.error.reason == "timeout"
+            assert (await client.send(HttpCall("GET", url, 10.0))).is_ok()
+        finally:
+            client.close()
+            server.stop()
+            await proxy.stop()
+
+    asyncio.run(run())
+
+
+def test_an_answer_under_way_at_the_timeout_is_told_from_silence():
+    """More time would have brought the rest of it."""
+
+    async def run() -> None:
+        async with Server(VALID_RESPONSE[:-3]) as server:
+            result = await send_calls(server)
+        assert result.error.reason == "incomplete"
+        assert result.error.verdict is Verdict.MAY_HAVE_RUN
+
+    asyncio.run(run())
+
+
 def test_a_call_on_a_refused_connection_did_not_run():
     async def scenario():
         server = Server()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -10,9 +10,9 @@
 from redwingrun.jobs.jobpeer_grpc import JobPeerBase, JobPeerStub
 from redwingrun.jobs.jobpeer_pb2 import LookReply, LookRequest
 from redwingrun.peers import PeerClient, PeerServer
+from tests.silentproxy import SilentProxy
 
 SECRET = "a-secret-of-the-tests"
-READ_BYTES = 65_536
 
 
 class _Service(JobPeerBase):
@@ -34,54 +34,17 @@
     Tell = Ask
 
 
-class _Proxy:
-    """Forwards connections; ``silence`` makes the open ones swallow what they get."""
-
-    def __init__(self, port: int, target_port: int):
-        self._port = port
-        self._target_port = target_port
-        self._generation = 0
-        self._tasks: set[asyncio.Task] = set()
-        self._writers: list[Any] = []
-
-    async def start(self) -> None:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self._port)
-
-    def silence(self) -> None:
-        self._generation += 1
-
-    async def _serve(self, reader: Any, writer: Any) -> None:
-        target = await asyncio.open_connection("127.0.0.1", self._target_port)
-        self._writers += [writer, target[1]]
-        for source, sink in ((reader, target[1]), (target[0], writer)):
-            task = asyncio.create_task(self._forward(source, sink, self._generation))
-            self._tasks.add(task)
-
-    async def _forward(self, source: Any, sink: Any, generation: int) -> None:
-        while data := await source.read(READ_BYTES):
-            if generation == self._generation:
-                sink.write(data)
-        if generation == self._generation:
-            sink.close()
-
-    async def stop(self) -> None:
-        self._server.close()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        for writer in self._writers:
-            writer.close()
-
-
 def run_with_peer(
-    scenario: Callable[[PeerClient, str, _Proxy, _Service], Coroutine[Any, Any, None]],
+    scenario: Callable[
+        [PeerClient, str, SilentProxy, _Service], Coroutine[Any, Any, None]
+    ],
 ) -> None:
     """Run a scenario with a client of a peer behind a proxy."""
 
     async def run() -> None:
         port, proxy_port = free_ports(2)
         service = _Service()
-        server, proxy = PeerServer(service, SECRET), _Proxy(proxy_port, port)
+        server, proxy = PeerServer(service, SECRET), SilentProxy(proxy_port, port)
         await server.start("127.0.0.1", port)
         await proxy.start()
         client = PeerClient(SECRET, JobPeerStub)
@@ -101,7 +64,7 @@
     """A connection goes silent without a reset, while new ones work."""
 
     async def scenario(
-        client: PeerClient, address: str, proxy: _Proxy, service: _Service
+        client: PeerClient, address: str, proxy: SilentProxy, service: _Service
     ) -> None:
         assert (await client.call(address, "Look", LookRequest(), 10.0)).is_ok()
         proxy.silence()
@@ -115,7 +78,7 @@
     """A timeout alone does not show that the connection is silent."""
 
     async def scenario(
-        client: PeerClient, address: str, proxy: _Proxy, service: _Service
+        client: PeerClient, address: str, proxy: SilentProxy, service: _Service
     ) -> None:
         slow_request = LookRequest(claim=True)
         slow = asyncio.create_task(client.call(address, "Look", slow_request, 20.0))
