Store client: only an answer that was under way gets more time the next time

Cause: each timeout doubled what a large read may take, also one without any answer. Change: only 'incomplete' raises the limit of large reads, to 5 s at most; silence resets it and counts for small reads, whose limit stays 1 s.

--- a/redwingrun/platform/jsonclient.py
+++ b/redwingrun/platform/jsonclient.py
@@ -12,16 +12,16 @@
 from redwingrun.adaptivetimeout import AdaptiveTimeout
 from redwingrun.coordination.clock import Clock
 from redwingrun.coordination.verdict import Failure, Verdict, may_have_run
-from redwingrun.httpclient import HttpCall, HttpClient
+from redwingrun.httpclient import INCOMPLETE, HttpCall, HttpClient
 
 JSON_HEADERS = {"Content-Type": "application/json"}
 CONNECT_TIMEOUT_S = 0.5
 # When a reply is lost, nothing more arrives on that connection. Reads can be
 # repeated, so it is better to time out early and send the read again.
 MAX_READ_TIMEOUT_S = 1.0
-# A large reply that did not arrive in time gets more time when it is requested again:
-# how long it takes depends on the link.
-MAX_LARGE_READ_BACKOFF_S = 8.0
+# A large reply of which only a part arrived in time gets more time when it is requested
+# again: how long it takes depends on the link.
+MAX_LARGE_READ_BACKOFF_S = 5.0
 
 
 @frozen
@@ -111,8 +111,7 @@
         started_s = self._clock.now()
         reply = await self._client.send(call)
         if reply.is_error():
-            if reply.error.verdict is Verdict.MAY_HAVE_RUN:
-                timeout.record_timeout()
+            self._record_failure(timeout, reply.error)
             return reply
         if holds_reply:
             timeout.reset_backoff()
@@ -120,6 +119,19 @@
             timeout.record_reply(self._clock.now() - started_s)
         return decode_reply(reply.ok.status, reply.ok.body)
 
+    def _record_failure(self, timeout: AdaptiveTimeout, failure: Failure) -> None:
+        """Allow more time to the next call of the same kind.
+
+        A large read without any answer says as little as a small one: its size did
+        not matter.
+        """
+        if failure.verdict is not Verdict.MAY_HAVE_RUN:
+            return
+        if timeout is self._large_read_timeout and failure.reason != INCOMPLETE:
+            timeout.reset_backoff()
+            timeout = self._read_timeout
+        timeout.record_timeout()
+
 
 def decode_reply(status: int, body: bytes) -> Result[JsonReply, Failure]:
     """Decode a reply whose body is a JSON object or empty.
--- a/tests/jobs/test_queuefollower.py
+++ b/tests/jobs/test_queuefollower.py
@@ -163,6 +163,21 @@
     assert member.version == 2
 
 
+# Guards against a timeout that was raised for large answers and then waits for a store
+# that does not answer at all: the member's next read came 8 s later.
+def test_silent_store_is_asked_again_soon(make_follower: Callable[..., Follower]):
+    """The store gives no answer for 7 s, and a version is published meanwhile."""
+    member = make_follower(SLOW_LINK, routes=400)
+    member.run(2.0)
+    member.link.is_silent = True
+    member.run(1.5)
+    member.publish()
+    member.run(5.5)
+    member.link.is_silent = False
+    member.run(CONFIGURATION_DEADLINE_S)
+    assert member.version == 2
+
+
 def test_configuration_that_does_not_change_is_not_read_again(
     make_follower: Callable[..., Follower],
 ):
--- a/tests/platform/slowlink.py
+++ b/tests/platform/slowlink.py
@@ -11,7 +11,7 @@
 from tornado.httputil import HTTPHeaders
 
 from redwingrun.coordination.verdict import Failure, may_have_run
-from redwingrun.httpclient import HttpCall, HttpReply
+from redwingrun.httpclient import INCOMPLETE, TIMEOUT, HttpCall, HttpReply
 from tests.platform.fakestore import FakeStore
 
 DELAY_S = 0.01
@@ -23,6 +23,7 @@
 
     :param bytes_per_s: how fast the link carries the answers of the store.
     :ivar is_refused: whether the store resets each connection.
+    :ivar is_silent: whether calls that are sent now never get any answer.
     :ivar received_bytes: bytes of all answers, incomplete ones included.
     """
 
@@ -31,6 +32,7 @@
         self._bytes_per_s = bytes_per_s
         self._link_free_s = 0.0
         self.is_refused = False
+        self.is_silent = False
         self.received_bytes = 0.0
 
     async def send(self, call: HttpCall) -> Result[HttpReply, Failure]:
@@ -40,6 +42,9 @@
         await asyncio.sleep(DELAY_S)
         if self.is_refused:
             return Error(may_have_run("connection-lost", "reset"))
+        if self.is_silent:
+            await asyncio.sleep(deadline_s - loop.time())
+            return Error(may_have_run(TIMEOUT, "with 0 bytes received"))
         status, body = await self._serve(call.url)
         begin_s = max(loop.time(), self._link_free_s)
         end_s = begin_s + len(body) / self._bytes_per_s
@@ -47,7 +52,8 @@
         self.received_bytes += (self._link_free_s - begin_s) * self._bytes_per_s
         await asyncio.sleep(max(0.0, min(end_s, deadline_s) - loop.time()))
         if end_s > deadline_s:
-            return Error(may_have_run("timeout", f"not all of {len(body)} bytes"))
+            reason = INCOMPLETE if begin_s < deadline_s else TIMEOUT
+            return Error(may_have_run(reason, f"not all of {len(body)} bytes"))
         return Ok(HttpReply(status, body, HTTPHeaders()))
 
     async def _serve(self, url: str) -> tuple[int, bytes]:
