--- a/redwingrun/platform/jsonclient.py
+++ b/redwingrun/platform/jsonclient.py
@@ -49,49 +49,32 @@
         )
         self._write_timeout = AdaptiveTimeout()
 
-    async def get(
+    async def get(self, path: str, query: dict[str, Any]) -> Result[JsonReply, Failure]:
+        """Send a GET request whose reply is small."""
+        timeout = self._read_timeout
+        url = f"{path}?{urlencode(query)}"
+        call = self._call("GET", url, None, timeout.current_s())
+        return await self._send(call, timeout)
+
+    async def get_large(
         self, path: str, query: dict[str, Any], server_wait_s: float = 0
     ) -> Result[JsonReply, Failure]:
-        """Send a GET request whose reply is small.
+        """Send a GET request whose reply may be large, such as a page of rows.
 
         :param server_wait_s: how long the service may hold the request before it
             replies; added to the timeout.
         """
-        timeout = self._read_timeout
-        return await self._get(path, query, server_wait_s, timeout, timeout.current_s())
-
-    async def get_large(
-        self, path: str, query: dict[str, Any], server_wait_s: float = 0
-    ) -> Result[JsonReply, Failure]:
-        """Send a GET request whose reply may be large, such as a page of rows."""
         timeout = self._large_read_timeout
         timeout_s = max(timeout.current_s(), self._read_timeout.current_s())
-        return await self._get(path, query, server_wait_s, timeout, timeout_s)
-
-    async def _get(
-        self,
-        path: str,
-        query: dict[str, Any],
-        server_wait_s: float,
-        timeout: AdaptiveTimeout,
-        timeout_s: float,
-    ) -> Result[JsonReply, Failure]:
         url = f"{path}?{urlencode(query)}"
         call = self._call("GET", url, None, timeout_s + server_wait_s)
-        return await self._send(call, timeout, holds_reply=server_wait_s > 0)
-
-    async def post(
-        self, path: str, data: dict[str, Any], server_wait_s: float = 0
-    ) -> Result[JsonReply, Failure]:
-        """Send a POST request.
+        return await self._send(call, timeout, is_held=server_wait_s > 0)
 
-        :param server_wait_s: how long the service may hold the request before it
-            replies; added to the timeout.
-        """
+    async def post(self, path: str, data: dict[str, Any]) -> Result[JsonReply, Failure]:
+        """Send a POST request."""
         timeout = self._write_timeout
-        timeout_s = timeout.current_s() + server_wait_s
-        call = self._call("POST", path, orjson.dumps(data), timeout_s)
-        return await self._send(call, timeout, holds_reply=server_wait_s > 0)
+        call = self._call("POST", path, orjson.dumps(data), timeout.current_s())
+        return await self._send(call, timeout)
 
     def _call(
         self, method: str, path: str, body: bytes | None, timeout_s: float
@@ -101,19 +84,19 @@
         return HttpCall(method, url, timeout_s, body, JSON_HEADERS, connect_timeout_s)
 
     async def _send(
-        self, call: HttpCall, timeout: AdaptiveTimeout, holds_reply: bool
+        self, call: HttpCall, timeout: AdaptiveTimeout, is_held: bool = False
     ) -> Result[JsonReply, Failure]:
         """Send a call, and adapt the timeout to how it ends.
 
-        :param holds_reply: whether the service may hold the request, so that the
-            response time says nothing about the service.
+        :param is_held: whether the service may hold the request, so that the response
+            time says nothing about the service.
         """
         started_s = self._clock.now()
         reply = await self._client.send(call)
         if reply.is_error():
             self._record_failure(timeout, reply.error)
             return reply
-        if holds_reply:
+        if is_held:
             timeout.reset_backoff()
         else:
             timeout.record_reply(self._clock.now() - started_s)
