Client interface: an unknown queue is 'not found' only while the configuration is confirmed

What callers saw in the incident: 404, which is final, from a member that had not heard from the table for 10 s; any other member would have served them. Now a member whose last confirmation is older than the platform's deadline (configDeadlineMs of the settings) answers 503 with Retry-After for a queue that it does not know. Known queues are served as before: refusing them would cost more than a queue that was just removed. Class: a final answer from knowledge of unknown age.

--- a/redwingrun/platform/__main__.py
+++ b/redwingrun/platform/__main__.py
@@ -70,7 +70,12 @@
         self._stop_requested = asyncio.Event()
         self._member = self._build_member()
         dependencies = ApiDependencies(
-            self._member, self._clock, unix_ms, log, self._metrics
+            self._member,
+            self._clock,
+            unix_ms,
+            log,
+            self._metrics,
+            settings.bounds.config_deadline_s,
         )
         self._client_server = HTTPServer(
             client_application(dependencies),
--- a/redwingrun/platform/clientapi.py
+++ b/redwingrun/platform/clientapi.py
@@ -41,13 +41,18 @@
 
 @frozen
 class ApiDependencies:
-    """What the handlers use."""
+    """What the handlers use.
+
+    :param config_deadline_s: age from which on the configuration may be older than one
+        that hosts must use.
+    """
 
     member: Member
     clock: Clock
     unix_ms: Callable[[], int]
     log: Log
     metrics: Metrics
+    config_deadline_s: float
 
 
 class _Handler(RequestHandler):
@@ -116,8 +121,8 @@
     def prepare(self) -> None:
         """Find the queue, or reply with an error.
 
-        503 without a configuration, 404 for an unknown queue, 413 for a body over
-        the limit.
+        503 without a configuration, 404 for an unknown queue (503 while the
+        configuration may be old), 413 for a body over the limit.
         """
         queues = self.dependencies.member.queues
         self.address: QueueAddress | None = None
@@ -128,11 +133,20 @@
         host = self.request.host.partition(":")[0]
         self.address = queues.find(host, self.request.path)
         if self.address is None:
-            self._log_lookup("unknown-queue", host=host, path=self.request.path)
-            self.reply(404, {"error": "no such queue"})
+            self._reply_unknown_queue(host)
         elif len(self.request.body) > queues.limits.body_bytes:
             self.reply(413, {"error": "the body is too large"})
 
+    def _reply_unknown_queue(self, host: str) -> None:
+        """Reply 404, or 503 if the queue may have been added meanwhile."""
+        self._log_lookup("unknown-queue", host=host, path=self.request.path)
+        age_s = self.dependencies.member.queues_age_s()
+        if age_s <= self.dependencies.config_deadline_s:
+            self.reply(404, {"error": "no such queue"})
+            return
+        self.set_header("Retry-After", RETRY_AFTER_S)
+        self.reply(503, {"error": "no such queue in a configuration that may be old"})
+
     def _log_lookup(self, what: str, **fields: object) -> None:
         """Log a decision with the configuration that it rests on, and its age."""
         member = self.dependencies.member
--- a/redwingrun/platform/settings.py
+++ b/redwingrun/platform/settings.py
@@ -24,12 +24,14 @@
 
     :param grace_s: time between SIGTERM and SIGKILL.
     :param early_s: how long before its due time a scheduled task may start.
+    :param config_deadline_s: time after which a new configuration must be used.
     :param far_factor: factor by which a task takes longer away from its data.
     :param keep_results_s: how long clients may ask for a finished job's state.
     """
 
     grace_s: float = 6.0
     early_s: float = 0.25
+    config_deadline_s: float = 2.0
     far_factor: float = 2.0
     keep_results_s: float = 120.0
 
@@ -105,6 +107,10 @@
         bounds=TimeBounds(
             grace_s=float(bounds.get("gracePeriodS", defaults.grace_s)),
             early_s=float(bounds.get("early_ms", defaults.early_s * 1000)) / 1000,
+            config_deadline_s=float(
+                bounds.get("configDeadlineMs", defaults.config_deadline_s * 1000)
+            )
+            / 1000,
             far_factor=float(bounds.get("farX", defaults.far_factor)),
             keep_results_s=float(bounds.get("status_s", defaults.keep_results_s)),
         ),
--- /dev/null
+++ b/tests/platform/test_clientapi.py
@@ -0,0 +1,92 @@
+"""What clients are told about queues, by the configuration in force and its age."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from attrs import define
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
+
+from redwingrun.coordination.clock import MonotonicClock
+from redwingrun.httpclient import HttpCall, HttpClient, HttpReply
+from redwingrun.jobs.spec import Queue, QueueAddress, QueueSet
+from redwingrun.logs import Log
+from redwingrun.metrics import Metrics
+from redwingrun.platform.clientapi import ApiDependencies, client_application
+
+HOST = "hura70.example"
+DEADLINE_S = 2.0
+
+
+@define
+class _Member:
+    """A member with one queue, which three jobs wait in."""
+
+    age_s: float = 0.0
+    is_ready: bool = True
+    queues: QueueSet | None = QueueSet(
+        7, {"q": Queue("q", "p")}, {HOST: (QueueAddress(HOST, "/known/", "q"),)}
+    )
+
+    def queues_age_s(self) -> float:
+        return self.age_s
+
+    def waiting_count(self, queue: str) -> int:
+        return 3
+
+
+def get(member: _Member, path: str) -> HttpReply:
+    """Return the member's answer to a client."""
+
+    async def run() -> HttpReply:
+        dependencies = ApiDependencies(
+            member,
+            MonotonicClock(),
+            lambda: 0,
+            Log("test", "quiet"),
+            Metrics(),
+            DEADLINE_S,
+        )
+        server = HTTPServer(client_application(dependencies))
+        socket, port = bind_unused_port()
+        server.add_socket(socket)
+        client = HttpClient("")
+        url = f"http://127.0.0.1:{port}{path}"
+        try:
+            return (
+                await client.send(HttpCall("GET", url, 10.0, None, {"Host": HOST}))
+            ).ok
+        finally:
+            client.close()
+            server.stop()
+            await server.close_all_connections()
+
+    return asyncio.run(run())
+
+
+def test_unknown_queue_is_not_found_while_the_configuration_is_confirmed():
+    """404 is final: the client does not come again."""
+    assert get(_Member(age_s=1.0), "/new/").status == 404
+
+
+# Guards against a final answer that only an older configuration allows: the queue may
+# have been added since, and another host may serve it.
+@pytest.mark.parametrize("age_s", [DEADLINE_S + 0.1, 60.0])
+def test_unknown_queue_is_refused_while_the_configuration_may_be_older(age_s: float):
+    """The client is told to come again."""
+    reply = get(_Member(age_s), "/new/")
+    assert reply.status == 503
+    assert reply.headers["Retry-After"]
+
+
+def test_known_queue_is_served_while_the_configuration_may_be_older():
+    """Refusing it would cost clients more than a queue that was just removed."""
+    reply = get(_Member(age_s=60.0), "/known/")
+    assert (reply.status, reply.body) == (200, b'{"pending":3}')
+
+
+def test_every_queue_is_refused_without_a_configuration():
+    """A host that has just started does not know any queue."""
+    assert get(_Member(queues=None), "/known/").status == 503
