--- a/tests/silentproxy.py
+++ b/tests/silentproxy.py
@@ -52,3 +52,6 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for writer in self._writers:
             writer.close()
+        await asyncio.gather(
+            *(writer.wait_closed() for writer in self._writers), return_exceptions=True
+        )
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -156,6 +156,7 @@
         finally:
             client.close()
             server.stop()
+            await server.close_all_connections()
             await proxy.stop()
 
     asyncio.run(run())
