Failing test: a large version is not in force within the deadline on a slow link

The follower on the real table adapter, a link of 5 Mbit/s, 4,200 routes, in virtual time: with 0.3 s of the wait gone, version 5 of 6 is in force 3 s after version 6 was published.

--- a/tests/jobs/test_queuefollower.py
+++ b/tests/jobs/test_queuefollower.py
@@ -22,6 +22,7 @@
 
 BYTES_PER_MBIT = 125_000
 SLOW_LINK = 10 * BYTES_PER_MBIT
+HALF_SLOW_LINK = 5 * BYTES_PER_MBIT
 SLOWEST_LINK = 2 * BYTES_PER_MBIT
 # The platform's bound from the acknowledgement of a version to its use by all members
 # that reach the store.
@@ -163,6 +164,28 @@
     assert member.version == 2
 
 
+# Guards against a read that is ended while its answer is still arriving, and begun anew:
+# members kept version 14 for up to 7.7 s after version 18 was acknowledged.
+@pytest.mark.parametrize("waited_s", [0.1, 0.3, 0.5, 0.7, 0.9])
+def test_large_version_is_in_force_within_the_deadline_on_a_slow_link(
+    make_follower: Callable[..., Follower], waited_s: float
+):
+    """Versions get larger; the last ones take 1.6 s on the link, and come in pairs.
+
+    :param waited_s: roughly how long the follower has waited for a change.
+    """
+    member = make_follower(HALF_SLOW_LINK, routes=0)
+    poll = member.loop.create_task(read_small_row(member.table))
+    for _ in range(3):
+        member.run(20.0 + waited_s)
+        member.routes += 1400
+        for _ in range(2):
+            member.publish()
+            member.run(CONFIGURATION_DEADLINE_S)
+            assert member.version == member.published
+    poll.cancel()
+
+
 # Guards against a timeout that was raised for large answers and then waits for a store
 # that does not answer at all: the member's next read came 8 s later.
 def test_silent_store_is_asked_again_soon(make_follower: Callable[..., Follower]):
