Store client: a large read ends when its answer stops arriving, not after a total time

Cause: the timeout of a large read covered the wait for a change and the whole transfer, and was learned from earlier, smaller answers. A read of 1.01 MB, which takes 1.6 s on its link, was ended up to five times while it was arriving, and each retry began it anew. Change: for large reads the timeout is for the first bytes; after that the call ends when nothing arrives for 0.5 s. What was learned from transfer times is gone, so that a large answer no longer changes a timeout. A reply that stopped half-way counts as silence of its connection. libcurl's low-speed bound would not serve: it averages over seconds. Before: test_large_version_is_in_force_within_the_deadline_on_a_slow_link[0.3] failed. The real client is tested on a loopback server that sends its answer in parts.

--- a/redwingrun/httpclient.py
+++ b/redwingrun/httpclient.py
@@ -40,6 +40,9 @@
 NOTHING_RECEIVED = "with 0 bytes received"
 # libcurl closes connections that were idle for longer.
 MAX_IDLE_S = 118.0
+# Longest time of a call whose reply keeps arriving.
+MAX_TRANSFER_S = 30.0
+MS_PER_S = 1000
 # Status that tornado sets when there is no reply.
 NO_RESPONSE_STATUS = 599
 
@@ -48,7 +51,11 @@
 class HttpCall:
     """One HTTP request.
 
-    :param timeout_s: longest time until the whole reply has arrived.
+    :param timeout_s: longest time until the whole reply has arrived, or until its
+        first bytes have arrived if there is a ``stall_timeout_s``.
+    :param stall_timeout_s: after ``timeout_s``, the call ends when no more bytes arrive
+        for this long, so that a large reply may take as long as the link needs;
+        ``None`` for small replies.
     """
 
     method: str
@@ -57,6 +64,7 @@
     body: bytes | None = None
     headers: dict[str, str] = field(factory=dict)
     connect_timeout_s: float = 0.5
+    stall_timeout_s: float | None = None
 
 
 @frozen
@@ -101,35 +109,47 @@
             headers[FROM_HEADER] = self._sender
         if self._sender and call.body is not None:
             headers[DIGEST_HEADER] = digest(call.body)
-        server = call.url.split("/")[2]
-        max_age_s = self._max_connection_age_s(server)
+        max_age_s = self._max_connection_age_s(_server_of(call))
+        is_small = call.stall_timeout_s is None
         request = HTTPRequest(
             call.url,
             method=call.method,
             headers=headers,
             body=call.body,
             connect_timeout=min(call.connect_timeout_s, call.timeout_s),
-            request_timeout=call.timeout_s,
+            request_timeout=call.timeout_s if is_small else MAX_TRANSFER_S,
             allow_nonstandard_methods=True,
             follow_redirects=False,
             decompress_response=False,
-            prepare_curl_callback=partial(_prepare, max_connection_age_s=max_age_s),
+            prepare_curl_callback=partial(self._prepare, call, max_age_s),
         )
         try:
             response = await self._curl.fetch(request, raise_error=False)
         except (HTTPClientError, OSError, ValueError) as error:
             # A ValueError is raised for a URL or a header that can't be encoded.
-            return self._failed(server, error)
+            return self._failed(call, error)
         if response.code == NO_RESPONSE_STATUS:
-            return self._failed(server, response.error)
+            return self._failed(call, response.error)
         return _check_digest(response)
 
+    def _prepare(
+        self, call: HttpCall, max_connection_age_s: int, curl: pycurl.Curl
+    ) -> None:
+        _set_options(curl, max_connection_age_s)
+        if call.stall_timeout_s is not None:
+            self._curl.watch_transfer(curl, call.timeout_s, call.stall_timeout_s)
+
     def _failed(
-        self, server: str, error: BaseException | None
+        self, call: HttpCall, error: BaseException | None
     ) -> Result[HttpReply, Failure]:
-        """Return the failure of a call, and remember a server that was silent."""
+        """Return the failure of a call, and remember a server that was silent.
+
+        A small reply of which a part arrived may only have been slow.
+        """
         failure = failure_from_error(error)
-        if failure.reason == TIMEOUT:
+        has_stalled = failure.reason == INCOMPLETE and call.stall_timeout_s is not None
+        if failure.reason == TIMEOUT or has_stalled:
+            server = _server_of(call)
             self._silent_s_by_server[server] = asyncio.get_running_loop().time()
         return Error(failure)
 
@@ -170,8 +190,48 @@
             self._free_list.append(curl)
         super().fetch_impl(request, callback)
 
+    def watch_transfer(
+        self, curl: pycurl.Curl, timeout_s: float, stall_timeout_s: float
+    ) -> None:
+        """End the request of a handle when its reply does not arrive any more.
 
-def _prepare(curl: pycurl.Curl, max_connection_age_s: int) -> None:
+        libcurl's own bounds don't serve: one is on the whole time, the other on an
+        average over several seconds.
+
+        :param timeout_s: time allowed until the first bytes.
+        :param stall_timeout_s: time allowed without more bytes after that.
+        """
+        request = curl.info["request"]
+        started_s = self.io_loop.time()
+        received_bytes = 0.0
+
+        def check() -> None:
+            nonlocal received_bytes
+            if self._multi is None or not curl.info or curl.info["request"] != request:
+                return
+            before_bytes = received_bytes
+            received_bytes = curl.getinfo(pycurl.SIZE_DOWNLOAD)
+            if received_bytes > before_bytes:
+                self.io_loop.call_later(stall_timeout_s, check)
+                return
+            took_ms = (self.io_loop.time() - started_s) * MS_PER_S
+            expected_bytes = curl.getinfo(pycurl.CONTENT_LENGTH_DOWNLOAD)
+            received = f"{received_bytes:.0f} bytes received"
+            if received_bytes:
+                received = f"{received_bytes:.0f} out of {expected_bytes:.0f} bytes"
+            message = f"Operation timed out after {took_ms:.0f} ms with {received}"
+            self._finish(curl, pycurl.E_OPERATION_TIMEDOUT, message)
+            self._process_queue()
+
+        self.io_loop.call_later(timeout_s, check)
+
+
+def _server_of(call: HttpCall) -> str:
+    """Return the IP and port that a call is sent to."""
+    return call.url.split("/")[2]
+
+
+def _set_options(curl: pycurl.Curl, max_connection_age_s: int) -> None:
     """Limit the age of a reused connection, and prevent a second sending.
 
     When a reused connection fails before the first byte of the reply, libcurl
--- a/redwingrun/platform/jsonclient.py
+++ b/redwingrun/platform/jsonclient.py
@@ -12,16 +12,15 @@
 from redwingrun.adaptivetimeout import AdaptiveTimeout
 from redwingrun.coordination.clock import Clock
 from redwingrun.coordination.verdict import Failure, Verdict, may_have_run
-from redwingrun.httpclient import INCOMPLETE, HttpCall, HttpClient
+from redwingrun.httpclient import HttpCall, HttpClient
 
 JSON_HEADERS = {"Content-Type": "application/json"}
 CONNECT_TIMEOUT_S = 0.5
 # When a reply is lost, nothing more arrives on that connection. Reads can be
 # repeated, so it is better to time out early and send the read again.
 MAX_READ_TIMEOUT_S = 1.0
-# A large reply of which only a part arrived in time gets more time when it is requested
-# again: how long it takes depends on the link.
-MAX_LARGE_READ_BACKOFF_S = 5.0
+# A large reply may take as long as its link needs, but not pause for longer than this.
+STALL_TIMEOUT_S = 0.5
 
 
 @frozen
@@ -43,10 +42,6 @@
         self._client = client
         self._clock = clock
         self._read_timeout = AdaptiveTimeout(MAX_READ_TIMEOUT_S)
-        # Kept apart, because replies to small reads say nothing about large ones.
-        self._large_read_timeout = AdaptiveTimeout(
-            MAX_READ_TIMEOUT_S, MAX_LARGE_READ_BACKOFF_S
-        )
         self._write_timeout = AdaptiveTimeout()
 
     async def get(self, path: str, query: dict[str, Any]) -> Result[JsonReply, Failure]:
@@ -61,14 +56,16 @@
     ) -> Result[JsonReply, Failure]:
         """Send a GET request whose reply may be large, such as a page of rows.
 
+        The timeout is for its first bytes.
+
         :param server_wait_s: how long the service may hold the request before it
             replies; added to the timeout.
         """
-        timeout = self._large_read_timeout
-        timeout_s = max(timeout.current_s(), self._read_timeout.current_s())
+        timeout = self._read_timeout
+        timeout_s = timeout.current_s() + server_wait_s
         url = f"{path}?{urlencode(query)}"
-        call = self._call("GET", url, None, timeout_s + server_wait_s)
-        return await self._send(call, timeout, is_held=server_wait_s > 0)
+        call = self._call("GET", url, None, timeout_s, STALL_TIMEOUT_S)
+        return await self._send(call, timeout)
 
     async def post(self, path: str, data: dict[str, Any]) -> Result[JsonReply, Failure]:
         """Send a POST request."""
@@ -77,44 +74,45 @@
         return await self._send(call, timeout)
 
     def _call(
-        self, method: str, path: str, body: bytes | None, timeout_s: float
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        timeout_s: float,
+        stall_timeout_s: float | None = None,
     ) -> HttpCall:
         url = f"http://{self.address}{path}"
         connect_timeout_s = min(CONNECT_TIMEOUT_S, timeout_s)
-        return HttpCall(method, url, timeout_s, body, JSON_HEADERS, connect_timeout_s)
+        return HttpCall(
+            method,
+            url,
+            timeout_s,
+            body,
+            JSON_HEADERS,
+            connect_timeout_s,
+            stall_timeout_s,
+        )
 
     async def _send(
-        self, call: HttpCall, timeout: AdaptiveTimeout, is_held: bool = False
+        self, call: HttpCall, timeout: AdaptiveTimeout
     ) -> Result[JsonReply, Failure]:
         """Send a call, and adapt the timeout to how it ends.
 
-        :param is_held: whether the service may hold the request, so that the response
-            time says nothing about the service.
+        How long a large reply takes says nothing about the service: it depends on the
+        link, and on how long the service held the request.
         """
         started_s = self._clock.now()
         reply = await self._client.send(call)
         if reply.is_error():
-            self._record_failure(timeout, reply.error)
+            if reply.error.verdict is Verdict.MAY_HAVE_RUN:
+                timeout.record_timeout()
             return reply
-        if is_held:
+        if call.stall_timeout_s is not None:
             timeout.reset_backoff()
         else:
             timeout.record_reply(self._clock.now() - started_s)
         return decode_reply(reply.ok.status, reply.ok.body)
 
-    def _record_failure(self, timeout: AdaptiveTimeout, failure: Failure) -> None:
-        """Allow more time to the next call of the same kind.
-
-        A large read without any answer says as little as a small one: its size did
-        not matter.
-        """
-        if failure.verdict is not Verdict.MAY_HAVE_RUN:
-            return
-        if timeout is self._large_read_timeout and failure.reason != INCOMPLETE:
-            timeout.reset_backoff()
-            timeout = self._read_timeout
-        timeout.record_timeout()
-
 
 def decode_reply(status: int, body: bytes) -> Result[JsonReply, Failure]:
     """Decode a reply whose body is a JSON object or empty.
--- a/tests/jobs/test_queuefollower.py
+++ b/tests/jobs/test_queuefollower.py
@@ -164,8 +164,8 @@
     assert member.version == 2
 
 
-# Guards against a read that is ended while its answer is still arriving, and begun anew:
-# members kept version 14 for up to 7.7 s after version 18 was acknowledged.
+# Guards against a read that is ended while its answer is still arriving, and begun
+# anew: members kept version 14 for up to 7.7 s after version 18 was acknowledged.
 @pytest.mark.parametrize("waited_s", [0.1, 0.3, 0.5, 0.7, 0.9])
 def test_large_version_is_in_force_within_the_deadline_on_a_slow_link(
     make_follower: Callable[..., Follower], waited_s: float
--- a/tests/platform/slowlink.py
+++ b/tests/platform/slowlink.py
@@ -11,7 +11,13 @@
 from tornado.httputil import HTTPHeaders
 
 from redwingrun.coordination.verdict import Failure, may_have_run
-from redwingrun.httpclient import INCOMPLETE, TIMEOUT, HttpCall, HttpReply
+from redwingrun.httpclient import (
+    INCOMPLETE,
+    MAX_TRANSFER_S,
+    TIMEOUT,
+    HttpCall,
+    HttpReply,
+)
 from tests.platform.fakestore import FakeStore
 
 DELAY_S = 0.01
@@ -36,7 +42,11 @@
         self.received_bytes = 0.0
 
     async def send(self, call: HttpCall) -> Result[HttpReply, Failure]:
-        """Send a read; it times out if its answer has not arrived in time."""
+        """Send a read.
+
+        It times out if its answer has not arrived in time, or not begun to arrive if
+        the call ends by a stall only: this link never stalls.
+        """
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + call.timeout_s
         await asyncio.sleep(DELAY_S)
@@ -48,6 +58,8 @@
         status, body = await self._serve(call.url)
         begin_s = max(loop.time(), self._link_free_s)
         end_s = begin_s + len(body) / self._bytes_per_s
+        if call.stall_timeout_s is not None and begin_s < deadline_s:
+            deadline_s = begin_s + MAX_TRANSFER_S
         self._link_free_s = max(begin_s, min(end_s, deadline_s))
         self.received_bytes += (self._link_free_s - begin_s) * self._bytes_per_s
         await asyncio.sleep(max(0.0, min(end_s, deadline_s) - loop.time()))
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -20,6 +20,11 @@
 # A connection counts as older than a timeout from about this age on.
 CONNECTION_AGE_S = 2.5
 SLOW_ANSWER_S = 0.05
+# An answer that comes in parts: time between two, and the time allowed for it.
+TRICKLE_PART_BYTES = 1000
+TRICKLE_GAP_S = 0.1
+TRICKLE_TIMEOUT_S = 0.5
+STALL_S = 2.0
 PLANNED_WORKERS = 640
 VALID_RESPONSE = (
     b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\nX-Digest: "
@@ -174,6 +179,57 @@
     asyncio.run(run())
 
 
+class _TrickleHandler(RequestHandler):
+    """Sends its answer in parts, then the rest or nothing more."""
+
+    async def get(self) -> None:
+        parts, ends = int(self.get_argument("parts")), self.get_argument("ends") == "1"
+        self.set_header("Content-Length", TRICKLE_PART_BYTES * (parts + (not ends)))
+        for _ in range(parts):
+            self.write(b"x" * TRICKLE_PART_BYTES)
+            await self.flush()
+            await asyncio.sleep(TRICKLE_GAP_S)
+        if not ends:
+            await asyncio.sleep(30)
+
+
+async def _read_trickle(parts: int, ends: bool):
+    """Read an answer that comes in parts; return the result and the time taken."""
+    loop = asyncio.get_running_loop()
+    port = free_ports(1)[0]
+    server = HTTPServer(Application([(r"/", _TrickleHandler)]))
+    server.listen(port, "127.0.0.1")
+    client = HttpClient("")
+    url = f"http://127.0.0.1:{port}/?parts={parts}&ends={int(ends)}"
+    started_s = loop.time()
+    try:
+        call = HttpCall("GET", url, TRICKLE_TIMEOUT_S, stall_timeout_s=STALL_S)
+        return await client.send(call), loop.time() - started_s
+    finally:
+        client.close()
+        server.stop()
+        await server.close_all_connections()
+
+
+# Guards against a call that is ended while its answer is still arriving.
+def test_an_answer_that_keeps_arriving_may_take_longer_than_the_timeout():
+    result, took_s = asyncio.run(_read_trickle(parts=20, ends=True))
+    assert len(result.ok.body) == 20 * TRICKLE_PART_BYTES
+    assert took_s > 2 * TRICKLE_TIMEOUT_S
+
+
+def test_an_answer_that_stops_arriving_ends_the_call():
+    result, _ = asyncio.run(_read_trickle(parts=10, ends=False))
+    assert result.error.reason == "incomplete"
+    assert result.error.verdict is Verdict.MAY_HAVE_RUN
+
+
+def test_a_large_answer_that_never_begins_ends_the_call():
+    result, _ = asyncio.run(_read_trickle(parts=0, ends=False))
+    assert result.error.reason == "timeout"
+    assert result.error.verdict is Verdict.MAY_HAVE_RUN
+
+
 def test_a_call_on_a_refused_connection_did_not_run():
     async def scenario():
         server = Server()
