--- a/tests/jobs/cluster.py
+++ b/tests/jobs/cluster.py
@@ -59,6 +59,9 @@
 from tests.jobs.simulatedworker import SimulatedRun, SimulatedWorker
 
 GANG_TIMEOUT_S = 3.0
+# A task under which so many workers have crashed must not be started this often again.
+CRASHES_BEFORE_LIMIT = 3
+STARTS_AFTER_CRASHES = 3
 QUEUE = "checks"
 POOL = "walls"
 
@@ -80,6 +83,8 @@
     :ivar gang_ready_s: time at which all tasks of a gang step were running, by step
         and run number.
     :ivar failing_jobs: ids of jobs whose runs all fail.
+    :ivar crashing_jobs: ids of jobs whose first task crashes each worker.
+    :ivar crashes_s_by_task: times at which a worker crashed under a run of a task.
     :ivar order_delays_s: delays of the next orders to workers; their answers are lost.
     :ivar lost_answers: how many of the next answers to orders are lost.
     :ivar live_runs: worker by run, for each task with runs that have not ended.
@@ -107,6 +112,8 @@
     accepted: set[str] = field(factory=set)
     gang_ready_s: dict[tuple[StepId, int], float] = field(factory=dict)
     failing_jobs: set[str] = field(factory=set)
+    crashing_jobs: set[str] = field(factory=set)
+    crashes_s_by_task: dict[TaskId, list[float]] = field(factory=dict)
     order_delays_s: list[float] = field(factory=list)
     lost_answers: int = 0
     live_runs: dict[TaskId, dict[RunId, str]] = field(factory=dict)
@@ -251,11 +258,18 @@
         """Return whether a run of a task is going to fail."""
         return task.job in self.failing_jobs
 
+    def crashes_workers(self, task: TaskId) -> bool:
+        """Return whether a task crashes each worker that starts it."""
+        return task.job in self.crashing_jobs and not task.index
+
     def has_finished(self, run: SimulatedRun, now_s: float) -> bool:
         """Return whether a run has worked for its whole duration.
 
-        The tasks of a gang begin to work when all of them have started.
+        The tasks of a gang begin to work when all of them have started. Lasting tasks
+        never finish.
         """
+        if self.step_of(run.run_id.task).lasting:
+            return False
         since_s = run.started_s
         if self.step_of(run.run_id.task).gang:
             key = (run.run_id.task.step_id, run.run_id.run)
@@ -347,6 +361,11 @@
                 self.done_tasks |= {evolve(run_id.task, index=i) for i in range(count)}
         self.end_s_by_run[run_id] = self.loop.time()
 
+    def record_crash(self, run_id: RunId) -> None:
+        """Record that a worker has crashed under a run."""
+        times = self.crashes_s_by_task.setdefault(run_id.task, [])
+        times.append(self.loop.time())
+
     def record_run_gone(self, run_id: RunId, worker: SimulatedWorker) -> None:
         """Record that a run is gone, also if it leaves no end, as after a crash."""
         self.live_runs.get(run_id.task, {}).pop(run_id, None)
@@ -377,6 +396,18 @@
                 found.append(f"TWICE after a successful end: {run_id}")
             if before.count(EndKind.FAILED) >= attempts:
                 found.append(f"TOO MANY ATTEMPTS: {run_id}")
+        return found + self._starts_after_crashes()
+
+    def _starts_after_crashes(self) -> list[str]:
+        """Return the crashing tasks that were started too often after their crashes."""
+        found = []
+        for task, times in self.crashes_s_by_task.items():
+            if len(times) < CRASHES_BEFORE_LIMIT or not self.crashes_workers(task):
+                continue
+            limit_s = sorted(times)[CRASHES_BEFORE_LIMIT - 1]
+            later = [s for s, run_id, _ in self.starts if run_id.task == task]
+            if sum(s > limit_s for s in later) >= STARTS_AFTER_CRASHES:
+                found.append(f"STARTED AFTER {len(times)} CRASHES: {task}")
         return found
 
 
--- a/tests/jobs/simulatedworker.py
+++ b/tests/jobs/simulatedworker.py
@@ -23,6 +23,9 @@
     from tests.jobs.cluster import SimulatedCluster
 
 STOP_DURATION_S = 0.3
+# A task that crashes workers does so this long after its start.
+CRASH_DELAY_S = 0.01
+RESTART_DELAY_S = 3.0
 
 
 @define
@@ -80,10 +83,17 @@
     def crash(self) -> None:
         """Crash: lose all runs without an end, and answer no calls."""
         for run_id in list(self.runs):
+            self.cluster.record_crash(run_id)
             self.cluster.record_run_gone(run_id, self)
         self.runs.clear()
         self.up = False
 
+    def crash_and_restart(self) -> None:
+        """Crash, and start again under the same id after ``RESTART_DELAY_S``."""
+        if self.up:
+            self.crash()
+            self.cluster.loop.call_later(RESTART_DELAY_S, self.restart)
+
     def restart(self) -> None:
         """Start a new incarnation under the same id."""
         self.boot_s = self.cluster.loop.time()
@@ -169,6 +179,8 @@
         )
         self.runs[order.run_id] = run
         self.cluster.check_start(order.run_id, self)
+        if self.cluster.crashes_workers(order.run_id.task):
+            self.cluster.loop.call_later(CRASH_DELAY_S, self.crash_and_restart)
         return None
 
     def stop(self, order: StopOrder, fence: int) -> Refusal | None:
--- /dev/null
+++ b/tests/jobs/test_crashingtasks.py
@@ -0,0 +1,146 @@
+"""Tasks that crash the workers that start them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+
+from redwingrun.jobs.progress import JobState
+from tests.helpers import DOWN, OK
+from tests.jobs.cluster import SimulatedCluster, job, job_id, make_cluster, step
+
+PRIMARY = "s0"
+CRASHING = 50
+OTHER_JOBS = 8
+
+
+@pytest.fixture
+def cluster() -> Iterator[SimulatedCluster]:
+    """Return a cluster with three members and eight workers."""
+    made = make_cluster(workers=8)
+    yield made
+    made.close()
+
+
+def submit_beside_others(cluster: SimulatedCluster, **more: object) -> None:
+    """Submit a job whose first task crashes workers, and others beside it."""
+    for number in range(OTHER_JOBS):
+        cluster.submit(job_id(number), job(step(3, 1.0), step(2, 1.0, after=(0,))))
+    cluster.crashing_jobs.add(job_id(CRASHING))
+    cluster.submit(job_id(CRASHING), job(step(4, 1.0, **more)))
+    for number in range(OTHER_JOBS, 2 * OTHER_JOBS):
+        cluster.submit(job_id(number), job(step(3, 1.0)))
+
+
+def check(cluster: SimulatedCluster, expected: JobState = JobState.FAILED) -> None:
+    """Check that the crashing job was given up, and that the others completed."""
+    assert cluster.all_violations() == []
+    assert cluster.state(job_id(CRASHING)) is expected
+    states = {cluster.state(job_id(number)) for number in range(2 * OTHER_JOBS)}
+    assert states == {JobState.COMPLETED}
+
+
+# Guards against a task that crashes one worker after the other: it was started anew
+# until the end of the day, 39 times.
+@pytest.mark.parametrize(
+    "more", [{}, {"gang": True}, {"lasting": True}], ids=["task", "gang", "lasting"]
+)
+def test_a_task_that_crashes_workers_is_given_up(cluster: SimulatedCluster, more: dict):
+    submit_beside_others(cluster, **more)
+    cluster.run(40.0)
+    check(cluster)
+
+
+# Guards against an owner that forgets the crashes which its predecessors saw.
+def test_crashes_are_remembered_by_the_next_owner(cluster: SimulatedCluster):
+    """The owner is killed after each crash."""
+    submit_beside_others(cluster)
+    for number in range(12):
+        crashes = sum(map(len, cluster.crashes_s_by_task.values()))
+        for _ in range(40):
+            cluster.run(0.1)
+            if sum(map(len, cluster.crashes_s_by_task.values())) > crashes:
+                break
+        cluster.run(0.3)
+        owner = cluster.owner_name()
+        if owner:
+            cluster.kill(owner)
+            cluster.add_ready_member(f"n{number}")
+    cluster.run(40.0)
+    check(cluster)
+
+
+# Guards against the same after all members have ended at once.
+def test_crashes_are_remembered_after_a_full_restart(cluster: SimulatedCluster):
+    """All members are killed some seconds after the first crash, and once more."""
+    submit_beside_others(cluster)
+    for number in range(2):
+        cluster.run(4.0)
+        for name in list(cluster.member_by_name):
+            cluster.kill(name)
+        cluster.run(1.0)
+        for place in range(3):
+            cluster.add_ready_member(f"r{number}{place}")
+    cluster.run(40.0)
+    check(cluster)
+
+
+# Guards against the loss of what is known of crashes while the table does not answer.
+def test_crashes_are_remembered_over_an_outage_of_the_table(cluster: SimulatedCluster):
+    """The table is away for all from just after the first crash, and the owner ends."""
+    submit_beside_others(cluster)
+    for _ in range(100):
+        cluster.run(0.02)
+        if cluster.crashes_s_by_task:
+            break
+    for process in cluster.process_by_name.values():
+        process.table_mode = DOWN
+    cluster.run(4.0)
+    for process in cluster.process_by_name.values():
+        process.table_mode = OK
+    cluster.run(3.0)
+    cluster.unavailable_partitions = {PRIMARY}
+    cluster.run(3.0)
+    cluster.kill(cluster.owner_name())
+    cluster.run(3.0)
+    cluster.unavailable_partitions = set()
+    cluster.run(40.0)
+    check(cluster)
+
+
+# Guards against a job that is given up because workers crash beside it.
+@pytest.mark.parametrize(
+    "more", [{}, {"gang": True}, {"lasting": True}], ids=["task", "gang", "lasting"]
+)
+def test_a_task_is_not_given_up_for_crashes_that_others_cause(
+    cluster: SimulatedCluster, more: dict
+):
+    """Jobs of 6 s run while ten others crash the workers under them."""
+    for number in range(4):
+        cluster.submit(job_id(number), job(step(3, 6.0, **more)))
+    for number in range(10):
+        cluster.run(1.0)
+        cluster.crashing_jobs.add(job_id(CRASHING + number))
+        cluster.submit(job_id(CRASHING + number), job(step(1, 1.0)))
+    cluster.run(90.0)
+    assert cluster.all_violations() == []
+    for number in range(10):
+        assert cluster.state(job_id(CRASHING + number)) is JobState.FAILED
+    expected = JobState.RUNNING if more.get("lasting") else JobState.COMPLETED
+    assert {cluster.state(job_id(number)) for number in range(4)} == {expected}
+
+
+# Guards against a job that is given up because its workers crash by themselves.
+def test_a_task_survives_workers_that_crash_by_themselves(cluster: SimulatedCluster):
+    """Each worker crashes several times under lasting tasks and long ones."""
+    cluster.submit(job_id(1), job(step(6, 1.0, lasting=True)))
+    cluster.submit(job_id(2), job(step(6, 5.0)))
+    workers = list(cluster.worker_by_id.values())
+    for number in range(16):
+        workers[number % len(workers)].crash_and_restart()
+        cluster.run(1.9)
+    cluster.run(40.0)
+    assert cluster.all_violations() == []
+    assert cluster.state(job_id(1)) is JobState.RUNNING
+    assert cluster.state(job_id(2)) is JobState.COMPLETED
