Owner: a task that crashes the workers that start it is given up, and told from those beside it

Cause: a run that ends with its worker counted as never run. Class: a retry without a limit, for one kind of failure. Change: the crashes under a task are counted in its progress, which is stored before its next start, so that the next owner has them, after a full restart too. Suspected are the runs that had just started when the worker was last heard of; the next start of a suspected task is watched: no other job's task starts there meanwhile, and its worker is held for it. A task that is then the only suspect of a second crash is given up, and its job is shown as failed. Only runs that certainly started count as crashes.

--- /dev/null
+++ b/redwingrun/jobs/crashes.py
@@ -0,0 +1,133 @@
+"""Counts crashes of workers under tasks, and gives up tasks that cause them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from attrs import frozen
+
+from redwingrun.jobs.job import Job
+from redwingrun.jobs.progress import (
+    MIN_ISOLATION_CRASHES,
+    JobState,
+    TaskProgress,
+    TaskState,
+)
+from redwingrun.jobs.slicestate import SliceState
+from redwingrun.jobs.spec import TaskId
+from redwingrun.jobs.workerpool import SUSPECT_AGE_S, Run, Worker
+
+# No task is given up before so many workers have certainly crashed under it, unless it
+# was suspected UNCONFIRMED_LIMIT times: all its starts may have gone unanswered.
+MIN_CRASHES = 2
+UNCONFIRMED_LIMIT = 5
+# A task that is the only suspect is given up when it is suspected for the second time:
+# the first crash leaves several suspects, the second start is watched.
+SOLE_SUSPECT_LIMIT = 2
+# It is given up after this many in any case, ...
+SUSPECT_LIMIT = 4
+# ... and after this many crashes under it, if the last one came while no other job's
+# task could start on the worker.
+CRASH_LIMIT = MIN_ISOLATION_CRASHES + 1
+# A run that has lasted for this long shows that its task does not crash workers.
+SOUND_AGE_S = 10.0
+
+
+@frozen
+class GivenUpTask:
+    """A task that is not started again because workers crash under it.
+
+    :param crashes: crashes of workers under its runs that had certainly started.
+    :param suspected: those of which it was suspected.
+    :param alone: whether no other job was suspected of the last one.
+    """
+
+    task_id: TaskId
+    crashes: int
+    suspected: int
+    alone: bool
+
+
+class CrashRecorder:
+    """Decides which task has crashed a worker.
+
+    A task crashes its worker soon after its start, so the youngest runs are suspected.
+    The next start of a suspected task is watched: no other job's task starts on that
+    worker at the same time. If the worker crashes again, the task is given up. A task
+    that crashes workers later is found by its number of crashes; its worker is then
+    held for longer. The counts are part of the job's progress, so the next owner has
+    them too.
+    """
+
+    def __init__(self, state: SliceState):
+        self._state = state
+
+    def record_crash(
+        self, worker: Worker, runs: Iterable[Run], is_certain: bool, now_s: float
+    ) -> list[GivenUpTask]:
+        """Count the end of a worker under some runs.
+
+        A worker that shuts down ends its runs without a crash.
+
+        :param runs: the runs that ended with the worker.
+        :param is_certain: whether the worker has crashed; it may also have been cut
+            off, and then no task is given up.
+        :return: the tasks to give up, one for each job; call :meth:`give_up` once
+            their runs are lost.
+        """
+        if worker.info.draining:
+            return []
+        lost = list(runs)
+        suspects = [run for run in lost if _is_young(run, worker.last_contact_s)]
+        alone = len({run.run_id.task.job for run in suspects}) == 1
+        given_up: dict[str, GivenUpTask] = {}
+        for run in lost:
+            task_id = run.run_id.task
+            job = self._state.job_by_id.get(task_id.job)
+            task = job.task(task_id) if job else None
+            if task is None or job.is_final or task.state is TaskState.DONE:
+                continue
+            self._count(job, task, run, run in suspects, now_s)
+            is_sole = alone and run in suspects
+            is_isolated = worker.was_held_for(job.job_id)
+            if is_certain and _is_given_up(task, is_sole, is_isolated):
+                counts = task.crashes, task.suspected
+                given_up[job.job_id] = GivenUpTask(task_id, *counts, is_sole)
+        return list(given_up.values())
+
+    def _count(
+        self, job: Job, task: TaskProgress, run: Run, is_suspect: bool, now_s: float
+    ) -> None:
+        if run.started_s is not None and now_s - run.started_s > SOUND_AGE_S:
+            task.crashes = task.suspected = 0
+        else:
+            task.crashes += run.started_s is not None
+            task.suspected += is_suspect
+        job.has_suspects = job.has_suspects or task.is_suspect
+        self._state.changed.add(job.job_id)
+
+    def give_up(self, tasks: Iterable[GivenUpTask]) -> None:
+        """Fail the jobs of tasks that are given up."""
+        for given_up in tasks:
+            job = self._state.job_by_id.get(given_up.task_id.job)
+            if job is not None and not job.is_final:
+                job.progress.state = JobState.FAILED
+                self._state.finish(job)
+
+
+def _is_young(run: Run, last_contact_s: float) -> bool:
+    """Return whether a run had just started when its worker was last heard of.
+
+    A start without an answer may have been the last thing that the worker did.
+    """
+    return run.started_s is None or run.started_s >= last_contact_s - SUSPECT_AGE_S
+
+
+def _is_given_up(task: TaskProgress, is_sole_suspect: bool, is_isolated: bool) -> bool:
+    if task.crashes < MIN_CRASHES:
+        return task.suspected >= UNCONFIRMED_LIMIT
+    return (
+        (is_sole_suspect and task.suspected >= SOLE_SUSPECT_LIMIT)
+        or task.suspected >= SUSPECT_LIMIT
+        or (is_isolated and task.crashes >= CRASH_LIMIT)
+    )
--- a/redwingrun/jobs/engine.py
+++ b/redwingrun/jobs/engine.py
@@ -9,6 +9,7 @@
 from attrs import evolve, frozen
 
 from redwingrun.jobs.candidates import Candidates
+from redwingrun.jobs.crashes import CrashRecorder, GivenUpTask
 from redwingrun.jobs.job import Job
 from redwingrun.jobs.placement import Placer
 from redwingrun.jobs.policycache import Ticket
@@ -22,6 +23,7 @@
 )
 from redwingrun.jobs.speeds import SpeedModel
 from redwingrun.jobs.stepscheduler import StepScheduler
+from redwingrun.jobs.watchedstarts import start_answered
 from redwingrun.jobs.workerpool import (
     PaceOrder,
     PolicyQuery,
@@ -86,7 +88,8 @@
         self._finished: set[str] = set()
         # Cancellations that arrived before their jobs.
         self._cancelled_early: set[str] = set()
-        self._reports = ReportProcessor(self.state, speed_model)
+        self._crashes = CrashRecorder(self.state)
+        self._reports = ReportProcessor(self.state, speed_model, self._crashes)
         self._steps = StepScheduler(
             self.state, Placer(speed_model), settings.far_factor
         )
@@ -123,14 +126,15 @@
         self._reports.process_report(worker_id, report, sent_s, now_s)
 
     def worker_restarted(
-        self, worker_id: str, report: WorkerReport, sent_s: float
-    ) -> None:
+        self, worker_id: str, report: WorkerReport, sent_s: float, now_s: float
+    ) -> list[GivenUpTask]:
         """Record that a worker process has restarted.
 
         :param report: the first report of the new incarnation.
         :param sent_s: monotonic time at which the heartbeat for it was sent.
+        :return: the tasks that were given up because of it.
         """
-        self._reports.worker_restarted(worker_id, report, sent_s)
+        return self._reports.worker_restarted(worker_id, report, sent_s, now_s)
 
     def policy_query_ended(self, query: PolicyQuery) -> None:
         """Record that a policy query no longer occupies a proxy."""
@@ -167,6 +171,7 @@
         self.state.job_by_id[job_id] = job
         if job.is_final:
             return
+        job.has_suspects = job.progress.has_suspects
         for task_id, task in job.placed_tasks():
             self.state.restore_run(job, RunId(task_id, task.run), task.worker, now_s)
         if submission.spec.is_scheduled:
@@ -228,23 +233,32 @@
         if not worker.run_by_id:
             del self.state.worker_by_id[worker_id]
 
-    def worker_lost(self, worker_id: str) -> None:
-        """Treat all runs of a worker as lost: it died, or their lease has expired."""
+    def worker_lost(
+        self, worker_id: str, has_crashed: bool, now_s: float
+    ) -> list[GivenUpTask]:
+        """Treat all runs of a worker as lost: it died, or their lease has expired.
+
+        :return: the tasks that were given up because of it.
+        """
         worker = self.state.worker_by_id.get(worker_id)
         if worker is None:
-            return
+            return []
+        runs = worker.run_by_id.values()
+        given_up = self._crashes.record_crash(worker, runs, has_crashed, now_s)
         self.state.lose_all_runs(worker)
+        self._crashes.give_up(given_up)
         if not worker.is_registered:
             del self.state.worker_by_id[worker_id]
+        return given_up
 
     def start_accepted(self, order: StartOrder, now_s: float) -> None:
         """Record that a worker has accepted a start."""
         run = self.state.run(order.worker_id, order.run_id)
         if run is None:
             return
-        run.answered_s = now_s
-        if run.phase is RunPhase.ORDERED:
-            run.phase = RunPhase.ALIVE
+        worker = self.state.worker_by_id[order.worker_id]
+        worker.confirm_start(run, now_s, now_s)
+        self._start_answered(worker, order, now_s)
 
     def start_refused(self, order: StartOrder, refusal: Refusal, now_s: float) -> None:
         """Treat a run as lost because its start had no effect and can't have one later.
@@ -260,8 +274,15 @@
             self.state.policy_cache_by_step[step_id].drop_ticket(order.worker_id)
         avoid_s = AVOID_S_BY_REFUSAL.get(refusal, 0)
         worker.avoid_until_s = max(worker.avoid_until_s, now_s + avoid_s)
+        self._start_answered(worker, order, now_s)
         self.state.lose_run(worker, order.run_id)
 
+    def _start_answered(self, worker: Worker, order: StartOrder, now_s: float) -> None:
+        """Hold the worker of a watched start for no longer than needed."""
+        job = self.state.job_by_id.get(order.run_id.task.job)
+        if job is not None:
+            start_answered(worker, job, order.run_id.task, now_s)
+
     def stop_acknowledged(self, order: StopOrder, now_s: float) -> None:
         """Record that a worker has accepted a stop."""
         run = self.state.run(order.worker_id, order.run_id)
--- a/redwingrun/jobs/job.py
+++ b/redwingrun/jobs/job.py
@@ -26,6 +26,9 @@
     :param failed_run_by_gang: number of the last run of each gang that was counted
         as failed, so that a failure of several of its tasks counts once.
     :param failed_workers_by_task: the workers on which runs of a task have failed.
+    :param has_suspects: whether workers may have crashed because of a task.
+    :param suspects_wait_since_s: monotonic time since which suspected tasks wait for a
+        worker that can be held for them; ``None`` if none waits.
     :param moved_tasks: tasks that were moved off a slow worker; none is moved twice.
     """
 
@@ -37,6 +40,8 @@
     failed_run_by_gang: dict[StepId, int] = field(factory=dict)
     failed_workers_by_task: dict[TaskId, set[str]] = field(factory=dict)
     moved_tasks: set[TaskId] = field(factory=set)
+    has_suspects: bool = False
+    suspects_wait_since_s: float | None = None
 
     @property
     def spec(self) -> JobSpec:
@@ -99,6 +104,17 @@
             return []
         return waiting
 
+    def suspect_indexes(self, step_id: StepId, indexes: list[int]) -> list[int]:
+        """Return those of some tasks whose start is to be watched.
+
+        A gang starts as a whole, so all its tasks are if one is.
+        """
+        if not self.has_suspects:
+            return []
+        tasks = self.tasks(step_id)
+        suspects = [index for index in indexes if tasks[index].is_suspect]
+        return indexes if suspects and self.step(step_id).gang else suspects
+
     def next_run(self, step_id: StepId, index: int) -> int:
         """Return the number of a task's next run, above all that were used.
 
--- a/redwingrun/jobs/placement.py
+++ b/redwingrun/jobs/placement.py
@@ -145,7 +145,9 @@
         return [
             worker
             for worker in allowed
-            if has_required_label(view.step, worker) and worker.fits(size)
+            if has_required_label(view.step, worker)
+            and worker.fits(size)
+            and not worker.is_held_from(view.step_id.job, now_s)
         ]
 
     def _place_in_one_rack(
--- a/redwingrun/jobs/progress.py
+++ b/redwingrun/jobs/progress.py
@@ -9,6 +9,10 @@
 
 from redwingrun.jobs.spec import JobSpec
 
+# After so many crashes under a task, its worker is held for longer at its next start:
+# it may crash workers some time after its start.
+MIN_ISOLATION_CRASHES = 3
+
 
 class JobState(IntEnum):
     """The state of a job as clients see it."""
@@ -45,6 +49,10 @@
     :param failures: number of runs that have failed.
     :param checkpoint: newest checkpoint; empty for none.
     :param copy_worker_by_run: speculative copies: by run number, the worker's id.
+    :param crashes: number of workers that crashed under runs of it that had certainly
+        started.
+    :param suspected: number of crashes of which it was suspected, including those whose
+        run may not have started.
     """
 
     state: TaskState = TaskState.WAITING
@@ -53,6 +61,18 @@
     failures: int = 0
     checkpoint: str = ""
     copy_worker_by_run: dict[int, str] = field(factory=dict)
+    crashes: int = 0
+    suspected: int = 0
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether its next start is to be watched."""
+        return self.suspected > 0 or self.is_isolated
+
+    @property
+    def is_isolated(self) -> bool:
+        """Whether its worker is to be held for longer."""
+        return self.crashes >= MIN_ISOLATION_CRASHES
 
 
 @define
@@ -72,6 +92,16 @@
     finished_ms: int = 0
     stamp: tuple[int, int] = (0, 0)
 
+    @property
+    def has_suspects(self) -> bool:
+        """Whether workers may have crashed because of a task of the job."""
+        return any(
+            task.is_suspect
+            for steps in self.tasks_by_occurrence.values()
+            for tasks in steps
+            for task in tasks
+        )
+
     @classmethod
     def fresh(cls) -> JobProgress:
         """Return the progress of a new job."""
@@ -132,8 +162,11 @@
         task.failures,
         task.checkpoint,
     ]
-    if task.copy_worker_by_run:
+    has_crashes = task.crashes or task.suspected
+    if task.copy_worker_by_run or has_crashes:
         encoded.append([[run, at] for run, at in task.copy_worker_by_run.items()])
+    if has_crashes:
+        encoded += [task.crashes, task.suspected]
     return encoded
 
 
@@ -144,4 +177,14 @@
         return TaskProgress(TaskState(encoded[0]), encoded[1])
     state, run, worker, failures, checkpoint = encoded[:5]
     copies = dict(encoded[5]) if len(encoded) > 5 else {}
-    return TaskProgress(TaskState(state), run, worker, failures, checkpoint, copies)
+    crashes, suspected = encoded[6:8] if len(encoded) > 6 else (0, 0)
+    return TaskProgress(
+        TaskState(state),
+        run,
+        worker,
+        failures,
+        checkpoint,
+        copies,
+        crashes,
+        suspected,
+    )
--- a/redwingrun/jobs/stepscheduler.py
+++ b/redwingrun/jobs/stepscheduler.py
@@ -22,6 +22,12 @@
     StepId,
     StepSpec,
 )
+from redwingrun.jobs.watchedstarts import (
+    MAX_WAIT_S,
+    hold_for_start,
+    hold_until_quiet,
+    quiet_workers,
+)
 from redwingrun.jobs.workerpool import (
     PolicyQuery,
     StartOrder,
@@ -84,12 +90,58 @@
             return
         workers = candidates.in_pool(job.queue.pool)
         view = self._view(job, step_id, waiting, workers)
-        placements = self._placer.place(view, waiting, workers, now_s)
-        for placement in placements:
-            starts.append(self._place(job, step_id, placement, now_s))
-        if view.policy_cache is not None and len(placements) < len(waiting):
+        suspects = job.suspect_indexes(step_id, waiting)
+        started = len(starts)
+        others = waiting
+        if suspects and not self._has_waited_too_long(job, now_s):
+            others = [index for index in waiting if index not in suspects]
+            # Placed first, so that their resources are reserved for the next call.
+            for placement in self._place_suspects(view, job, suspects, workers, now_s):
+                starts.append(self._place(job, step_id, placement, now_s))
+        if others:
+            for placement in self._placer.place(view, others, workers, now_s):
+                starts.append(self._place(job, step_id, placement, now_s))
+        if view.policy_cache is not None and len(starts) - started < len(waiting):
             self._query_policy(view, job, waiting, workers, now_s, policy_queries)
 
+    def _has_waited_too_long(self, job: Job, now_s: float) -> bool:
+        """Return whether suspected tasks have waited too long for a held worker."""
+        since_s = job.suspects_wait_since_s
+        return since_s is not None and now_s - since_s > MAX_WAIT_S
+
+    def _place_suspects(
+        self,
+        view: StepView,
+        job: Job,
+        suspects: list[int],
+        workers: Mapping[str, Worker],
+        now_s: float,
+    ) -> list[Placement]:
+        """Place suspected tasks on workers where no other job's task starts now.
+
+        For the tasks that have none, workers are held until they are free of young
+        runs.
+        """
+        job_id = job.job_id
+        quiet = quiet_workers(job_id, workers, now_s)
+        placements = self._placer.place(view, suspects, quiet, now_s)
+        for placement in placements:
+            hold_for_start(placement.worker, job_id, now_s)
+        missing = len(suspects) - len(placements)
+        if not missing:
+            job.suspects_wait_since_s = None
+            return placements
+        eligible = [
+            worker
+            for worker in workers.values()
+            if _may_run(view.step, view.policy_cache, worker)
+        ]
+        size, gang = reserved_size(view.step), view.step.gang
+        hold_until_quiet(job_id, size, missing, eligible, now_s, gang)
+        if job.suspects_wait_since_s is None:
+            job.suspects_wait_since_s = now_s
+        return placements
+
     def _view(
         self,
         job: Job,
--- a/redwingrun/jobs/workerlink.py
+++ b/redwingrun/jobs/workerlink.py
@@ -8,6 +8,7 @@
 from expression import Result
 
 from redwingrun.coordination.verdict import Verdict
+from redwingrun.jobs.crashes import GivenUpTask
 from redwingrun.jobs.pacing import has_mixed_load
 from redwingrun.jobs.ports import Heartbeat, WorkerAddress, WorkerFault, WorkerPort
 from redwingrun.jobs.spec import RunId
@@ -192,12 +193,31 @@
                 why=why,
                 runs=len(worker.run_by_id),
             )
-            owner.engine.worker_lost(self._worker_id)
+            has_crashed = is_dead or has_restarted
+            given_up = owner.engine.worker_lost(
+                self._worker_id, has_crashed, owner.now()
+            )
+            self._log_given_up(given_up)
             owner.wake()
         await asyncio.sleep(
             min(MAX_RETRY_DELAY_S, RETRY_STEP_S * self._failed_heartbeats)
         )
 
+    def _log_given_up(self, tasks: list[GivenUpTask]) -> None:
+        """Log the tasks that were given up because this worker crashed."""
+        for given_up in tasks:
+            task = given_up.task_id
+            self._owner.dependencies.metrics.count("tasks_given_up_total")
+            self._owner.log.event(
+                "task-given-up",
+                job=task.job,
+                task=f"{task.occurrence}.{task.step}.{task.index}",
+                worker=self._worker_id,
+                crashes=given_up.crashes,
+                suspected=given_up.suspected,
+                alone=given_up.alone,
+            )
+
     def _has_restarted(self, worker: Worker, report: WorkerReport) -> bool:
         known_born_ms = worker.info.born_ms
         return bool(
@@ -216,7 +236,10 @@
         owner = self._owner
         owner.log.event("worker-reborn", worker=self._worker_id, born_ms=report.born_ms)
         owner.reset_durable_end_number(self._worker_id)
-        owner.engine.worker_restarted(self._worker_id, report, sent_s)
+        given_up = owner.engine.worker_restarted(
+            self._worker_id, report, sent_s, owner.now()
+        )
+        self._log_given_up(given_up)
         owner.wake()
         for run_id in self._possibly_late_starts():
             if run_id not in worker.run_by_id:
--- a/redwingrun/jobs/workerpool.py
+++ b/redwingrun/jobs/workerpool.py
@@ -10,6 +10,8 @@
 
 # A slow factor is ignored after this time; reports of the worker renew it.
 SLOW_FACTOR_VALID_S = 2.0
+# A task that crashes its worker does so within this time after its start.
+SUSPECT_AGE_S = 0.5
 
 
 @frozen
@@ -54,6 +56,8 @@
     :param ordered_s: monotonic time at which the run was placed.
     :param answered_s: monotonic time of the worker's answer to a start or stop. A
         report requested later than that lists the run if it still exists.
+    :param started_s: monotonic time at which the worker confirmed the start; ``None``
+        before, and negative infinity for a run that a former owner started.
     :param percent: progress in percent, as last reported.
     :param percent_changed_s: monotonic time of the last report with a new ``percent``.
     :param metric_value: as in :class:`RunStatus`.
@@ -68,6 +72,7 @@
     ordered_s: float
     phase: RunPhase = RunPhase.ORDERED
     answered_s: float | None = None
+    started_s: float | None = None
     percent: float = 0
     percent_changed_s: float = 0
     metric_value: float = 0
@@ -87,6 +92,9 @@
     :param lease_expiry_s: monotonic time at which the lease of its runs has certainly
         expired.
     :param avoid_until_s: monotonic time until which no new run is placed there.
+    :param last_contact_s: monotonic time of its last report or confirmed start.
+    :param held_by_job: job for whose suspected task it is held; see watchedstarts.py.
+    :param held_until_s: monotonic time until which it is held.
     :param last_paced_s: monotonic time of the last report that called for a pace of its
         fillers, even for the one that they had.
     :param slow_factor: recent run time of its tasks as a multiple of the expected.
@@ -100,6 +108,9 @@
     last_report_s: float = 0
     lease_expiry_s: float = 0
     avoid_until_s: float = 0
+    last_contact_s: float = 0
+    held_by_job: str = ""
+    held_until_s: float = 0
     last_paced_s: float = 0
     slow_factor: float = 1.0
     slow_factor_updated_s: float = 0
@@ -122,6 +133,26 @@
             else 1.0
         )
 
+    def confirm_start(self, run: Run, started_s: float, now_s: float) -> None:
+        """Record that the worker has confirmed the start of a run.
+
+        :param started_s: as in :class:`Run`.
+        """
+        self.last_contact_s = max(self.last_contact_s, now_s)
+        run.answered_s = now_s
+        if run.started_s is None:
+            run.started_s = started_s
+        if run.phase is RunPhase.ORDERED:
+            run.phase = RunPhase.ALIVE
+
+    def is_held_from(self, job_id: str, now_s: float) -> bool:
+        """Return whether the worker is held for another job."""
+        return now_s < self.held_until_s and self.held_by_job != job_id
+
+    def was_held_for(self, job_id: str) -> bool:
+        """Return whether it was held for a job when it was last heard of."""
+        return self.held_by_job == job_id and self.held_until_s > self.last_contact_s
+
     def fits(self, size: TaskSize) -> bool:
         """Return whether a task of this size fits into the unreserved capacity."""
         capacity = self.info.capacity
--- a/redwingrun/jobs/workerreports.py
+++ b/redwingrun/jobs/workerreports.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import math
+
 from attrs import evolve
 
+from redwingrun.jobs.crashes import CrashRecorder, GivenUpTask
 from redwingrun.jobs.job import Job, apply_run_end, remove_done_occurrences
 from redwingrun.jobs.pacing import pace_orders
 from redwingrun.jobs.slicestate import SliceState
@@ -29,6 +32,8 @@
 STUCK_BASE_S = 2.2
 STUCK_ESTIMATE_SHARE = 0.15
 CHECK_INTERVAL_S = 0.4
+# A worker that has run for less may have crashed since a former owner's last report.
+RECENT_START_S = 10.0
 COMPLETE_PERCENT = 100
 # The tasks of a gang make progress only once all of them run: if one has reached this
 # percentage, all have started.
@@ -39,10 +44,14 @@
     """Applies workers' reports to the state of a slice.
 
     :param speed_model: learns from the runs that are done.
+    :param crashes: counts the runs that ended with their workers.
     """
 
-    def __init__(self, state: SliceState, speed_model: SpeedModel):
+    def __init__(
+        self, state: SliceState, speed_model: SpeedModel, crashes: CrashRecorder
+    ):
         self._state = state
+        self._crashes = crashes
         self._speed_model = speed_model
         self._stragglers = StragglerDetector(state, speed_model)
         self._failed_jobs_by_worker: dict[str, set[str]] = {}
@@ -76,7 +85,7 @@
         if report.born_ms:
             worker.info = evolve(worker.info, born_ms=report.born_ms)
         worker.has_reported = True
-        worker.last_report_s = now_s
+        worker.last_report_s = worker.last_contact_s = now_s
         if worker.info.draining:
             self.evacuate(worker)
         ended = {end.run_id for end in report.ends}
@@ -85,11 +94,11 @@
                 worker.last_end_number = end.number
                 self._apply_end(worker, end, now_s)
         self._apply_running(worker, report, now_s)
-        self._lose_missing_runs(worker, report, ended, sent_s)
+        self._lose_missing_runs(worker, report, ended, sent_s, now_s)
 
     def worker_restarted(
-        self, worker_id: str, report: WorkerReport, sent_s: float
-    ) -> None:
+        self, worker_id: str, report: WorkerReport, sent_s: float, now_s: float
+    ) -> list[GivenUpTask]:
         """Record that a worker process has restarted.
 
         The runs of its former incarnation are lost. Runs that the report lists or whose
@@ -98,18 +107,28 @@
 
         :param report: the first report of the new incarnation.
         :param sent_s: monotonic time at which the heartbeat for it was sent.
+        :return: the tasks that were given up because of it.
         """
         worker = self._state.worker_by_id.get(worker_id)
         if worker is None:
-            return
+            return []
         worker.last_end_number = 0
         worker.info = evolve(worker.info, born_ms=report.born_ms)
         running = {status.run_id for status in report.running}
+        ended = [
+            run
+            for run_id, run in worker.run_by_id.items()
+            if run_id not in running
+            and (run.answered_s is None or run.answered_s < sent_s)
+        ]
+        given_up = self._crashes.record_crash(worker, ended, True, now_s)
         for run_id, run in list(worker.run_by_id.items()):
             if run.answered_s is None:
                 self._state.stop(run_id, worker, "ordered-before-new-life")
-            elif run_id not in running and run.answered_s < sent_s:
+            elif run in ended:
                 self._state.lose_run(worker, run_id)
+        self._crashes.give_up(given_up)
+        return given_up
 
     def evacuate(self, worker: Worker) -> None:
         """Stop the runs to be moved off a worker that will shut down.
@@ -245,8 +264,8 @@
                 self._stop_unknown_run(worker, job, status.run_id, now_s)
                 continue
             if run.phase is RunPhase.ORDERED:
-                run.phase = RunPhase.ALIVE
-                run.answered_s = now_s
+                started_s = now_s if run.answered_s is None else -math.inf
+                worker.confirm_start(run, started_s, now_s)
             if status.percent != run.percent:
                 run.percent = status.percent
                 run.percent_changed_s = now_s
@@ -277,16 +296,28 @@
         report: WorkerReport,
         ended: set[RunId],
         sent_s: float,
+        now_s: float,
     ) -> None:
         """Treat runs as lost that the report should list but does not.
 
+        If the worker has started a short while ago, those that a former owner placed
+        there may have ended in a crash.
+
         :param ended: ids of the runs whose end is in the report.
         :param sent_s: monotonic time at which the heartbeat was sent. A run whose start
             was answered later may be missing without being lost.
         """
         running = {status.run_id for status in report.running}
-        for run_id, run in list(worker.run_by_id.items()):
-            if run_id in running or run_id in ended:
-                continue
-            if run.answered_s is not None and run.answered_s < sent_s:
-                self._state.lose_run(worker, run_id)
+        missing = [
+            run
+            for run_id, run in worker.run_by_id.items()
+            if run_id not in running
+            and run_id not in ended
+            and run.answered_s is not None
+            and run.answered_s < sent_s
+        ]
+        if report.clock_ms < RECENT_START_S * MS_PER_S:
+            inherited = [run for run in missing if run.answered_s == -math.inf]
+            self._crashes.record_crash(worker, inherited, False, now_s)
+        for run in missing:
+            self._state.lose_run(worker, run.run_id)
--- a/tests/jobs/simulatedworker.py
+++ b/tests/jobs/simulatedworker.py
@@ -92,7 +92,11 @@
         """Crash, and start again under the same id after ``RESTART_DELAY_S``."""
         if self.up:
             self.crash()
-            self.cluster.loop.call_later(RESTART_DELAY_S, self.restart)
+            self.cluster.loop.call_later(RESTART_DELAY_S, self._restart_if_down)
+
+    def _restart_if_down(self) -> None:
+        if not self.up:
+            self.restart()
 
     def restart(self) -> None:
         """Start a new incarnation under the same id."""
--- a/tests/jobs/test_crashingtasks.py
+++ b/tests/jobs/test_crashingtasks.py
@@ -7,8 +7,17 @@
 import pytest
 
 from redwingrun.jobs.progress import JobState
+from redwingrun.jobs.spec import Submission
 from tests.helpers import DOWN, OK
-from tests.jobs.cluster import SimulatedCluster, job, job_id, make_cluster, step
+from tests.jobs.cluster import (
+    QUEUE,
+    SimulatedCluster,
+    job,
+    job_id,
+    make_cluster,
+    step,
+)
+from tests.jobs.test_workerreports import EngineHarness
 
 PRIMARY = "s0"
 CRASHING = 50
@@ -131,6 +140,26 @@
     assert {cluster.state(job_id(number)) for number in range(4)} == {expected}
 
 
+# Guards against a crash that is counted for a run which had not started: a job was
+# given up after one crash, with two in its record.
+def test_a_start_that_was_never_carried_out_is_not_a_crash():
+    """A worker ends before the start that a former owner had stored reaches it."""
+    harness = EngineHarness(3)
+    submission = Submission(QUEUE, job(step(1)), 0)
+    harness.engine.add_job(job_id(1), submission, None, harness.now_s)
+    for confirmed in (False, True, True):
+        (order,) = harness.engine.plan(harness.now_s).starts
+        if confirmed:
+            harness.engine.start_accepted(order, harness.now_s)
+        state = harness.engine.job_by_id[job_id(1)].progress.state
+        assert state is JobState.RUNNING
+        harness.engine.worker_lost(order.worker_id, True, harness.now_s)
+        harness.now_s += 1.0
+        for name in harness.names:
+            harness.report(name, {})
+    assert harness.engine.job_by_id[job_id(1)].progress.state is JobState.FAILED
+
+
 # Guards against a job that is given up because its workers crash by themselves.
 def test_a_task_survives_workers_that_crash_by_themselves(cluster: SimulatedCluster):
     """Each worker crashes several times under lasting tasks and long ones."""
--- a/tests/jobs/test_engine_model.py
+++ b/tests/jobs/test_engine_model.py
@@ -88,6 +88,13 @@
         self.cluster.failing_jobs.add(job_id(self.jobs))
         self.cluster.submit(job_id(self.jobs), job_specs()[index])
 
+    @rule(index=st.integers(0, 4))
+    def submit_crashing(self, index: int) -> None:
+        """Submit a job whose first task crashes each worker that starts it."""
+        self.jobs += 1
+        self.cluster.crashing_jobs.add(job_id(self.jobs))
+        self.cluster.submit(job_id(self.jobs), job_specs()[index])
+
     @rule(seconds=st.sampled_from([0.01, 0.1, 0.5, 1.5, 4.0]))
     def wait(self, seconds: float) -> None:
         """Advance the virtual time."""
