Object store client: a read ends when the object stops arriving

Before: test_an_object_that_keeps_arriving_may_take_longer_than_the_timeout failed with 4000 of 12000 bytes after 401 ms; after: it passes. Rows of the product's table are small and keep their timeout.

--- a/redwingrun/serviceclients.py
+++ b/redwingrun/serviceclients.py
@@ -27,6 +27,8 @@
 
 CONFLICT_STATUS = 409
 NOT_FOUND_STATUS = 404
+# A large object may take as long as the link needs, but not pause for longer than this.
+STALL_TIMEOUT_S = 0.5
 
 
 def _condition_json(condition: Condition) -> dict[str, object]:
@@ -137,7 +139,11 @@
         return reply.body
 
     async def _send(self, method: str, name: str, body: bytes | None) -> HttpReply:
-        call = HttpCall(method, f"{self._url}/objects/{name}", self._timeout_s, body)
+        url = f"{self._url}/objects/{name}"
+        stall_timeout_s = STALL_TIMEOUT_S if body is None else None
+        call = HttpCall(
+            method, url, self._timeout_s, body, stall_timeout_s=stall_timeout_s
+        )
         with self._metrics.timed("store_seconds", store="objects"):
             result = await self._client.send(call)
         if result.is_error():
--- a/tests/test_serviceclients.py
+++ b/tests/test_serviceclients.py
@@ -7,12 +7,25 @@
 import orjson
 import pytest
 from expression import Ok
+from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders
+from tornado.web import Application, RequestHandler
 
-from redwingrun.httpclient import HttpReply
+from lab.cell import free_ports
+from redwingrun.httpclient import HttpClient, HttpReply
 from redwingrun.logs import Log
-from redwingrun.serviceclients import HostListUnavailable, HttpHostList, ListedHost
+from redwingrun.metrics import Metrics
+from redwingrun.serviceclients import (
+    HostListUnavailable,
+    HttpHostList,
+    HttpObjectStore,
+    ListedHost,
+)
 
+PART_BYTES = 1000
+PARTS = 12
+PART_INTERVAL_S = 0.1
+TIMEOUT_S = 0.4
 ODD_ENTRIES = (
     3,
     None,
@@ -25,6 +38,38 @@
 )
 
 
+class _SlowHandler(RequestHandler):
+    """Sends an object in parts, as over a slow link."""
+
+    async def get(self, name: str) -> None:
+        self.set_header("Content-Length", PARTS * PART_BYTES)
+        for _ in range(PARTS):
+            self.write(b"x" * PART_BYTES)
+            await self.flush()
+            await asyncio.sleep(PART_INTERVAL_S)
+
+
+# Guards against a read of a large object that is ended while it is still arriving: a
+# host would begin it anew each time, and keep its old configuration.
+def test_an_object_that_keeps_arriving_may_take_longer_than_the_timeout():
+    async def read() -> bytes | None:
+        port = free_ports(1)[0]
+        server = HTTPServer(Application([(r"/objects/(.*)", _SlowHandler)]))
+        server.listen(port, "127.0.0.1")
+        client = HttpClient("test")
+        store = HttpObjectStore(
+            client, f"http://127.0.0.1:{port}", TIMEOUT_S, Metrics()
+        )
+        try:
+            return await store.get("set-1")
+        finally:
+            client.close()
+            server.stop()
+            await server.close_all_connections()
+
+    assert asyncio.run(read()) == b"x" * PARTS * PART_BYTES
+
+
 class _Answer:
     """Takes the place of ``HttpClient``: gives the same answer to each call."""
 
