Owner: a start planned before its worker shrank is not sent

By reading, for the users' new rule on a capacity that shrinks: placement uses the registered capacity, but a start that waited for the table was sent on what the plan knew. Now it is withdrawn while more is reserved on its worker than the worker has. Before: test_a_start_planned_before_the_worker_shrank_is_not_sent failed (2 of 2 sent); after: it passes. Members against simulated workers that shrink and grow (tasks, gangs, lasting tasks, limits a worker, a takeover meanwhile) keep the rule, with and without this change.

--- a/redwingrun/jobs/engine.py
+++ b/redwingrun/jobs/engine.py
@@ -296,11 +296,16 @@
             run.pace_percent = order.percent
 
     def should_send_start(self, order: StartOrder) -> bool:
-        """Return whether a start is still pending and its job unfinished."""
+        """Return whether a start is still pending and its job unfinished.
+
+        The worker may have shrunk since the start was planned.
+        """
         run = self.state.run(order.worker_id, order.run_id)
         job = self.state.job_by_id.get(order.run_id.task.job)
         is_pending = run is not None and run.phase is RunPhase.ORDERED
-        return is_pending and job is not None and not job.is_final
+        if not is_pending or job is None or job.is_final:
+            return False
+        return not self.state.worker_by_id[order.worker_id].is_over_capacity
 
     def has_run(self, order: StartOrder) -> bool:
         """Return whether the run still has resources reserved on its worker."""
--- a/redwingrun/jobs/workerpool.py
+++ b/redwingrun/jobs/workerpool.py
@@ -162,6 +162,11 @@
             and self.gpus_used + size.gpus <= capacity.gpus
         )
 
+    @property
+    def is_over_capacity(self) -> bool:
+        """Whether more is reserved than the worker has; it may have shrunk."""
+        return not self.fits(TaskSize())
+
     def add(self, run: Run) -> None:
         """Record a run and reserve its resources."""
         if run.run_id in self.run_by_id:
