--- a/redwingrun/jobs/crashes.py
+++ b/redwingrun/jobs/crashes.py
@@ -92,7 +92,7 @@
             is_isolated = worker.was_held_for(job.job_id)
             if is_certain and _is_given_up(task, is_sole, is_isolated):
                 counts = task.crashes, task.suspected
-                given_up[job.job_id] = GivenUpTask(task_id, *counts, is_sole)
+                given_up.setdefault(job.job_id, GivenUpTask(task_id, *counts, is_sole))
         return list(given_up.values())
 
     def _count(
