Scheduler: two urgent tasks never preempt the same victim

Callers would see a pool that places nothing any more: the second "preempt" of a task raises ChartError. Cause: each urgent task chose its victims as if it were alone. Now victims and the room that is promised to other urgent tasks count.

--- a/redwingrun/scheduler.py
+++ b/redwingrun/scheduler.py
@@ -388,6 +388,8 @@
         :param tasks: all tasks of the pool, by task id.
         """
         victims: list[Task] = []
+        # Room that is promised to urgent tasks, by worker.
+        promised: dict[str, Resources] = {}
         for (urgent, _), queues in self._queues_by_level.items():
             urgent_tasks = (
                 [task for queue in queues.values() for task in queue.queued_tasks()]
@@ -396,27 +398,48 @@
             )
             for task in urgent_tasks:
                 if not self._quota_excess(task):
-                    victims.extend(self._victims(task, tasks, now_s))
+                    chosen = {victim.task_id for victim in victims}
+                    victims += self._victims(task, tasks, chosen, promised, now_s)
         return victims
 
     def _victims(
-        self, urgent: Task, tasks: dict[str, Task], now_s: float
+        self,
+        urgent: Task,
+        tasks: dict[str, Task],
+        chosen: set[str],
+        promised: dict[str, Resources],
+        now_s: float,
     ) -> list[Task]:
         """Return the victims on the usable worker where the fewest suffice.
 
         Empty when they suffice on no worker, or when one has room without victims.
+
+        :param chosen: ids of the victims of other urgent tasks.
+        :param promised: room on workers that other urgent tasks will use; the room for
+            this one is added.
         """
-        best: list[Task] | None = None
+        best: tuple[Worker, list[Task]] | None = None
         for worker in self.worker_by_name.values():
             if not worker.usable(now_s):
                 continue
-            victims = self._victims_on(worker, urgent, tasks)
-            if victims is not None and (best is None or len(victims) < len(best)):
-                best = victims
-        return best or []
+            room = promised.get(worker.name, Resources())
+            victims = self._victims_on(worker, urgent, tasks, chosen, room)
+            if victims is not None and (best is None or len(victims) < len(best[1])):
+                best = worker, victims
+        if best is None:
+            return []
+        worker, victims = best
+        room = promised.get(worker.name, Resources())
+        promised[worker.name] = room.plus(urgent.row.size)
+        return victims
 
     def _victims_on(
-        self, worker: Worker, urgent: Task, tasks: dict[str, Task]
+        self,
+        worker: Worker,
+        urgent: Task,
+        tasks: dict[str, Task],
+        chosen: set[str],
+        promised: Resources,
     ) -> list[Task] | None:
         """Return the victims on one worker, ``None`` when they would not suffice."""
         resources = worker.resources
@@ -424,17 +447,18 @@
             cores=resources.free_cores,
             memory_gb=resources.free_memory_gb,
             accelerators=resources.free_accelerators,
-        )
+        ).plus(promised, -1)
         victims: list[Task] = []
         placed = [tasks[task_id] for task_id in worker.tasks if task_id in tasks]
         for task in placed:
-            if task.state == CHECKPOINTING:
+            if task.state == CHECKPOINTING or task.task_id in chosen:
                 # Its resources will be released anyway.
                 free = free.plus(task.row.size, worker.tasks[task.task_id])
         for task in sorted(placed, key=lambda item: -item.row.cores):
             if urgent.row.size.fits_in(free):
                 break
-            if task.state == RUNNING and task.row.restartable and not task.row.urgent:
+            is_victim = task.state == RUNNING and task.task_id not in chosen
+            if is_victim and task.row.restartable and not task.row.urgent:
                 victims.append(task)
                 free = free.plus(task.row.size, worker.tasks[task.task_id])
         return victims if urgent.row.size.fits_in(free) else None
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from attrs import evolve
 
 from redwingrun.gangs import RESERVE_AFTER_S
@@ -153,6 +154,30 @@
     assert len(scheduler.preemptions(tasks, 1.0)) == 1
 
 
+# Guards against two urgent tasks that choose the same victim: the second "preempt" was
+# an error, and the pool placed nothing any more.
+@pytest.mark.parametrize("urgent_tasks", [2, 3, 4, 5])
+def test_urgent_tasks_preempt_a_victim_each(urgent_tasks: int):
+    """Each victim makes room for one of them; there are four."""
+    scheduler = make(workers=2)
+    tasks = {
+        f"t{index}": task(f"t{index}", index, restartable=True) for index in range(4)
+    }
+    for item in tasks.values():
+        scheduler.enqueue(item, 0.0)
+    place_all(scheduler)
+    for item in tasks.values():
+        item.confirm(0)
+    for index in range(urgent_tasks):
+        scheduler.enqueue(task(f"urgent{index}", 9 + index, urgent=True), 1.0)
+    victims = scheduler.preemptions(tasks, 1.0)
+    assert len({item.task_id for item in victims}) == len(victims)
+    assert len(victims) == min(4, urgent_tasks)
+    for item in victims:
+        item.apply_event("preempt")
+    assert scheduler.preemptions(tasks, 1.1) == []
+
+
 def test_a_task_that_runs_at_most_once_is_never_preempted():
     scheduler = make(workers=1)
     tasks = {f"t{index}": task(f"t{index}", index) for index in range(2)}
