Pool owner: a worker forgets a result only once the end of its task is stored

Callers would see: a task that runs at most once is started twice. Cause: the owner told the worker to forget a member as soon as its task had ended in memory; when the table was down then and the owner ended, the next one found a placed task of which no worker knew. Change: forgotten is what the table holds as ended. Before: test_a_result_that_is_not_stored_yet_is_not_forgotten failed, 'walls:head:kept' started twice; after: it passes.

--- a/redwingrun/poolowner.py
+++ b/redwingrun/poolowner.py
@@ -108,6 +108,7 @@
         now_s = self._node.clock.now()
         for task in tasks:
             self.task_by_id[task.task_id] = task
+            task.end_is_stored = task.ended
             self._last_order = max(self._last_order, task.row.order)
             if task.state == QUEUED:
                 self.scheduler.enqueue(task, now_s)
@@ -211,8 +212,10 @@
             return None
         previous_row = task.row
         task.apply_event("cancel", "cancelled")
+        ends_now = task.ended
         commit = await self._rows.commit(task)
         if commit is Commit.DONE:
+            task.end_is_stored = task.end_is_stored or ends_now
             self._wake_workers(task)
             return None
         if commit is Commit.NOT_OWNER:
@@ -449,8 +452,8 @@
     ) -> None:
         """Have the worker stop a member that is not live, or forget it if it ended.
 
-        A member that ended in the current attempt is forgotten only once its task has
-        ended.
+        A member that ended in the current attempt is forgotten only once the end of its
+        task is stored: the next owner must find either of the two.
         """
         task = self.task_by_id.get(key.task_id)
         current = (
@@ -462,7 +465,7 @@
             return
         if not member.ended:
             link.stray.append(key)
-        elif task is None or task.ended or task.row.attempt != key.attempt:
+        elif task is None or task.end_is_stored or task.row.attempt != key.attempt:
             link.forget.append(key)
 
     def _handle_sync_failure(
@@ -509,6 +512,7 @@
 
     async def _store_end(self, task: Task) -> None:
         if await self._rows.commit_until_done(task):
+            task.end_is_stored = True
             self._node.metrics.count("tasks_ended_total", state=task.state)
             self._delete_oldest()
             for index, name in enumerate(task.row.workers):
--- a/redwingrun/tasks.py
+++ b/redwingrun/tasks.py
@@ -125,6 +125,7 @@
     :param excluded_workers: workers where the task failed; they are used again only
         when no other one fits.
     :param write_lock: held during a write of the row.
+    :param end_is_stored: whether the table holds the task's final state.
     :param stop_all: whether to stop the live members because another one ended
         without success.
     """
@@ -140,6 +141,7 @@
     excluded_workers: set[str] = field(factory=set)
     write_lock: asyncio.Lock = field(factory=asyncio.Lock)
     queued_s: float = 0.0
+    end_is_stored: bool = False
     stop_all: bool = False
 
     @property
--- a/tests/test_poolowner.py
+++ b/tests/test_poolowner.py
@@ -7,7 +7,7 @@
 from redwingrun.coordination.codec import decode
 from redwingrun.coordination.verdict import Failure
 from redwingrun.tasks import TASKS_PREFIX, TaskRow
-from tests.helpers import LATE, LOST_ANSWER, OK
+from tests.helpers import DOWN, LATE, LOST_ANSWER, OK
 from tests.test_tasklease_model import POOL, TaskLeaseMachine, submission
 
 
@@ -49,6 +49,26 @@
     machine.teardown()
 
 
+# Guards against a worker that forgets a result before it is stored: if the owner ended
+# then, the next one took the finished task as lost.
+def test_a_result_that_is_not_stored_yet_is_not_forgotten():
+    """The task ends while the table is down, and another owner takes over."""
+    machine = TaskLeaseMachine()
+    message = submission("guide", "kept", work_s=1.0)
+    machine.submitted[message.task_id] = "guide"
+    workload = machine.objects.workloads["guide"]
+    machine.loop.run_until_complete(machine.owner.submit(message, workload))
+    machine._advance(0.6)
+    machine.process.table_mode = DOWN
+    machine._advance(6.0)
+    machine._take_over()
+    machine._advance(4.0)
+    stored = machine.rows.by_key[f"{TASKS_PREFIX}{POOL}/{message.task_id}"]
+    assert decode(TaskRow, stored.value).state == "succeeded"
+    assert not any(worker.members for worker in machine.group.workers.values())
+    machine.teardown()
+
+
 def _run_over_size(workload_name: str, **body):
     machine = TaskLeaseMachine()
     message = submission(workload_name, "large", work_s=20.0, usage=2.0, **body)
