Owner: the tasks suspected of a crash are logged

An on-call engineer could see that a worker was lost and which task was given up, but not which tasks were suspected and so wait for a watched start. One line a crash, with at most 20 task ids.

--- a/redwingrun/jobs/crashes.py
+++ b/redwingrun/jobs/crashes.py
@@ -48,6 +48,18 @@
     alone: bool
 
 
+@frozen
+class CrashReport:
+    """What follows from the crash of a worker.
+
+    :param suspects: the tasks that are suspected of it.
+    :param given_up: the tasks that are not started again, one for each job.
+    """
+
+    suspects: tuple[TaskId, ...] = ()
+    given_up: tuple[GivenUpTask, ...] = ()
+
+
 class CrashRecorder:
     """Decides which task has crashed a worker.
 
@@ -64,7 +76,7 @@
 
     def record_crash(
         self, worker: Worker, runs: Iterable[Run], is_certain: bool, now_s: float
-    ) -> list[GivenUpTask]:
+    ) -> CrashReport:
         """Count the end of a worker under some runs.
 
         A worker that shuts down ends its runs without a crash.
@@ -72,11 +84,10 @@
         :param runs: the runs that ended with the worker.
         :param is_certain: whether the worker has crashed; it may also have been cut
             off, and then no task is given up.
-        :return: the tasks to give up, one for each job; call :meth:`give_up` once
-            their runs are lost.
+        :return: call :meth:`give_up` with it once the runs are lost.
         """
         if worker.info.draining:
-            return []
+            return CrashReport()
         lost = list(runs)
         suspects = [run for run in lost if _is_young(run, worker.last_contact_s)]
         alone = len({run.run_id.task.job for run in suspects}) == 1
@@ -93,7 +104,8 @@
             if is_certain and _is_given_up(task, is_sole, is_isolated):
                 counts = task.crashes, task.suspected
                 given_up.setdefault(job.job_id, GivenUpTask(task_id, *counts, is_sole))
-        return list(given_up.values())
+        suspected = tuple(run.run_id.task for run in suspects)
+        return CrashReport(suspected, tuple(given_up.values()))
 
     def _count(
         self, job: Job, task: TaskProgress, run: Run, is_suspect: bool, now_s: float
@@ -106,9 +118,9 @@
         job.has_suspects = job.has_suspects or task.is_suspect
         self._state.changed.add(job.job_id)
 
-    def give_up(self, tasks: Iterable[GivenUpTask]) -> None:
-        """Fail the jobs of tasks that are given up."""
-        for given_up in tasks:
+    def give_up(self, report: CrashReport) -> None:
+        """Fail the jobs of the tasks that are given up."""
+        for given_up in report.given_up:
             job = self._state.job_by_id.get(given_up.task_id.job)
             if job is not None and not job.is_final:
                 job.progress.state = JobState.FAILED
--- a/redwingrun/jobs/engine.py
+++ b/redwingrun/jobs/engine.py
@@ -9,7 +9,7 @@
 from attrs import evolve, frozen
 
 from redwingrun.jobs.candidates import Candidates
-from redwingrun.jobs.crashes import CrashRecorder, GivenUpTask
+from redwingrun.jobs.crashes import CrashRecorder, CrashReport
 from redwingrun.jobs.job import Job
 from redwingrun.jobs.placement import Placer
 from redwingrun.jobs.policycache import Ticket
@@ -127,12 +127,12 @@
 
     def worker_restarted(
         self, worker_id: str, report: WorkerReport, sent_s: float, now_s: float
-    ) -> list[GivenUpTask]:
+    ) -> CrashReport:
         """Record that a worker process has restarted.
 
         :param report: the first report of the new incarnation.
         :param sent_s: monotonic time at which the heartbeat for it was sent.
-        :return: the tasks that were given up because of it.
+        :return: the tasks that are suspected or given up because of it.
         """
         return self._reports.worker_restarted(worker_id, report, sent_s, now_s)
 
@@ -235,21 +235,21 @@
 
     def worker_lost(
         self, worker_id: str, has_crashed: bool, now_s: float
-    ) -> list[GivenUpTask]:
+    ) -> CrashReport:
         """Treat all runs of a worker as lost: it died, or their lease has expired.
 
-        :return: the tasks that were given up because of it.
+        :return: the tasks that are suspected or given up because of it.
         """
         worker = self.state.worker_by_id.get(worker_id)
         if worker is None:
-            return []
+            return CrashReport()
         runs = worker.run_by_id.values()
-        given_up = self._crashes.record_crash(worker, runs, has_crashed, now_s)
+        crash = self._crashes.record_crash(worker, runs, has_crashed, now_s)
         self.state.lose_all_runs(worker)
-        self._crashes.give_up(given_up)
+        self._crashes.give_up(crash)
         if not worker.is_registered:
             del self.state.worker_by_id[worker_id]
-        return given_up
+        return crash
 
     def start_accepted(self, order: StartOrder, now_s: float) -> None:
         """Record that a worker has accepted a start."""
--- a/redwingrun/jobs/workerlink.py
+++ b/redwingrun/jobs/workerlink.py
@@ -8,7 +8,7 @@
 from expression import Result
 
 from redwingrun.coordination.verdict import Verdict
-from redwingrun.jobs.crashes import GivenUpTask
+from redwingrun.jobs.crashes import CrashReport
 from redwingrun.jobs.pacing import has_mixed_load
 from redwingrun.jobs.ports import Heartbeat, WorkerAddress, WorkerFault, WorkerPort
 from redwingrun.jobs.spec import RunId
@@ -49,6 +49,8 @@
 MAX_RETRY_DELAY_S = 0.6
 # An order without an answer may still be carried out up to 12 s later; with a margin.
 MAX_ORDER_DELAY_S = 15.0
+# A line names at most so many tasks, so that its length is bounded.
+MAX_LOGGED_SUSPECTS = 20
 # A worker is dead after this many refused connections in a row.
 DEAD_AFTER_REFUSED_CONNECTIONS = 2
 
@@ -194,18 +196,26 @@
                 runs=len(worker.run_by_id),
             )
             has_crashed = is_dead or has_restarted
-            given_up = owner.engine.worker_lost(
-                self._worker_id, has_crashed, owner.now()
-            )
-            self._log_given_up(given_up)
+            crash = owner.engine.worker_lost(self._worker_id, has_crashed, owner.now())
+            self._log_crash(crash)
             owner.wake()
         await asyncio.sleep(
             min(MAX_RETRY_DELAY_S, RETRY_STEP_S * self._failed_heartbeats)
         )
 
-    def _log_given_up(self, tasks: list[GivenUpTask]) -> None:
-        """Log the tasks that were given up because this worker crashed."""
-        for given_up in tasks:
+    def _log_crash(self, crash: CrashReport) -> None:
+        """Log the tasks that are suspected of a crash, or given up because of it."""
+        if crash.suspects:
+            self._owner.log.event(
+                "crash-suspected",
+                worker=self._worker_id,
+                tasks=[
+                    f"{task.job}.{task.occurrence}.{task.step}.{task.index}"
+                    for task in crash.suspects[:MAX_LOGGED_SUSPECTS]
+                ],
+                count=len(crash.suspects),
+            )
+        for given_up in crash.given_up:
             task = given_up.task_id
             self._owner.dependencies.metrics.count("tasks_given_up_total")
             self._owner.log.event(
@@ -236,10 +246,10 @@
         owner = self._owner
         owner.log.event("worker-reborn", worker=self._worker_id, born_ms=report.born_ms)
         owner.reset_durable_end_number(self._worker_id)
-        given_up = owner.engine.worker_restarted(
+        crash = owner.engine.worker_restarted(
             self._worker_id, report, sent_s, owner.now()
         )
-        self._log_given_up(given_up)
+        self._log_crash(crash)
         owner.wake()
         for run_id in self._possibly_late_starts():
             if run_id not in worker.run_by_id:
--- a/redwingrun/jobs/workerreports.py
+++ b/redwingrun/jobs/workerreports.py
@@ -6,7 +6,7 @@
 
 from attrs import evolve
 
-from redwingrun.jobs.crashes import CrashRecorder, GivenUpTask
+from redwingrun.jobs.crashes import CrashRecorder, CrashReport
 from redwingrun.jobs.job import Job, apply_run_end, remove_done_occurrences
 from redwingrun.jobs.pacing import pace_orders
 from redwingrun.jobs.slicestate import SliceState
@@ -98,7 +98,7 @@
 
     def worker_restarted(
         self, worker_id: str, report: WorkerReport, sent_s: float, now_s: float
-    ) -> list[GivenUpTask]:
+    ) -> CrashReport:
         """Record that a worker process has restarted.
 
         The runs of its former incarnation are lost. Runs that the report lists or whose
@@ -107,11 +107,11 @@
 
         :param report: the first report of the new incarnation.
         :param sent_s: monotonic time at which the heartbeat for it was sent.
-        :return: the tasks that were given up because of it.
+        :return: the tasks that are suspected or given up because of it.
         """
         worker = self._state.worker_by_id.get(worker_id)
         if worker is None:
-            return []
+            return CrashReport()
         worker.last_end_number = 0
         worker.info = evolve(worker.info, born_ms=report.born_ms)
         running = {status.run_id for status in report.running}
@@ -121,14 +121,14 @@
             if run_id not in running
             and (run.answered_s is None or run.answered_s < sent_s)
         ]
-        given_up = self._crashes.record_crash(worker, ended, True, now_s)
+        crash = self._crashes.record_crash(worker, ended, True, now_s)
         for run_id, run in list(worker.run_by_id.items()):
             if run.answered_s is None:
                 self._state.stop(run_id, worker, "ordered-before-new-life")
             elif run in ended:
                 self._state.lose_run(worker, run_id)
-        self._crashes.give_up(given_up)
-        return given_up
+        self._crashes.give_up(crash)
+        return crash
 
     def evacuate(self, worker: Worker) -> None:
         """Stop the runs to be moved off a worker that will shut down.
