--- a/redwingrun/jobs/stepscheduler.py
+++ b/redwingrun/jobs/stepscheduler.py
@@ -101,6 +101,9 @@
         if others:
             for placement in self._placer.place(view, others, workers, now_s):
                 starts.append(self._place(job, step_id, placement, now_s))
+                if placement.index in suspects:
+                    # The next start is watched again.
+                    job.suspects_wait_since_s = None
         if view.policy_cache is not None and len(starts) - started < len(waiting):
             self._query_policy(view, job, waiting, workers, now_s, policy_queries)
 
@@ -128,16 +131,17 @@
         for placement in placements:
             hold_for_start(placement.worker, job_id, now_s)
         missing = len(suspects) - len(placements)
-        if not missing:
-            job.suspects_wait_since_s = None
-            return placements
-        eligible = [
+        size, gang = reserved_size(view.step), view.step.gang
+        with_room = [
             worker
             for worker in workers.values()
-            if _may_run(view.step, view.policy_cache, worker)
+            if _may_run(view.step, view.policy_cache, worker) and worker.fits(size)
         ]
-        size, gang = reserved_size(view.step), view.step.gang
-        hold_until_quiet(job_id, size, missing, eligible, now_s, gang)
+        if not missing or not with_room:
+            # A task that waits for room does not wait for a quiet worker.
+            job.suspects_wait_since_s = None
+            return placements
+        hold_until_quiet(job_id, missing, with_room, now_s, gang)
         if job.suspects_wait_since_s is None:
             job.suspects_wait_since_s = now_s
         return placements
--- a/redwingrun/jobs/watchedstarts.py
+++ b/redwingrun/jobs/watchedstarts.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Mapping
 
 from redwingrun.jobs.job import Job
-from redwingrun.jobs.spec import TaskId, TaskSize
+from redwingrun.jobs.spec import TaskId
 from redwingrun.jobs.workerpool import SUSPECT_AGE_S, Worker
 
 # A worker is held for a start until it has been answered, but not longer than this.
@@ -47,7 +47,6 @@
 
 def hold_until_quiet(
     job_id: str,
-    size: TaskSize,
     count: int,
     workers: Iterable[Worker],
     now_s: float,
@@ -55,15 +54,15 @@
 ) -> None:
     """Hold workers for a job's suspected tasks, those with the fewest runs first.
 
-    :param size: resources of one task.
     :param count: number of workers to hold, those that the job holds included.
+    :param workers: the workers that have room for one of the tasks.
     """
     usable = list(workers)
     held = [worker for worker in usable if now_s < worker.held_until_s]
     count -= sum(worker.held_by_job == job_id for worker in held)
     if not is_gang:
         count = min(count, max(1, int(MAX_HELD_SHARE * len(usable))) - len(held))
-    free = [item for item in usable if item.fits(size) and item not in held]
+    free = [worker for worker in usable if now_s >= worker.held_until_s]
     free.sort(key=lambda worker: len(worker.run_by_id))
     for worker in free[: max(0, count)]:
         _hold(worker, job_id, now_s + QUIET_HOLD_S)
--- a/tests/jobs/cluster.py
+++ b/tests/jobs/cluster.py
@@ -84,6 +84,7 @@
         and run number.
     :ivar failing_jobs: ids of jobs whose runs all fail.
     :ivar crashing_jobs: ids of jobs whose first task crashes each worker.
+    :ivar crash_delay_s: how long after its start such a task crashes its worker.
     :ivar crashes_s_by_task: times at which a worker crashed under a run of a task.
     :ivar order_delays_s: delays of the next orders to workers; their answers are lost.
     :ivar lost_answers: how many of the next answers to orders are lost.
@@ -113,6 +114,7 @@
     gang_ready_s: dict[tuple[StepId, int], float] = field(factory=dict)
     failing_jobs: set[str] = field(factory=set)
     crashing_jobs: set[str] = field(factory=set)
+    crash_delay_s: float = 0.01
     crashes_s_by_task: dict[TaskId, list[float]] = field(factory=dict)
     order_delays_s: list[float] = field(factory=list)
     lost_answers: int = 0
--- a/tests/jobs/simulatedworker.py
+++ b/tests/jobs/simulatedworker.py
@@ -23,8 +23,6 @@
     from tests.jobs.cluster import SimulatedCluster
 
 STOP_DURATION_S = 0.3
-# A task that crashes workers does so this long after its start.
-CRASH_DELAY_S = 0.01
 RESTART_DELAY_S = 3.0
 
 
@@ -94,6 +92,11 @@
             self.crash()
             self.cluster.loop.call_later(RESTART_DELAY_S, self._restart_if_down)
 
+    def _crash_under(self, run_id: RunId) -> None:
+        """Crash, unless the run has ended before."""
+        if run_id in self.runs:
+            self.crash_and_restart()
+
     def _restart_if_down(self) -> None:
         if not self.up:
             self.restart()
@@ -184,7 +187,9 @@
         self.runs[order.run_id] = run
         self.cluster.check_start(order.run_id, self)
         if self.cluster.crashes_workers(order.run_id.task):
-            self.cluster.loop.call_later(CRASH_DELAY_S, self.crash_and_restart)
+            self.cluster.loop.call_later(
+                self.cluster.crash_delay_s, self._crash_under, order.run_id
+            )
         return None
 
     def stop(self, order: StopOrder, fence: int) -> Refusal | None:
--- a/tests/jobs/test_crashingtasks.py
+++ b/tests/jobs/test_crashingtasks.py
@@ -61,6 +61,26 @@
     check(cluster)
 
 
+# Guards against the same by tasks that crash workers some time after their start, when
+# other tasks have started beside them.
+@pytest.mark.parametrize("delay_s", [0.3, 0.7, 2.0, 4.0])
+def test_a_task_that_crashes_workers_later_is_given_up(
+    cluster: SimulatedCluster, delay_s: float
+):
+    cluster.crash_delay_s = delay_s
+    for number in range(2 * OTHER_JOBS):
+        cluster.submit(job_id(number), job(step(3, 1.0), step(2, 1.0, after=(0,))))
+    cluster.crashing_jobs.add(job_id(CRASHING))
+    cluster.submit(job_id(CRASHING), job(step(2, 6.0)))
+    for number in range(20):
+        cluster.submit(job_id(100 + number), job(step(2, 1.0)))
+        cluster.run(1.0)
+    cluster.run(40.0)
+    check(cluster)
+    states = {cluster.state(job_id(100 + number)) for number in range(20)}
+    assert states == {JobState.COMPLETED}
+
+
 # Guards against an owner that forgets the crashes which its predecessors saw.
 def test_crashes_are_remembered_by_the_next_owner(cluster: SimulatedCluster):
     """The owner is killed after each crash."""
@@ -160,6 +180,35 @@
     assert harness.engine.job_by_id[job_id(1)].progress.state is JobState.FAILED
 
 
+# Guards against a suspected task whose starts are not watched any more once it has
+# waited for room for some seconds: its crashes were then laid to its neighbours, too.
+def test_a_suspected_task_that_had_to_wait_for_room_is_still_watched():
+    harness = EngineHarness(1)
+    (order,) = harness.start_job(step(1))
+    harness.engine.worker_lost("w0", True, harness.now_s)
+    harness.report("w0", {})
+    other = Submission(QUEUE, job(step(4, 30.0)), 0)
+    harness.engine.add_job(job_id(2), other, None, harness.now_s)
+    worker = harness.engine.worker_by_id["w0"]
+    worker.avoid_until_s = harness.now_s + 1.0
+    job_one = harness.engine.job_by_id[job_id(1)]
+    job_one.due_s += 100.0
+    harness.now_s += 1.5
+    harness.report("w0", {})
+    for start in harness.engine.plan(harness.now_s).starts:
+        harness.engine.start_accepted(start, harness.now_s)
+    running = dict.fromkeys(worker.run_by_id, 1)
+    assert len(running) == 4
+    for _ in range(10):
+        harness.now_s += 0.5
+        harness.report("w0", running)
+        assert not harness.engine.plan(harness.now_s).starts
+    harness.end_runs("w0", failed=False)
+    (again,) = harness.engine.plan(harness.now_s).starts
+    assert again.run_id.task == order.run_id.task
+    assert worker.held_by_job == job_id(1)
+
+
 # Guards against a job that is given up because its workers crash by themselves.
 def test_a_task_survives_workers_that_crash_by_themselves(cluster: SimulatedCluster):
     """Each worker crashes several times under lasting tasks and long ones."""
