Crashes: a worker that may only have been cut off does not count as crashed

Found by reading: a lease that lapsed counted as a crash under its runs, so that one crash after it gave the task up. Users would see a job as failed that could be done (LOST). Now it raises the suspicion only. Before: test_workers_that_are_cut_off_do_not_count_as_crashed failed; after: it passes.

--- a/redwingrun/jobs/crashes.py
+++ b/redwingrun/jobs/crashes.py
@@ -6,7 +6,6 @@
 
 from attrs import frozen
 
-from redwingrun.jobs.job import Job
 from redwingrun.jobs.progress import (
     MIN_ISOLATION_CRASHES,
     JobState,
@@ -37,8 +36,8 @@
 class GivenUpTask:
     """A task that is not started again because workers crash under it.
 
-    :param crashes: crashes of workers under its runs that had certainly started.
-    :param suspected: those of which it was suspected.
+    :param crashes: certain crashes of workers under runs that had certainly started.
+    :param suspected: times that it was suspected, of uncertain crashes too.
     :param alone: whether no other job was suspected of the last one.
     """
 
@@ -98,8 +97,11 @@
             task = job.task(task_id) if job else None
             if task is None or job.is_final or task.state is TaskState.DONE:
                 continue
-            self._count(job, task, run, run in suspects, now_s)
-            is_sole = alone and run in suspects
+            is_suspect = run in suspects
+            _count(task, run, is_suspect, is_certain, now_s)
+            job.has_suspects = job.has_suspects or task.is_suspect
+            self._state.changed.add(job.job_id)
+            is_sole = alone and is_suspect
             is_isolated = worker.was_held_for(job.job_id)
             if is_certain and _is_given_up(task, is_sole, is_isolated):
                 counts = task.crashes, task.suspected
@@ -107,17 +109,6 @@
         suspected = tuple(run.run_id.task for run in suspects)
         return CrashReport(suspected, tuple(given_up.values()))
 
-    def _count(
-        self, job: Job, task: TaskProgress, run: Run, is_suspect: bool, now_s: float
-    ) -> None:
-        if run.started_s is not None and now_s - run.started_s > SOUND_AGE_S:
-            task.crashes = task.suspected = 0
-        else:
-            task.crashes += run.started_s is not None
-            task.suspected += is_suspect
-        job.has_suspects = job.has_suspects or task.is_suspect
-        self._state.changed.add(job.job_id)
-
     def give_up(self, report: CrashReport) -> None:
         """Fail the jobs of the tasks that are given up."""
         for given_up in report.given_up:
@@ -135,6 +126,23 @@
     return run.started_s is None or run.started_s >= last_contact_s - SUSPECT_AGE_S
 
 
+def _count(
+    task: TaskProgress, run: Run, is_suspect: bool, is_certain: bool, now_s: float
+) -> None:
+    if _is_sound(run, now_s):
+        task.crashes = task.suspected = 0
+        return
+    task.crashes += is_certain and run.started_s is not None
+    task.suspected += is_suspect
+
+
+def _is_sound(run: Run, now_s: float) -> bool:
+    """Return whether a run is known to have lasted long enough to clear its task."""
+    if run.started_s is None:
+        return False
+    return now_s - run.started_s > SOUND_AGE_S
+
+
 def _is_given_up(task: TaskProgress, is_sole_suspect: bool, is_isolated: bool) -> bool:
     if task.crashes < MIN_CRASHES:
         return task.suspected >= UNCONFIRMED_LIMIT
--- a/redwingrun/jobs/progress.py
+++ b/redwingrun/jobs/progress.py
@@ -49,10 +49,10 @@
     :param failures: number of runs that have failed.
     :param checkpoint: newest checkpoint; empty for none.
     :param copy_worker_by_run: speculative copies: by run number, the worker's id.
-    :param crashes: number of workers that crashed under runs of it that had certainly
-        started.
-    :param suspected: number of crashes of which it was suspected, including those whose
-        run may not have started.
+    :param crashes: number of workers that certainly crashed under runs of it that had
+        certainly started.
+    :param suspected: number of crashes of which it was suspected, including those where
+        the worker may only have been cut off or the run may not have started.
     """
 
     state: TaskState = TaskState.WAITING
--- a/tests/jobs/test_crashingtasks.py
+++ b/tests/jobs/test_crashingtasks.py
@@ -180,6 +180,26 @@
     assert harness.engine.job_by_id[job_id(1)].progress.state is JobState.FAILED
 
 
+# Guards against workers that are cut off and count as crashed: a job would be given up
+# after one crash.
+def test_workers_that_are_cut_off_do_not_count_as_crashed():
+    """The task is the only one each time; two workers have crashed at the end."""
+    harness = EngineHarness(3)
+    (order,) = harness.start_job(step(1))
+    progress = harness.engine.job_by_id[job_id(1)].progress
+    for has_crashed in (False, False, False, True, True):
+        assert progress.state is JobState.RUNNING
+        harness.engine.worker_lost(order.worker_id, has_crashed, harness.now_s)
+        harness.now_s += 1.0
+        for name in harness.names:
+            harness.report(name, {})
+        if has_crashed and progress.state is JobState.FAILED:
+            continue
+        (order,) = harness.engine.plan(harness.now_s).starts
+        harness.engine.start_accepted(order, harness.now_s)
+    assert progress.state is JobState.FAILED
+
+
 # Guards against a suspected task whose starts are not watched any more once it has
 # waited for room for some seconds: its crashes were then laid to its neighbours, too.
 def test_a_suspected_task_that_had_to_wait_for_room_is_still_watched():
