Crashes: a crash under an inherited run keeps the counts

Found by reading: the age of a run that a former owner started is not known, and was taken as endless; a crash under it cleared what was known of its task. Before: test_a_crash_under_an_inherited_run_keeps_the_counts failed (0 and 0 for 3 and 1); after: it passes.

--- a/redwingrun/jobs/crashes.py
+++ b/redwingrun/jobs/crashes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 
 from attrs import frozen
@@ -138,7 +139,7 @@
 
 def _is_sound(run: Run, now_s: float) -> bool:
     """Return whether a run is known to have lasted long enough to clear its task."""
-    if run.started_s is None:
+    if run.started_s is None or math.isinf(run.started_s):
         return False
     return now_s - run.started_s > SOUND_AGE_S
 
--- a/tests/jobs/test_crashingtasks.py
+++ b/tests/jobs/test_crashingtasks.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from redwingrun.jobs.progress import JobState
+from redwingrun.jobs.progress import JobProgress, JobState, TaskState
 from redwingrun.jobs.spec import Submission
 from tests.helpers import DOWN, OK
 from tests.jobs.cluster import (
@@ -200,6 +200,24 @@
     assert progress.state is JobState.FAILED
 
 
+# Guards against crashes that a new owner forgets, because it does not know for how long
+# the runs that it found had lasted.
+def test_a_crash_under_an_inherited_run_keeps_the_counts():
+    progress = JobProgress.fresh()
+    progress.state = JobState.RUNNING
+    progress.add_occurrence(0, job(step(1)))
+    task = progress.tasks_by_occurrence[0][0][0]
+    task.state, task.run, task.worker = TaskState.PLACED, 3, "w0"
+    task.crashes, task.suspected = 2, 1
+    harness = EngineHarness(2)
+    submission = Submission(QUEUE, job(step(1)), 0)
+    harness.engine.add_job(job_id(1), submission, progress, harness.now_s)
+    (run_id,) = harness.engine.worker_by_id["w0"].run_by_id
+    harness.report("w0", {run_id: 10})
+    harness.engine.worker_lost("w0", True, harness.now_s)
+    assert (task.crashes, task.suspected) == (3, 1)
+
+
 # Guards against a suspected task whose starts are not watched any more once it has
 # waited for room for some seconds: its crashes were then laid to its neighbours, too.
 def test_a_suspected_task_that_had_to_wait_for_room_is_still_watched():
