--- a/tests/jobs/test_crashingtasks.py
+++ b/tests/jobs/test_crashingtasks.py
@@ -10,7 +10,9 @@
 from redwingrun.jobs.spec import Submission
 from tests.helpers import DOWN, OK
 from tests.jobs.cluster import (
+    CRASHES_BEFORE_LIMIT,
     QUEUE,
+    STARTS_AFTER_CRASHES,
     SimulatedCluster,
     job,
     job_id,
@@ -180,6 +182,24 @@
     assert harness.engine.job_by_id[job_id(1)].progress.state is JobState.FAILED
 
 
+# Guards against a task that crashes its workers before they can answer its start.
+def test_a_task_whose_starts_are_never_answered_is_given_up():
+    """It is started five times: at most two times more after three crashes."""
+    harness = EngineHarness(3)
+    submission = Submission(QUEUE, job(step(1)), 0)
+    harness.engine.add_job(job_id(1), submission, None, harness.now_s)
+    progress = harness.engine.job_by_id[job_id(1)].progress
+    starts = 0
+    while progress.state is not JobState.FAILED:
+        (order,) = harness.engine.plan(harness.now_s).starts
+        starts += 1
+        harness.engine.worker_lost(order.worker_id, True, harness.now_s)
+        harness.now_s += 1.0
+        for name in harness.names:
+            harness.report(name, {})
+    assert starts == CRASHES_BEFORE_LIMIT + STARTS_AFTER_CRASHES - 1
+
+
 # Guards against workers that are cut off and count as crashed: a job would be given up
 # after one crash.
 def test_workers_that_are_cut_off_do_not_count_as_crashed():
