Crashes: only crashes of which no other job is suspected count against a task

Users would see a job as failed after one crash of its own. Cause: a task that had been beside another job's crash counted that one, too. Change: a task is given up after two certain crashes of which it was the only job's; the backstop of four suspicions is now five. Before: test_a_crash_that_another_job_may_have_caused_does_not_count_against_a_job failed; after: it passes.

--- a/redwingrun/jobs/crashes.py
+++ b/redwingrun/jobs/crashes.py
@@ -21,11 +21,11 @@
 # was suspected UNCONFIRMED_LIMIT times: all its starts may have gone unanswered.
 MIN_CRASHES = 2
 UNCONFIRMED_LIMIT = 5
-# A task that is the only suspect is given up when it is suspected for the second time:
-# the first crash leaves several suspects, the second start is watched.
+# A task is given up after this many crashes of which no other job's task was suspected:
+# the first crash may leave several suspects, the starts after it are watched.
 SOLE_SUSPECT_LIMIT = 2
-# It is given up after this many in any case, ...
-SUSPECT_LIMIT = 4
+# It is given up after this many suspicions in any case, ...
+SUSPECT_LIMIT = 5
 # ... and after this many crashes under it, if the last one came while no other job's
 # task could start on the worker.
 CRASH_LIMIT = MIN_ISOLATION_CRASHES + 1
@@ -65,7 +65,7 @@
 
     A task crashes its worker soon after its start, so the youngest runs are suspected.
     The next start of a suspected task is watched: no other job's task starts on that
-    worker at the same time. If the worker crashes again, the task is given up. A task
+    worker at the same time. If workers crash again then, the task is given up. A task
     that crashes workers later is found by its number of crashes; its worker is then
     held for longer. The counts are part of the job's progress, so the next owner has
     them too.
@@ -99,12 +99,13 @@
             if task is None or job.is_final or task.state is TaskState.DONE:
                 continue
             is_suspect = run in suspects
+            is_sole = alone and is_suspect
             _count(task, run, is_suspect, is_certain, now_s)
+            task.sole_suspect += is_sole and is_certain and run.started_s is not None
             job.has_suspects = job.has_suspects or task.is_suspect
             self._state.changed.add(job.job_id)
-            is_sole = alone and is_suspect
             is_isolated = worker.was_held_for(job.job_id)
-            if is_certain and _is_given_up(task, is_sole, is_isolated):
+            if is_certain and _is_given_up(task, is_isolated):
                 counts = task.crashes, task.suspected
                 given_up.setdefault(job.job_id, GivenUpTask(task_id, *counts, is_sole))
         suspected = tuple(run.run_id.task for run in suspects)
@@ -131,7 +132,7 @@
     task: TaskProgress, run: Run, is_suspect: bool, is_certain: bool, now_s: float
 ) -> None:
     if _is_sound(run, now_s):
-        task.crashes = task.suspected = 0
+        task.crashes = task.suspected = task.sole_suspect = 0
         return
     task.crashes += is_certain and run.started_s is not None
     task.suspected += is_suspect
@@ -144,11 +145,11 @@
     return now_s - run.started_s > SOUND_AGE_S
 
 
-def _is_given_up(task: TaskProgress, is_sole_suspect: bool, is_isolated: bool) -> bool:
+def _is_given_up(task: TaskProgress, is_isolated: bool) -> bool:
     if task.crashes < MIN_CRASHES:
         return task.suspected >= UNCONFIRMED_LIMIT
     return (
-        (is_sole_suspect and task.suspected >= SOLE_SUSPECT_LIMIT)
+        task.sole_suspect >= SOLE_SUSPECT_LIMIT
         or task.suspected >= SUSPECT_LIMIT
         or (is_isolated and task.crashes >= CRASH_LIMIT)
     )
--- a/redwingrun/jobs/progress.py
+++ b/redwingrun/jobs/progress.py
@@ -53,6 +53,8 @@
         certainly started.
     :param suspected: number of crashes of which it was suspected, including those where
         the worker may only have been cut off or the run may not have started.
+    :param sole_suspect: number of certain crashes of which no other job's task was
+        suspected.
     """
 
     state: TaskState = TaskState.WAITING
@@ -63,6 +65,7 @@
     copy_worker_by_run: dict[int, str] = field(factory=dict)
     crashes: int = 0
     suspected: int = 0
+    sole_suspect: int = 0
 
     @property
     def is_suspect(self) -> bool:
@@ -166,7 +169,7 @@
     if task.copy_worker_by_run or has_crashes:
         encoded.append([[run, at] for run, at in task.copy_worker_by_run.items()])
     if has_crashes:
-        encoded += [task.crashes, task.suspected]
+        encoded += [task.crashes, task.suspected, task.sole_suspect]
     return encoded
 
 
@@ -177,7 +180,7 @@
         return TaskProgress(TaskState(encoded[0]), encoded[1])
     state, run, worker, failures, checkpoint = encoded[:5]
     copies = dict(encoded[5]) if len(encoded) > 5 else {}
-    crashes, suspected = encoded[6:8] if len(encoded) > 6 else (0, 0)
+    crashes, suspected, sole_suspect = encoded[6:9] or (0, 0, 0)
     return TaskProgress(
         TaskState(state),
         run,
@@ -187,4 +190,5 @@
         copies,
         crashes,
         suspected,
+        sole_suspect,
     )
--- a/tests/jobs/test_crashingtasks.py
+++ b/tests/jobs/test_crashingtasks.py
@@ -200,6 +200,26 @@
     assert starts == CRASHES_BEFORE_LIMIT + STARTS_AFTER_CRASHES - 1
 
 
+# Guards against a job that is given up after one crash of its own, because one of its
+# tasks had been beside another job's crash before.
+def test_a_crash_that_another_job_may_have_caused_does_not_count_against_a_job():
+    """After the first crash the second job is the only one there, twice."""
+    harness = EngineHarness(1)
+    harness.start_job(step(1))
+    other = Submission(QUEUE, job(step(1)), 0)
+    harness.engine.add_job(job_id(2), other, None, harness.now_s)
+    states = [harness.engine.job_by_id[job_id(n)].progress for n in (1, 2)]
+    survived = []
+    for _ in range(3):
+        for order in harness.engine.plan(harness.now_s).starts:
+            harness.engine.start_accepted(order, harness.now_s)
+        harness.engine.worker_lost("w0", True, harness.now_s)
+        survived.append([item.state is not JobState.FAILED for item in states])
+        harness.now_s += 1.0
+        harness.report("w0", {})
+    assert survived == [[True, True], [True, True], [True, False]]
+
+
 # Guards against workers that are cut off and count as crashed: a job would be given up
 # after one crash.
 def test_workers_that_are_cut_off_do_not_count_as_crashed():
