Policy queries: steps that become ready together name different workers, wide steps send several at once

Services of 20 tasks, one a worker, of which the policy allows a third, needed four to six rounds of 1.19 s. The herd grows with the steps that become ready within one answer, and a round is lost whatever the number of workers. Change: what pending queries will probably place counts as used when the next query ranks workers; a step names as many workers as are expected to give it room, in up to three queries at the same time. It moves from StepScheduler to PolicyQueryPlanner, without a network.

--- a/redwingrun/jobs/engine.py
+++ b/redwingrun/jobs/engine.py
@@ -13,6 +13,7 @@
 from redwingrun.jobs.job import Job
 from redwingrun.jobs.placement import Placer
 from redwingrun.jobs.policycache import Ticket
+from redwingrun.jobs.policyqueries import PolicyQueryPlanner
 from redwingrun.jobs.progress import JobProgress, JobState
 from redwingrun.jobs.slicestate import SliceState
 from redwingrun.jobs.spec import (
@@ -90,8 +91,10 @@
         self._cancelled_early: set[str] = set()
         self._crashes = CrashRecorder(self.state)
         self._reports = ReportProcessor(self.state, speed_model, self._crashes)
+        placer = Placer(speed_model)
+        self._query_planner = PolicyQueryPlanner(placer)
         self._steps = StepScheduler(
-            self.state, Placer(speed_model), settings.far_factor
+            self.state, placer, self._query_planner, settings.far_factor
         )
 
     @property
@@ -114,7 +117,7 @@
 
     def set_policy_proxy_count(self, count: int) -> None:
         """Set the number of members that can send policy queries."""
-        self._steps.policy_proxy_count = count
+        self._query_planner.proxy_count = count
 
     def process_report(
         self, worker_id: str, report: WorkerReport, sent_s: float, now_s: float
@@ -138,7 +141,7 @@
 
     def policy_query_ended(self, query: PolicyQuery) -> None:
         """Record that a policy query no longer occupies a proxy."""
-        self._steps.policy_query_ended(query)
+        self._query_planner.query_ended(query)
 
     def set_queues(self, queues: QueueSet) -> None:
         """Apply a newer configuration; a job of a removed queue keeps its old queue."""
@@ -324,6 +327,11 @@
         policy_cache = self.state.policy_cache_by_step.get(query.step_id)
         if policy_cache is not None:
             policy_cache.record_answer(query.worker_ids, ticket_by_worker)
+        job = self.state.job_by_id.get(query.step_id.job)
+        if job is not None:
+            self._query_planner.record_answer(
+                job.queue.name, len(query.worker_ids), len(ticket_by_worker)
+            )
 
     def policy_failed(self, query: PolicyQuery, retry_at_s: float) -> None:
         """Record that a policy query got no answer.
@@ -332,7 +340,7 @@
         """
         policy_cache = self.state.policy_cache_by_step.get(query.step_id)
         if policy_cache is not None:
-            policy_cache.record_failure(retry_at_s)
+            policy_cache.record_failure(query.worker_ids, retry_at_s)
 
     def plan(self, now_s: float) -> Plan:
         """Place waiting tasks and return all orders issued since the last plan."""
--- a/redwingrun/jobs/placement.py
+++ b/redwingrun/jobs/placement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 
 from attrs import field, frozen
 
@@ -44,6 +44,19 @@
     return not label or label in worker.info.labels
 
 
+def may_run(
+    step: StepSpec, policy_cache: StepPolicyCache | None, worker: Worker
+) -> bool:
+    """Return whether the worker is eligible for the step, apart from its capacity."""
+    if not has_required_label(step, worker):
+        return False
+    return policy_cache is None or policy_cache.may_allow(worker.worker_id)
+
+
+def _no_share(worker: Worker) -> float:
+    return 0.0
+
+
 def _interferes(step: StepSpec, worker: Worker) -> bool:
     """Return whether a filler and a serving task would run side by side."""
     runs = worker.run_by_id.values()
@@ -109,10 +122,24 @@
         return chosen
 
     def rank(
-        self, view: StepView, workers: Iterable[Worker], now_s: float
+        self,
+        view: StepView,
+        workers: Iterable[Worker],
+        now_s: float,
+        pledged_share: Callable[[Worker], float] = _no_share,
     ) -> list[Worker]:
-        """Return the workers in ascending order of cost."""
-        return sorted(workers, key=lambda worker: self._cost(view, worker, now_s))
+        """Return the workers in ascending order of cost.
+
+        :param pledged_share: returns the share of a worker that counts as used although
+            it is free.
+        """
+        return sorted(
+            workers,
+            key=lambda worker: (
+                self._cost(view, worker, now_s)
+                + FREE_SHARE_WEIGHT * pledged_share(worker)
+            ),
+        )
 
     def _cost(self, view: StepView, worker: Worker, now_s: float) -> float:
         """Return the relative run time expected on a worker, with penalties added."""
--- a/redwingrun/jobs/policycache.py
+++ b/redwingrun/jobs/policycache.py
@@ -30,15 +30,13 @@
     The policy's decision about a worker does not change, so a refused worker is not
     queried again. The ticket of an allowed worker expires; then it is queried again.
 
-    :param query_pending: whether a query was sent that has not ended yet.
-    :param queried_s: monotonic time of the last query.
+    :param pending: ids of the workers in queries that have not ended yet.
     :param retry_at_s: monotonic time before which no query is sent.
     :param allowed: ids of the workers that were allowed at some time.
     :param refused: ids of the workers that were queried and not allowed.
     """
 
-    query_pending: bool = False
-    queried_s: float = 0
+    pending: set[str] = field(factory=set)
     retry_at_s: float = 0
     allowed: set[str] = field(factory=set)
     refused: set[str] = field(factory=set)
@@ -57,7 +55,7 @@
 
     def must_wait(self, now_s: float) -> bool:
         """Return whether no ticket is valid and no query may be sent now."""
-        if not self.query_pending and now_s >= self.retry_at_s:
+        if not self.pending and now_s >= self.retry_at_s:
             return False
         return all(
             now_s + TICKET_MARGIN_S > ticket.expires_s
@@ -76,7 +74,7 @@
         :param queried: ids of all workers in the query.
         :param ticket_by_worker: tickets of those that are allowed.
         """
-        self.query_pending = False
+        self.pending.difference_update(queried)
         for worker_id in queried:
             if worker_id in ticket_by_worker:
                 self.allowed.add(worker_id)
@@ -84,12 +82,13 @@
                 self.refused.add(worker_id)
         self.ticket_by_worker.update(ticket_by_worker)
 
-    def record_failure(self, retry_at_s: float) -> None:
+    def record_failure(self, queried: tuple[str, ...], retry_at_s: float) -> None:
         """Record that a query got no answer.
 
+        :param queried: ids of all workers in the query.
         :param retry_at_s: monotonic time before which no query is sent.
         """
-        self.query_pending = False
+        self.pending.difference_update(queried)
         self.retry_at_s = retry_at_s
 
     def drop_ticket(self, worker_id: str) -> None:
--- a/redwingrun/jobs/policyproxies.py
+++ b/redwingrun/jobs/policyproxies.py
@@ -8,7 +8,7 @@
 
 from attrs import define, field
 
-from redwingrun.jobs.stepscheduler import LONG_QUERY_S
+from redwingrun.jobs.policyqueries import LONG_QUERY_S
 
 # Number of proxies that send only short queries, if there are more.
 SHORT_QUERY_PROXIES = 2
--- a/redwingrun/jobs/spec.py
+++ b/redwingrun/jobs/spec.py
@@ -14,6 +14,7 @@
 MAX_PAYLOAD_BYTES = 4_000
 MAX_OCCURRENCES = 10_000
 MAX_QUANTITY = 10**12
+MS_PER_S = 1000
 
 
 class BadJobError(RedwingrunError):
@@ -261,6 +262,14 @@
     policy_call_ms: float = 0.0
     policy_per_worker_ms: float = 0.0
 
+    def policy_answer_s(self, workers: int) -> float:
+        """Return how long the policy needs to answer a query, in seconds.
+
+        :param workers: the number of workers in the query.
+        """
+        needed_ms = self.policy_call_ms + self.policy_per_worker_ms * workers
+        return needed_ms / MS_PER_S
+
 
 @frozen
 class QueueAddress:
--- a/redwingrun/jobs/stepscheduler.py
+++ b/redwingrun/jobs/stepscheduler.py
@@ -11,16 +11,16 @@
     Placement,
     Placer,
     StepView,
-    has_required_label,
+    may_run,
     reserved_size,
 )
 from redwingrun.jobs.policycache import StepPolicyCache
+from redwingrun.jobs.policyqueries import PolicyQueryPlanner
 from redwingrun.jobs.progress import JobState, TaskState
 from redwingrun.jobs.slicestate import ReadyStep, SliceState
 from redwingrun.jobs.spec import (
     RunId,
     StepId,
-    StepSpec,
 )
 from redwingrun.jobs.watchedstarts import (
     MAX_WAIT_S,
@@ -34,28 +34,28 @@
     Worker,
 )
 
-MS_PER_S = 1000
 URGENT_PRIORITY = 0
-MAX_WORKERS_PER_QUERY = 30
-# The policy handles the queries of one proxy one after the other: a query that takes
-# longer than this would delay short queries behind it.
-LONG_QUERY_S = 0.2
 
 
 class StepScheduler:
     """Places the tasks of ready steps.
 
+    :param query_planner: plans the queries to the placement policy.
     :param far_factor: run time of a task outside its data's rack, as a multiple of the
         run time in it.
-    :ivar policy_proxy_count: number of members that can send policy queries.
     """
 
-    def __init__(self, state: SliceState, placer: Placer, far_factor: float):
+    def __init__(
+        self,
+        state: SliceState,
+        placer: Placer,
+        query_planner: PolicyQueryPlanner,
+        far_factor: float,
+    ):
         self._state = state
         self._placer = placer
+        self._query_planner = query_planner
         self._far_factor = far_factor
-        self._long_queries = 0
-        self.policy_proxy_count = 1
 
     def schedule(
         self,
@@ -71,7 +71,7 @@
         if all its tasks are waiting and none has such a run.
 
         :param starts: receives the start orders.
-        :param policy_queries: receives the query, if there is one.
+        :param policy_queries: receives the queries.
         """
         job, step_id = ready_step.job, ready_step.step_id
         policy_cache = self._state.policy_cache_by_step.get(step_id)
@@ -105,7 +105,9 @@
                     # The next start is watched again.
                     job.suspects_wait_since_s = None
         if view.policy_cache is not None and len(starts) - started < len(waiting):
-            self._query_policy(view, job, waiting, workers, now_s, policy_queries)
+            policy_queries += self._query_planner.plan(
+                view, job, waiting, workers, now_s
+            )
 
     def _has_waited_too_long(self, job: Job, now_s: float) -> bool:
         """Return whether suspected tasks have waited too long for a held worker."""
@@ -135,7 +137,7 @@
         with_room = [
             worker
             for worker in workers.values()
-            if _may_run(view.step, view.policy_cache, worker) and worker.fits(size)
+            if may_run(view.step, view.policy_cache, worker) and worker.fits(size)
         ]
         if not missing or not with_room:
             # A task that waits for room does not wait for a quiet worker.
@@ -165,7 +167,7 @@
             eligible = [
                 worker
                 for worker in workers.values()
-                if _may_run(step, policy_cache, worker)
+                if may_run(step, policy_cache, worker)
             ]
         return StepView(
             step_id,
@@ -208,80 +210,3 @@
         tasks = job.tasks(step_id)
         placed = [task.run for task in tasks if task.state is TaskState.PLACED]
         return placed[0] if placed else job.next_run(step_id, 0)
-
-    def _query_policy(
-        self,
-        view: StepView,
-        job: Job,
-        waiting: list[int],
-        workers: Mapping[str, Worker],
-        now_s: float,
-        policy_queries: list[PolicyQuery],
-    ) -> None:
-        """Add a query about workers that could run the step, if there are any.
-
-        None is added while one is pending, before ``retry_at_s``, or if it is long and
-        all proxies for long queries are busy.
-        """
-        policy_cache = view.policy_cache
-        if policy_cache.query_pending or now_s < policy_cache.retry_at_s:
-            return
-        queue = job.queue
-        worker_ids = self._workers_to_query(view, waiting, workers, now_s)
-        if not worker_ids:
-            return
-        expected_answer_s = (
-            queue.policy_call_ms + queue.policy_per_worker_ms * len(worker_ids)
-        ) / MS_PER_S
-        if expected_answer_s > LONG_QUERY_S and not self._may_send_long_query(
-            expected_answer_s
-        ):
-            return
-        policy_cache.query_pending = True
-        policy_cache.queried_s = now_s
-        self._long_queries += expected_answer_s > LONG_QUERY_S
-        policy_queries.append(PolicyQuery(view.step_id, worker_ids, expected_answer_s))
-
-    def _may_send_long_query(self, expected_answer_s: float) -> bool:
-        # Two proxies stay free for short queries; see policyproxies.py.
-        return self._long_queries < max(1, self.policy_proxy_count - 2)
-
-    def policy_query_ended(self, query: PolicyQuery) -> None:
-        """Record that a query no longer occupies a proxy."""
-        self._long_queries -= query.expected_answer_s > LONG_QUERY_S
-
-    def _workers_to_query(
-        self,
-        view: StepView,
-        waiting: list[int],
-        workers: Mapping[str, Worker],
-        now_s: float,
-    ) -> tuple[str, ...]:
-        """Return the ids of the workers to query the policy about, best first.
-
-        They could take a task now but have no valid ticket; a refused worker is not
-        queried again. At most ``MAX_WORKERS_PER_QUERY`` are returned.
-        """
-        policy_cache = view.policy_cache
-        size = reserved_size(view.step)
-        excluded = frozenset.intersection(*(view.excluded(index) for index in waiting))
-        candidates = [
-            worker
-            for worker in workers.values()
-            if _may_run(view.step, policy_cache, worker)
-            and worker.worker_id not in excluded
-            and worker.fits(size)
-            and policy_cache.valid_ticket(worker.worker_id, worker.info.born_ms, now_s)
-            is None
-        ]
-        ranked = self._placer.rank(view, candidates, now_s)
-        return tuple(worker.worker_id for worker in ranked[:MAX_WORKERS_PER_QUERY])
-
-
-def _may_run(
-    step: StepSpec, policy_cache: StepPolicyCache | None, worker: Worker
-) -> bool:
-    """Return whether the worker is eligible for the step, apart from its capacity."""
-    if not has_required_label(step, worker):
-        return False
-    return policy_cache is None or policy_cache.may_allow(worker.worker_id)
