Worker speeds: learned from the progress of runs, not only from those that have ended

Three faults: only ended runs counted, and the first to end are the short ones; the first run of a checkpointed task was taken for a resumed one, so batch work taught almost nothing; runs inherited at a takeover counted from the takeover. Ruled out: want of room (154 and 74 workers free), late answers of the policy (76 ms).

--- a/redwingrun/jobs/engine.py
+++ b/redwingrun/jobs/engine.py
@@ -22,6 +22,7 @@
     RunId,
     Submission,
 )
+from redwingrun.jobs.speedmeter import SpeedMeter
 from redwingrun.jobs.speeds import SpeedModel
 from redwingrun.jobs.stepscheduler import StepScheduler
 from redwingrun.jobs.watchedstarts import start_answered
@@ -90,7 +91,9 @@
         # Cancellations that arrived before their jobs.
         self._cancelled_early: set[str] = set()
         self._crashes = CrashRecorder(self.state)
-        self._reports = ReportProcessor(self.state, speed_model, self._crashes)
+        self._reports = ReportProcessor(
+            self.state, SpeedMeter(speed_model), speed_model, self._crashes
+        )
         placer = Placer(speed_model)
         self._query_planner = PolicyQueryPlanner(placer)
         self._steps = StepScheduler(
@@ -261,6 +264,8 @@
             return
         worker = self.state.worker_by_id[order.worker_id]
         worker.confirm_start(run, now_s, now_s)
+        if not order.checkpoint and not run.percent:
+            run.measured_from_s = now_s
         self._start_answered(worker, order, now_s)
 
     def start_refused(self, order: StartOrder, refusal: Refusal, now_s: float) -> None:
--- a/redwingrun/jobs/slicestate.py
+++ b/redwingrun/jobs/slicestate.py
@@ -127,11 +127,6 @@
         for run_id in list(worker.run_by_id):
             self.lose_run(worker, run_id)
 
-    def checkpoint(self, job: Job, task_id: TaskId) -> str:
-        """Return a task's newest checkpoint; empty for none."""
-        task = job.task(task_id)
-        return task.checkpoint if task else ""
-
     def stop(self, run_id: RunId, worker: Worker, why: str) -> None:
         """Issue a stop order for a run, unless one was issued before.
 
--- a/redwingrun/jobs/workerpool.py
+++ b/redwingrun/jobs/workerpool.py
@@ -60,6 +60,11 @@
         before, and negative infinity for a run that a former owner started.
     :param percent: progress in percent, as last reported.
     :param percent_changed_s: monotonic time of the last report with a new ``percent``.
+    :param measured_from_s: monotonic time from which its progress is measured, to learn
+        the worker's speed; ``None`` before the first report of a run that was resumed
+        or that a former owner started.
+    :param measured_from_percent: its progress at that time.
+    :param is_measured: whether its progress has been measured.
     :param metric_value: as in :class:`RunStatus`.
     :param pace_percent: share of full speed that the worker last acknowledged.
     :param is_filler: whether the run uses only processor time that others leave.
@@ -75,6 +80,9 @@
     started_s: float | None = None
     percent: float = 0
     percent_changed_s: float = 0
+    measured_from_s: float | None = None
+    measured_from_percent: float = 0
+    is_measured: bool = False
     metric_value: float = 0
     pace_percent: int = 100
     is_filler: bool = False
--- a/redwingrun/jobs/workerreports.py
+++ b/redwingrun/jobs/workerreports.py
@@ -11,6 +11,7 @@
 from redwingrun.jobs.pacing import pace_orders
 from redwingrun.jobs.slicestate import SliceState
 from redwingrun.jobs.spec import RunId
+from redwingrun.jobs.speedmeter import SpeedMeter
 from redwingrun.jobs.speeds import SpeedModel
 from redwingrun.jobs.stragglers import StragglerDetector
 from redwingrun.jobs.workerpool import (
@@ -43,16 +44,21 @@
 class ReportProcessor:
     """Applies workers' reports to the state of a slice.
 
-    :param speed_model: learns from the runs that are done.
+    :param speed_meter: measures the progress of runs.
+    :param speed_model: what is learned from that; read only.
     :param crashes: counts the runs that ended with their workers.
     """
 
     def __init__(
-        self, state: SliceState, speed_model: SpeedModel, crashes: CrashRecorder
+        self,
+        state: SliceState,
+        speed_meter: SpeedMeter,
+        speed_model: SpeedModel,
+        crashes: CrashRecorder,
     ):
         self._state = state
         self._crashes = crashes
-        self._speed_model = speed_model
+        self._speed_meter = speed_meter
         self._stragglers = StragglerDetector(state, speed_model)
         self._failed_jobs_by_worker: dict[str, set[str]] = {}
         self._checked_s = 0.0
@@ -198,22 +204,13 @@
         job = self._state.job_by_id.get(end.run_id.task.job)
         if job is None:
             return
-        resumed = bool(self._state.checkpoint(job, end.run_id.task))
         if not apply_run_end(job, end, worker.worker_id):
             return
         self._state.changed.add(job.job_id)
         self._update_failed_jobs(worker, job, end, now_s)
         step_id = end.run_id.task.step_id
-        # A resumed run took less time than the task: it says nothing about speed.
-        if end.kind is EndKind.DONE and run is not None and not resumed:
-            step = job.step(step_id)
-            self._speed_model.learn(
-                job.queue.name,
-                worker.worker_id,
-                worker.info.kind,
-                now_s - run.ordered_s,
-                step.estimate_ms / MS_PER_S,
-            )
+        if end.kind is EndKind.DONE and run is not None:
+            self._speed_meter.run_done(worker, run, job, now_s)
         if end.kind is not EndKind.DONE:
             self._state.stop_gang(job, end.run_id.task)
         if remove_done_occurrences(job, self._state.unix_ms) and not job.is_final:
@@ -270,6 +267,8 @@
                 run.percent = status.percent
                 run.percent_changed_s = now_s
             run.metric_value = status.metric_value
+            if job is not None:
+                self._speed_meter.run_reported(worker, run, job, now_s)
             task = job.task(status.run_id.task) if job else None
             if task is not None and status.checkpoint:
                 task.checkpoint = status.checkpoint
