Exclusions: a failed task waits for another worker for 1.5 s at most

Test: test_exclusions, a task that needs a whole worker beside one that is always taken; failed without the limit.

--- a/redwingrun/jobs/job.py
+++ b/redwingrun/jobs/job.py
@@ -25,7 +25,8 @@
     :param due_s: monotonic time by which it should be done.
     :param failed_run_by_gang: number of the last run of each gang that was counted
         as failed, so that a failure of several of its tasks counts once.
-    :param failed_workers_by_task: the workers on which runs of a task have failed.
+    :param failed_s_by_worker_by_task: the workers on which runs of a task have failed,
+        with the monotonic time of the last failure there.
     :param has_suspects: whether workers may have crashed because of a task.
     :param suspects_wait_since_s: monotonic time since which suspected tasks wait for a
         worker that can be held for them; ``None`` if none waits.
@@ -38,7 +39,7 @@
     progress: JobProgress
     due_s: float
     failed_run_by_gang: dict[StepId, int] = field(factory=dict)
-    failed_workers_by_task: dict[TaskId, set[str]] = field(factory=dict)
+    failed_s_by_worker_by_task: dict[TaskId, dict[str, float]] = field(factory=dict)
     moved_tasks: set[TaskId] = field(factory=set)
     has_suspects: bool = False
     suspects_wait_since_s: float | None = None
@@ -131,7 +132,7 @@
     return all(task.state is TaskState.DONE for task in tasks)
 
 
-def apply_run_end(job: Job, end: RunEnd, worker_id: str) -> bool:
+def apply_run_end(job: Job, end: RunEnd, worker_id: str, now_s: float) -> bool:
     """Apply the end of a run to its job.
 
     :return: whether the job changed; the end of an earlier run changes nothing.
@@ -151,7 +152,8 @@
     if step.gang:
         _share_checkpoint(job, task_id.step_id, task.checkpoint)
     if end.kind is EndKind.FAILED:
-        job.failed_workers_by_task.setdefault(task_id, set()).add(worker_id)
+        failed_s_by_worker = job.failed_s_by_worker_by_task.setdefault(task_id, {})
+        failed_s_by_worker[worker_id] = now_s
         _count_failure(job, task_id, end, step)
     return True
 
--- a/redwingrun/jobs/stepscheduler.py
+++ b/redwingrun/jobs/stepscheduler.py
@@ -89,7 +89,7 @@
         if job.step(step_id).gang and len(waiting) < len(job.tasks(step_id)):
             return
         workers = candidates.in_pool(job.queue.pool)
-        view = self._view(job, step_id, waiting, workers)
+        view = self._view(job, step_id, waiting, workers, now_s)
         suspects = job.suspect_indexes(step_id, waiting)
         started = len(starts)
         others = waiting
@@ -154,6 +154,7 @@
         step_id: StepId,
         waiting: list[int],
         workers: Mapping[str, Worker],
+        now_s: float,
     ) -> StepView:
         """Return the step as the placer needs it."""
         step = job.step(step_id)
@@ -163,7 +164,7 @@
                 step_id, StepPolicyCache()
             )
         eligible = []
-        if job.failed_workers_by_task:
+        if job.failed_s_by_worker_by_task:
             eligible = [
                 worker
                 for worker in workers.values()
@@ -175,7 +176,7 @@
             urgent=job.queue.priority == URGENT_PRIORITY,
             policy_cache=policy_cache,
             far_factor=self._far_factor,
-            excluded_by_index=excluded_by_index(job, step_id, waiting, eligible),
+            excluded_by_index=excluded_by_index(job, step_id, waiting, eligible, now_s),
         )
 
     def _place(
--- a/redwingrun/jobs/workerreports.py
+++ b/redwingrun/jobs/workerreports.py
@@ -204,7 +204,7 @@
         job = self._state.job_by_id.get(end.run_id.task.job)
         if job is None:
             return
-        if not apply_run_end(job, end, worker.worker_id):
+        if not apply_run_end(job, end, worker.worker_id, now_s):
             return
         self._state.changed.add(job.job_id)
         self._update_failed_jobs(worker, job, end, now_s)
@@ -232,7 +232,7 @@
             failed.clear()
         if end.kind is not EndKind.FAILED:
             return
-        failed_workers = set().union(*job.failed_workers_by_task.values())
+        failed_workers = set().union(*job.failed_s_by_worker_by_task.values())
         if len(failed_workers) > 1:
             for worker_id in failed_workers:
                 self._failed_jobs_by_worker.get(worker_id, set()).discard(job.job_id)
--- a/tests/jobs/test_exclusions.py
+++ b/tests/jobs/test_exclusions.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import pytest
+from attrs import evolve
 
 from redwingrun.jobs.policycache import Ticket
-from redwingrun.jobs.spec import Submission
+from redwingrun.jobs.spec import Submission, TaskSize
 from tests.jobs.cluster import QUEUE, job, job_id, make_queues, step
 from tests.jobs.test_workerreports import EngineHarness
 
@@ -58,6 +59,32 @@
     assert workers_by_attempt == [{"w0", "w1", "w2"}] * 3
 
 
+def test_a_failed_task_does_not_wait_for_ever_for_another_worker():
+    """The others could hold it, but tasks of other jobs always run there.
+
+    A task that needs a whole worker stood still to the end of a day in this way.
+    """
+    harness = EngineHarness(2)
+    blocker = Submission(QUEUE, job(step(1, 1000.0)), 0)
+    harness.engine.add_job(job_id(2), blocker, None, harness.now_s)
+    (blocking,) = harness.engine.plan(harness.now_s).starts
+    harness.engine.start_accepted(blocking, harness.now_s)
+    whole = evolve(step(1, 1.0), size=TaskSize(4000, 100))
+    submission = Submission(QUEUE, job(whole), 0)
+    harness.engine.add_job(job_id(1), submission, None, harness.now_s)
+    (order,) = harness.engine.plan(harness.now_s).starts
+    harness.engine.start_accepted(order, harness.now_s)
+    harness.now_s += 1.0
+    harness.end_runs(order.worker_id, failed=True)
+    assert harness.engine.plan(harness.now_s).starts == ()
+    harness.now_s += 1.6
+    for name in harness.names:
+        runs = harness.engine.worker_by_id[name].run_by_id
+        harness.report(name, dict.fromkeys(runs, 0))
+    (again,) = harness.engine.plan(harness.now_s).starts
+    assert again.worker_id == order.worker_id
+
+
 def test_the_only_worker_allowed_by_the_policy_is_not_excluded():
     """The policy refused all others."""
     harness = EngineHarness(3)
