Policy client: an answer that can't be decoded is a failure, and ended the ownership before

Cause: found by reading for the users' story "one malformed message took a whole process down". An odd row, list or time in the placement policy's answer raised in the owner's query task; an unexpected error of such a task ends the ownership, so each malformed answer cost a takeover. Change: odd rows are passed over one by one, an unusable answer is a failure that is asked again.

--- a/redwingrun/platform/policy.py
+++ b/redwingrun/platform/policy.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import orjson
 from expression import Error, Ok, Result
 
@@ -10,6 +12,7 @@
 from redwingrun.jobs.ports import PolicyAnswer, PolicyPort
 from redwingrun.jobs.spec import StepId
 from redwingrun.platform.jsonclient import JSON_HEADERS, decode_reply
+from redwingrun.platform.jsonfields import BadFieldError, get_list, get_number
 
 OK_STATUS = 200
 MS_PER_S = 1000
@@ -42,7 +45,28 @@
             return reply
         if reply.ok.status != OK_STATUS:
             return Error(not_run(f"status-{reply.ok.status}"))
-        data = reply.ok.body
-        ticket_by_worker = {row[0]: row[1] for row in data.get("good") or []}
-        valid_s = data.get("validMs", DEFAULT_VALID_MS) / MS_PER_S
-        return Ok(PolicyAnswer(ticket_by_worker, valid_s))
+        try:
+            return Ok(decode_answer(reply.ok.body))
+        except BadFieldError as error:
+            return Error(not_run("damaged", str(error)))
+
+
+def decode_answer(data: dict[str, Any]) -> PolicyAnswer:
+    """Decode the policy's answer, without the rows that can't be used.
+
+    :raises BadFieldError: if the list of workers or the time is not usable.
+    """
+    ticket_by_worker = {}
+    for row in get_list(data, "good"):
+        if _is_ticket_row(row):
+            worker_id, ticket = row[:2]
+            ticket_by_worker[worker_id] = ticket
+    valid_ms = get_number(data, "validMs", DEFAULT_VALID_MS)
+    return PolicyAnswer(ticket_by_worker, valid_ms / MS_PER_S)
+
+
+def _is_ticket_row(row: Any) -> bool:
+    """Return whether a row begins with a worker's id and its ticket."""
+    if not isinstance(row, list) or len(row) < 2:
+        return False
+    return all(isinstance(value, str) for value in row[:2])
