Slow store: a request waits for the table itself, and writes time out by what reads have shown

Two causes found by reading. A request was taken from the table after 0.4 of its time and given to a peer: it was sent to the same slow table a second and third time, each with less time. And each of 97 members had to learn by its own time-outs (0.3, 0.6, 1.2 s, each time sent again) that writes are slow: at one write every two seconds a member it never did within 5.5 s; eight machines learn six times sooner, so it hardly shows there. Both multiply the load of partitions that take 3.3 transactions a second then. Change: a request goes to a peer early only if the table does not answer this member at all, which is checked again every 0.1 s; a write's time-out is at least what the reads, two a second, call for (8 times their average, 2.5 s at most).

--- a/redwingrun/adaptivetimeout.py
+++ b/redwingrun/adaptivetimeout.py
@@ -36,13 +36,16 @@
 
     def current_s(self) -> float:
         """Return the timeout for the next call, in seconds."""
-        usual_s = max(MIN_TIMEOUT_S, self._average_response_s * RESPONSE_TIME_MULTIPLE)
         first_s = max(
-            min(self.max_timeout_s, usual_s),
+            min(self.max_timeout_s, self.unbounded_s()),
             self._average_response_s * MIN_RESPONSE_TIME_MULTIPLE,
         )
         return min(self.max_backoff_s, first_s * self._backoff)
 
+    def unbounded_s(self) -> float:
+        """Return the timeout by the response times alone, without the upper bounds."""
+        return max(MIN_TIMEOUT_S, self._average_response_s * RESPONSE_TIME_MULTIPLE)
+
     def record_reply(self, took_s: float) -> None:
         """Record the response time of a call with a reply and reset the backoff."""
         self._average_response_s += RESPONSE_TIME_WEIGHT * (
--- a/redwingrun/jobs/jobservice.py
+++ b/redwingrun/jobs/jobservice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from collections.abc import Callable, Coroutine
 from typing import Any
@@ -10,14 +11,17 @@
 
 from redwingrun.coordination.clock import Clock
 from redwingrun.coordination.verdict import Failure, Verdict, may_have_run
+from redwingrun.jobs.cancellation import cancel_all
 from redwingrun.jobs.jobstore import TABLE_UNAVAILABLE, JobStore
 from redwingrun.jobs.memberport import MemberPort
 from redwingrun.jobs.peerlinks import PeerLinks, RelayAnswer, RelayCall, RelayVerb
 from redwingrun.jobs.progress import JobState
 from redwingrun.logs import Log
 
-# Share of a request's timeout during which the table is tried before a peer is.
+# Share of a request's timeout after which a peer is tried, if the table is unavailable
+# to this member, and how often that is checked from then on.
 LOCAL_TIMEOUT_SHARE = 0.4
+RELAY_CHECK_INTERVAL_S = 0.1
 RELAY_TIMEOUT_S = 0.8
 MAX_RELAY_PEERS = 2
 # Time during which no request is relayed to a peer that failed to serve one.
@@ -102,9 +106,7 @@
         peers = self._available_peers()
         uncertain: Failure | None = None
         if not (self._member.table_is_unavailable() and peers):
-            result = await local(
-                timeout_s * LOCAL_TIMEOUT_SHARE if peers else timeout_s
-            )
+            result = await self._serve_locally(local, timeout_s, bool(peers))
             if result.is_ok():
                 return result
             uncertain = _as_may_have_run(result.error)
@@ -125,6 +127,33 @@
         self._log.detail("not-relayed", job=call.job_id, why=failure.reason)
         return Error(uncertain or failure)
 
+    async def _serve_locally(
+        self,
+        local: Callable[[float], Coroutine[Any, Any, Result[Any, Failure]]],
+        timeout_s: float,
+        has_peers: bool,
+    ) -> Result[Any, Failure]:
+        """Serve a request through the table.
+
+        A table that answers this member slowly answers the peers no sooner, and a
+        second call for the same request would make it slower. So a request goes on to
+        the peers early only if the table does not answer this member at all.
+
+        :param has_peers: whether there is a peer to which the request can be relayed.
+        """
+        work = asyncio.get_running_loop().create_task(local(timeout_s))
+        wait_s = timeout_s * LOCAL_TIMEOUT_SHARE
+        try:
+            while True:
+                await asyncio.wait({work}, timeout=wait_s)
+                if work.done():
+                    return work.result()
+                if has_peers and self._member.table_is_unavailable():
+                    return Error(may_have_run(TABLE_UNAVAILABLE, "no answer so far"))
+                wait_s = RELAY_CHECK_INTERVAL_S
+        finally:
+            await cancel_all({work})
+
     def _available_peers(self) -> list[str]:
         """Return the addresses of the peers without a recent failure."""
         now_s = self._clock.now()
--- a/redwingrun/platform/jsonclient.py
+++ b/redwingrun/platform/jsonclient.py
@@ -9,7 +9,7 @@
 from attrs import frozen
 from expression import Error, Ok, Result
 
-from redwingrun.adaptivetimeout import AdaptiveTimeout
+from redwingrun.adaptivetimeout import MAX_TIMEOUT_S, AdaptiveTimeout
 from redwingrun.coordination.clock import Clock
 from redwingrun.coordination.verdict import Failure, Verdict, may_have_run
 from redwingrun.httpclient import HttpCall, HttpClient
@@ -68,9 +68,16 @@
         return await self._send(call, timeout)
 
     async def post(self, path: str, data: dict[str, Any]) -> Result[JsonReply, Failure]:
-        """Send a POST request."""
+        """Send a POST request.
+
+        Most members send few of them. A service that has become slow is known from the
+        replies to reads before, and a POST that times out too early is sent twice.
+        """
         timeout = self._write_timeout
-        call = self._call("POST", path, orjson.dumps(data), timeout.current_s())
+        timeout_s = max(
+            timeout.current_s(), min(MAX_TIMEOUT_S, self._read_timeout.unbounded_s())
+        )
+        call = self._call("POST", path, orjson.dumps(data), timeout_s)
         return await self._send(call, timeout)
 
     def _call(
--- /dev/null
+++ b/tests/jobs/test_jobservice.py
@@ -0,0 +1,129 @@
+"""Tests of when a client's request is relayed to a peer."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from expression import Error, Ok
+
+from redwingrun.coordination.verdict import Verdict, may_have_run
+from redwingrun.jobs.jobservice import JobService
+from redwingrun.jobs.peerlinks import RelayAnswer
+from redwingrun.jobs.progress import JobState
+from redwingrun.logs import Log
+from tests.helpers import LoopClock, VirtualLoop, close_loop
+
+TIMEOUT_S = 2.85
+
+
+class StubMember:
+    """A member with two peers, whose table is unavailable or not."""
+
+    def __init__(self) -> None:
+        self.is_unavailable = False
+
+    def table_is_unavailable(self) -> bool:
+        """Return what the test has set."""
+        return self.is_unavailable
+
+    def peer_addresses(self) -> list[str]:
+        """Return the addresses of two peers."""
+        return ["p1", "p2"]
+
+    def notify_owner(self, job_id: str, submission: str) -> None:
+        """Do nothing."""
+
+
+class StubStore:
+    """A job store whose calls take some time, and time out at their deadline."""
+
+    def __init__(self, clock: LoopClock) -> None:
+        self.needed_s = 0.01
+        self._clock = clock
+
+    async def submit(self, job_id: str, submission: str, timeout_s: float):
+        """Store a job, unless that takes too long."""
+        await asyncio.sleep(min(self.needed_s, timeout_s))
+        if self.needed_s > timeout_s:
+            return Error(may_have_run("table-away"))
+        return Ok(True)
+
+
+class StubPeers:
+    """Peers that serve every request, and count them."""
+
+    def __init__(self) -> None:
+        self.relayed = 0
+
+    async def relay(self, address: str, call, timeout_s: float):
+        """Serve a relayed request."""
+        self.relayed += 1
+        return Ok(RelayAnswer(True, JobState.QUEUED))
+
+
+class Setup:
+    """A job service between stubs, in virtual time."""
+
+    def __init__(self) -> None:
+        self.loop = VirtualLoop()
+        asyncio.set_event_loop(self.loop)
+        clock = LoopClock(self.loop)
+        self.member = StubMember()
+        self.store = StubStore(clock)
+        self.peers = StubPeers()
+        log = Log("test", "quiet")
+        self.service = JobService(self.store, self.peers, self.member, clock, log)
+
+    def submit(self):
+        """Submit a job; return the result and how long it took."""
+        started_s = self.loop.time()
+        result = self.loop.run_until_complete(
+            self.service.submit("0" * 16, "{}", TIMEOUT_S)
+        )
+        return result, self.loop.time() - started_s
+
+
+@pytest.fixture
+def setup():
+    """Return a job service between stubs."""
+    made = Setup()
+    yield made
+    close_loop(made.loop)
+
+
+def test_a_request_waits_for_a_slow_table_instead_of_a_peer(setup: Setup):
+    """A peer would send it to the same table a second time, and answer no sooner."""
+    setup.store.needed_s = 2.0
+    result, took_s = setup.submit()
+    assert result.is_ok()
+    assert took_s == pytest.approx(2.0)
+    assert setup.peers.relayed == 0
+
+
+def test_a_request_goes_to_a_peer_if_the_table_does_not_answer_this_member(
+    setup: Setup,
+):
+    """The table may be reached from other hosts."""
+    setup.store.needed_s = 60.0
+    setup.loop.call_later(0.9, setattr, setup.member, "is_unavailable", True)
+    result, took_s = setup.submit()
+    assert result.is_ok()
+    assert took_s < 1.3
+    assert setup.peers.relayed == 1
+
+
+def test_a_table_that_falls_silent_later_is_noticed(setup: Setup):
+    """The request has waited for longer than its share already."""
+    setup.store.needed_s = 60.0
+    setup.loop.call_later(1.8, setattr, setup.member, "is_unavailable", True)
+    result, took_s = setup.submit()
+    assert result.is_ok()
+    assert took_s < 2.1
+
+
+def test_a_request_that_ran_out_of_time_is_not_said_not_to_have_run(setup: Setup):
+    """The table may still carry it out."""
+    setup.store.needed_s = 60.0
+    result, _ = setup.submit()
+    assert result.error.verdict is Verdict.MAY_HAVE_RUN
