Members' list: followed by its feed instead of read whole by each member every 3 s; a member that leaves removes its row

Change: all rows once, then changes, waiting 10 s for one; all again after a failure. A member that stops removes its row, on the condition that it is still the row it wrote: a removal carried out late can't hit the next process of that name. A member that is killed for good stays in the list (open).

--- a/redwingrun/jobs/member.py
+++ b/redwingrun/jobs/member.py
@@ -11,6 +11,7 @@
 from expression import Result
 
 from redwingrun.coordination.table import (
+    HistoryTruncated,
     Row,
     TableUnavailable,
     TableUnknown,
@@ -52,7 +53,12 @@
 # this after its claim; HAND_OVER_RETRY_INTERVAL_S is the time between two attempts.
 MIN_OWNERSHIP_S = 3.0
 HAND_OVER_RETRY_INTERVAL_S = 60.0
-MEMBERS_POLL_INTERVAL_S = 3.0
+# Pause between two reads of changes of the members' rows, so that one read returns the
+# changes of many members that start together, and how long a read waits for a change.
+MEMBERS_READ_INTERVAL_S = 3.0
+MEMBERS_WAIT_S = 10.0
+# Longest time that a leaving member spends on removing its row.
+UNREGISTER_TIMEOUT_S = 0.5
 TASK_RESTART_INTERVAL_S = 1.0
 
 
@@ -77,6 +83,9 @@
             self._queues_changed,
         )
         self._has_queues = False
+        self._member_registry = MemberRegistry(
+            dependencies.table, settings.slice_name, dependencies.log
+        )
         self._has_joined = False
         self.job_store = JobStore(
             dependencies.table,
@@ -179,11 +188,19 @@
             self._log.fault("member-task-failed", why=repr(task.exception()))
 
     async def leave(self) -> None:
-        """Stop claiming, and release an owned slice to the peer on the fastest host."""
+        """Stop claiming, and release an owned slice to the peer on the fastest host.
+
+        Peers are told that this member leaves, so that they send it no more calls.
+        """
         self._leaving = True
         owner = self._owner
         if owner is not None:
             await self._release_to(owner, next(iter(self._peers.fastest_first()), None))
+        try:
+            async with asyncio.timeout(UNREGISTER_TIMEOUT_S):
+                await self._member_registry.unregister(self._settings.row())
+        except (TableUnavailable, TableUnknown, TimeoutError) as error:
+            self._log.event("member-row-kept", why=str(error))
 
     async def _release_to(self, owner: SliceOwner, successor: MemberRow | None) -> None:
         """Release the slice and ask a peer to claim it.
@@ -214,24 +231,46 @@
     # Peers.
 
     async def _join(self) -> None:
-        """Register this member, then keep the list of its peers up to date."""
+        """Register this member, then keep the list of its peers up to date.
+
+        The whole list is read once, and again after a failure: if each member read it
+        at intervals, the cost would grow with the square of their number.
+        """
         dependencies = self._dependencies
-        member_registry = MemberRegistry(
-            dependencies.table, self._settings.slice_name, dependencies.log
-        )
         if not self._has_joined:
-            await dependencies.peers.open(self, await member_registry.shared_secret())
-            await member_registry.register(self._settings.row())
+            secret = await self._member_registry.shared_secret()
+            await dependencies.peers.open(self, secret)
+            await self._member_registry.register(self._settings.row())
             self._has_joined = True
+        version: int | None = None
         while True:
-            with contextlib.suppress(TableUnavailable, TableUnknown):
-                self._apply_members(await member_registry.members())
-            await asyncio.sleep(MEMBERS_POLL_INTERVAL_S)
+            try:
+                version = await self._read_members(version)
+            except HistoryTruncated:
+                version = None
+                continue
+            except (TableUnavailable, TableUnknown) as error:
+                self._log.detail("members-unread", why=str(error))
+                version = None
+            await asyncio.sleep(MEMBERS_READ_INTERVAL_S)
+
+    async def _read_members(self, after: int | None) -> int:
+        """Apply the changes of the members' rows; return the version to go on from.
 
-    def _apply_members(self, rows: tuple[Row, ...]) -> None:
-        self._peers.update(rows)
+        :param after: version of the table after which to read changes; ``None`` to read
+            all rows.
+        """
+        if after is None:
+            snapshot = await self._member_registry.members()
+            self._peers.update(snapshot.rows)
+            version = snapshot.version
+        else:
+            changes = await self._member_registry.changes(after, MEMBERS_WAIT_S)
+            self._peers.apply_changes(changes.rows, changes.deleted)
+            version = changes.version
         if self._owner is not None:
             self._update_policy_proxies(self._owner)
+        return version
 
     def _update_policy_proxies(self, owner: SliceOwner) -> None:
         owner.policy_proxies.set_peers(self._peers.addresses())
--- a/redwingrun/jobs/memberregistry.py
+++ b/redwingrun/jobs/memberregistry.py
@@ -9,8 +9,9 @@
 
 from redwingrun.coordination.codec import encode
 from redwingrun.coordination.table import (
+    Changes,
     Condition,
-    Row,
+    Snapshot,
     TableUnavailable,
     TableUnknown,
     Transaction,
@@ -44,13 +45,40 @@
             lambda: self._table.transact(Transaction((), (write,)))
         )
 
-    async def members(self) -> tuple[Row, ...]:
+    async def unregister(self, row: MemberRow) -> None:
+        """Remove a member's row, if it is still the one that was stored.
+
+        The condition keeps a removal that takes effect late from removing the row of
+        the next process of that name.
+
+        :raises TableUnavailable: when the call had no effect.
+        :raises TableUnknown: when the call's outcome is unknown.
+        """
+        key = members_prefix(self._slice_name) + row.name
+        stored = await self._table.read(key)
+        if stored is None or stored.value != encode(row):
+            return
+        condition = Condition.at(key, stored.version)
+        await self._table.transact(Transaction((condition,), (Write(key, None),)))
+
+    async def members(self) -> Snapshot:
         """Return the rows of all members.
 
         :raises TableUnavailable: when the call had no effect.
         :raises TableUnknown: when the call's outcome is unknown.
         """
-        return await self._table.scan(members_prefix(self._slice_name))
+        return await self._table.snapshot(members_prefix(self._slice_name))
+
+    async def changes(self, after: int, wait_s: float) -> Changes:
+        """Return the rows that changed after a version of the table.
+
+        :param wait_s: longest wait for a change, in seconds.
+        :raises HistoryTruncated: when the table no longer holds all changes since then.
+        :raises TableUnavailable: when the call had no effect.
+        :raises TableUnknown: when the call's outcome is unknown.
+        """
+        prefix = members_prefix(self._slice_name)
+        return await self._table.changes(prefix, after, wait_s)
 
     async def _retry_until_done(
         self, work: Callable[[], Coroutine[Any, Any, Any]]
--- a/redwingrun/jobs/peerlist.py
+++ b/redwingrun/jobs/peerlist.py
@@ -9,6 +9,7 @@
 
 from redwingrun.coordination.codec import decode
 from redwingrun.coordination.table import Row
+from redwingrun.jobs.rowkeys import last_segment
 
 # A host counts as clearly faster from this ratio of speeds on; a smaller gain is not
 # worth a hand-over of the slice.
@@ -41,13 +42,21 @@
 
     def update(self, rows: Iterable[Row]) -> None:
         """Replace the list by the rows of all members; skip rows that are damaged."""
-        row_by_name = {}
+        self._row_by_name = {}
+        self.apply_changes(rows, ())
+
+    def apply_changes(self, rows: Iterable[Row], deleted_keys: Iterable[str]) -> None:
+        """Apply changed rows, and remove the members whose rows were deleted.
+
+        A damaged row changes nothing.
+        """
         for row in rows:
             with contextlib.suppress(ValueError):
                 member = decode(MemberRow, row.value)
-                row_by_name[member.name] = member
-        row_by_name.pop(self._own.name, None)
-        self._row_by_name = row_by_name
+                self._row_by_name[member.name] = member
+        for key in deleted_keys:
+            self._row_by_name.pop(last_segment(key), None)
+        self._row_by_name.pop(self._own.name, None)
 
     def addresses(self) -> list[str]:
         """Return the addresses of the peers."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -98,11 +98,13 @@
 class Rows:
     """The rows of a table, shared by the processes of a test.
 
+    :ivar deleted_version_by_key: version of the commit that deleted each missing row.
     :ivar version: version of the last commit.
     :ivar commits: number of commits.
     """
 
     by_key: dict[str, Row] = field(factory=dict)
+    deleted_version_by_key: dict[str, int] = field(factory=dict)
     version: int = 0
     commits: int = 0
 
@@ -120,8 +122,10 @@
         for write in transaction.writes:
             if write.value is None:
                 self.by_key.pop(write.key, None)
+                self.deleted_version_by_key[write.key] = self.version
             else:
                 self.by_key[write.key] = Row(write.key, write.value, self.version)
+                self.deleted_version_by_key.pop(write.key, None)
         return Committed(self.version)
 
 
--- a/tests/jobs/clusterports.py
+++ b/tests/jobs/clusterports.py
@@ -158,9 +158,14 @@
                 if not rows:
                     await self._time_out()
                 return Changes(tuple(rows), (), min(unreadable) - 1)
-            if rows or self._cluster.loop.time() >= until_s:
+            deleted = tuple(
+                key
+                for key, version in self._rows.deleted_version_by_key.items()
+                if version > after and key.startswith(prefix)
+            )
+            if rows or deleted or self._cluster.loop.time() >= until_s:
                 rows.sort(key=lambda row: row.version)
-                return Changes(tuple(rows), (), self._rows.version)
+                return Changes(tuple(rows), deleted, self._rows.version)
             await asyncio.sleep(POLL_STEP_S)
 
 
