Room holds: workers are held for waiting tasks that need a large part of one

Small tasks on one accelerator each take the room of every worker as it comes free, and the policy was asked only about workers with room, one at a time, 0.9 s each. Change: a step that has found no room for 1 s, and needs half of a worker or more in some dimension, holds workers: known allowed ones first, at most a quarter of the pool; more urgent jobs may still start there. Before that the policy is asked about full workers, so that no refused one is emptied. A ready step keeps its entry while others of its job end.

--- a/redwingrun/jobs/placement.py
+++ b/redwingrun/jobs/placement.py
@@ -69,6 +69,7 @@
 class StepView:
     """A step as the placer sees it.
 
+    :param priority: the priority of its queue.
     :param urgent: whether its tasks should get the fastest workers.
     :param policy_cache: ``None`` when no placement policy applies.
     :param far_factor: run time of a task outside its data's rack, as a multiple of the
@@ -78,6 +79,7 @@
 
     step_id: StepId
     step: StepSpec
+    priority: int
     urgent: bool
     policy_cache: StepPolicyCache | None
     far_factor: float
@@ -175,6 +177,7 @@
             if has_required_label(view.step, worker)
             and worker.fits(size)
             and not worker.is_held_from(view.step_id.job, now_s)
+            and not worker.is_room_held_from(view.step_id.job, view.priority, now_s)
         ]
 
     def _place_in_one_rack(
--- a/redwingrun/jobs/policyqueries.py
+++ b/redwingrun/jobs/policyqueries.py
@@ -10,6 +10,7 @@
 
 from redwingrun.jobs.job import Job
 from redwingrun.jobs.placement import Placer, StepView, may_run, reserved_size
+from redwingrun.jobs.roomholds import needs_large_part
 from redwingrun.jobs.spec import TaskSize
 from redwingrun.jobs.workerpool import PolicyQuery, Worker
 
@@ -128,22 +129,12 @@
     ) -> list[Worker]:
         """Return the workers to query the policy about, best first.
 
-        They could take a task now but have no valid ticket; a refused worker is not
-        queried again. There are at least ``MIN_WORKERS_NAMED`` if possible, and more if
-        that is not expected to give room for all waiting tasks.
+        There are at least ``MIN_WORKERS_NAMED`` if possible, and more if that is not
+        expected to give room for all waiting tasks.
         """
         policy_cache = view.policy_cache
         size = reserved_size(view.step)
-        excluded = frozenset.intersection(*(view.excluded(index) for index in waiting))
-        eligible = [
-            worker
-            for worker in workers.values()
-            if may_run(view.step, policy_cache, worker)
-            and worker.worker_id not in excluded
-            and worker.fits(size)
-            and policy_cache.valid_ticket(worker.worker_id, worker.info.born_ms, now_s)
-            is None
-        ]
+        eligible = _eligible(view, job, waiting, workers, now_s)
         ranked = self._placer.rank(view, eligible, now_s, self._pledged_share)
         share = self._share_by_queue.get(job.queue.name, _AllowedShare()).value
         room = 0.0
@@ -196,6 +187,45 @@
             self._pledged_memory_by_worker[worker_id] += sign * pledge.memory_mb
 
 
+def _eligible(
+    view: StepView,
+    job: Job,
+    waiting: list[int],
+    workers: Mapping[str, Worker],
+    now_s: float,
+) -> list[Worker]:
+    """Return the workers that a query of the step may name.
+
+    They could take a task now but have no valid ticket; a refused worker is not queried
+    again. If none could take one now, of tasks that need a large part of a worker, they
+    are those that could when empty and were not queried yet: room is held on the
+    allowed ones then.
+    """
+    policy_cache = view.policy_cache
+    size = reserved_size(view.step)
+    excluded = frozenset.intersection(*(view.excluded(index) for index in waiting))
+    usable = [
+        worker
+        for worker in workers.values()
+        if may_run(view.step, policy_cache, worker)
+        and worker.worker_id not in excluded
+        and not worker.is_room_held_from(job.job_id, view.priority, now_s)
+    ]
+    with_room = [worker for worker in usable if worker.fits(size)]
+    if with_room or not needs_large_part(size, workers):
+        return [
+            worker
+            for worker in with_room
+            if policy_cache.valid_ticket(worker.worker_id, worker.info.born_ms, now_s)
+            is None
+        ]
+    return [
+        worker
+        for worker in usable
+        if worker.can_hold(size) and worker.worker_id not in policy_cache.allowed
+    ]
+
+
 def _max_workers_named() -> int:
     return MAX_QUERIES_PER_STEP * MAX_WORKERS_PER_QUERY
 
--- a/redwingrun/jobs/slicestate.py
+++ b/redwingrun/jobs/slicestate.py
@@ -25,10 +25,15 @@
 
 @define
 class ReadyStep:
-    """A step that has waiting tasks and whose predecessors are done."""
+    """A step that has waiting tasks and whose predecessors are done.
+
+    :ivar no_room_since_s: monotonic time since which no worker has had room for a task
+        of it; ``None`` if one had, or if that was not looked for.
+    """
 
     step_id: StepId
     job: Job
+    no_room_since_s: float | None = None
 
     @property
     def order(self) -> tuple[int, float]:
@@ -179,7 +184,7 @@
             return
         for step_id in job.ready_steps(occurrence):
             if job.waiting_indexes(step_id):
-                self.ready_step_by_id[step_id] = ReadyStep(step_id, job)
+                self.ready_step_by_id.setdefault(step_id, ReadyStep(step_id, job))
 
     def add_due_occurrences(self) -> None:
         """Start the occurrences of scheduled jobs that are due."""
--- a/redwingrun/jobs/stepscheduler.py
+++ b/redwingrun/jobs/stepscheduler.py
@@ -17,6 +17,7 @@
 from redwingrun.jobs.policycache import StepPolicyCache
 from redwingrun.jobs.policyqueries import PolicyQueryPlanner
 from redwingrun.jobs.progress import JobState, TaskState
+from redwingrun.jobs.roomholds import hold_room
 from redwingrun.jobs.slicestate import ReadyStep, SliceState
 from redwingrun.jobs.spec import (
     RunId,
@@ -104,7 +105,10 @@
                 if placement.index in suspects:
                     # The next start is watched again.
                     job.suspects_wait_since_s = None
-        if view.policy_cache is not None and len(starts) - started < len(waiting):
+        missing = len(waiting) - (len(starts) - started)
+        if missing:
+            hold_room(ready_step, view, workers, missing, now_s)
+        if missing and view.policy_cache is not None:
             policy_queries += self._query_planner.plan(
                 view, job, waiting, workers, now_s
             )
@@ -173,6 +177,7 @@
         return StepView(
             step_id,
             step,
+            job.queue.priority,
             urgent=job.queue.priority == URGENT_PRIORITY,
             policy_cache=policy_cache,
             far_factor=self._far_factor,
--- a/redwingrun/jobs/workerpool.py
+++ b/redwingrun/jobs/workerpool.py
@@ -103,6 +103,10 @@
     :param last_contact_s: monotonic time of its last report or confirmed start.
     :param held_by_job: job for whose suspected task it is held; see watchedstarts.py.
     :param held_until_s: monotonic time until which it is held.
+    :param room_held_by_job: job for whose large task its room is held; see
+        roomholds.py.
+    :param room_held_from_priority: jobs of this priority, or less urgent, are kept off.
+    :param room_held_until_s: monotonic time until which its room is held.
     :param last_paced_s: monotonic time of the last report that called for a pace of its
         fillers, even for the one that they had.
     :param slow_factor: recent run time of its tasks as a multiple of the expected.
@@ -119,6 +123,9 @@
     last_contact_s: float = 0
     held_by_job: str = ""
     held_until_s: float = 0
+    room_held_by_job: str = ""
+    room_held_from_priority: int = 0
+    room_held_until_s: float = 0
     last_paced_s: float = 0
     slow_factor: float = 1.0
     slow_factor_updated_s: float = 0
@@ -161,6 +168,33 @@
         """Return whether it was held for a job when it was last heard of."""
         return self.held_by_job == job_id and self.held_until_s > self.last_contact_s
 
+    def hold_room(self, job_id: str, priority: int, until_s: float) -> None:
+        """Keep other jobs of a priority, or less urgent ones, off the worker."""
+        self.room_held_by_job = job_id
+        self.room_held_from_priority = priority
+        self.room_held_until_s = until_s
+
+    def is_room_held(self, now_s: float) -> bool:
+        """Return whether the worker's room is held for some job."""
+        return now_s < self.room_held_until_s
+
+    def is_room_held_from(self, job_id: str, priority: int, now_s: float) -> bool:
+        """Return whether the worker's room is held for another job than this one."""
+        return (
+            self.is_room_held(now_s)
+            and self.room_held_by_job != job_id
+            and priority >= self.room_held_from_priority
+        )
+
+    def can_hold(self, size: TaskSize) -> bool:
+        """Return whether a task of this size fits on the worker when it is empty."""
+        capacity = self.info.capacity
+        return (
+            size.cpu_milli <= capacity.cpu_milli
+            and size.memory_mb <= capacity.memory_mb
+            and size.gpus <= capacity.gpus
+        )
+
     def fits(self, size: TaskSize) -> bool:
         """Return whether a task of this size fits into the unreserved capacity."""
         capacity = self.info.capacity
--- a/tests/jobs/test_workerreports.py
+++ b/tests/jobs/test_workerreports.py
@@ -47,6 +47,20 @@
         report = WorkerReport(self.now_s * 1000, running, (), born_ms=7)
         self.engine.process_report(name, report, self.now_s, self.now_s)
 
+    def report_with_ends(self, name: str, percent_by_run: dict, done: list) -> None:
+        """Process a worker's report of running runs and of runs that are done.
+
+        :param done: number and run id of each end.
+        """
+        running = tuple(
+            RunStatus(run_id, "", percent) for run_id, percent in percent_by_run.items()
+        )
+        ends = tuple(
+            RunEnd(number, run_id, EndKind.DONE, "") for number, run_id in done
+        )
+        report = WorkerReport(self.now_s * 1000, running, ends, born_ms=7)
+        self.engine.process_report(name, report, self.now_s, self.now_s)
+
     def start_job(self, *steps) -> tuple[StartOrder, ...]:
         """Add a job, accept its first starts and return them."""
         submission = Submission(QUEUE, job(*steps), 0)
