--- a/redwingrun/jobs/policyqueries.py
+++ b/redwingrun/jobs/policyqueries.py
@@ -165,6 +165,8 @@
 
     def _pledged_share(self, worker: Worker) -> float:
         """Return the pledged fraction of processor or memory, whichever is higher."""
+        if worker.worker_id not in self._pledged_cpu_by_worker:
+            return 0.0
         capacity = worker.info.capacity
         return max(
             self._pledged_cpu_by_worker[worker.worker_id] / max(1, capacity.cpu_milli),
--- a/redwingrun/jobs/speeds.py
+++ b/redwingrun/jobs/speeds.py
@@ -58,6 +58,7 @@
     _by_queue: dict[str, _Average] = field(factory=dict)
     # The logarithm of run time to estimate on an average worker, by step.
     _by_step: OrderedDict[StepId, _Average] = field(factory=OrderedDict)
+    _mean_of_kinds: float = 0.0
 
     def learn(
         self,
@@ -89,6 +90,8 @@
         sample = log_ratio - expected
         self._by_worker.setdefault(worker_id, _Average()).add(sample, trust)
         self._by_kind.setdefault(kind, _Average()).add(sample, trust)
+        total = sum(item.value for item in self._by_kind.values())
+        self._mean_of_kinds = total / len(self._by_kind)
 
     def _step_average(self, step_id: StepId) -> _Average:
         """Return the average of a step; drop the oldest above ``MAX_STEPS``."""
@@ -107,18 +110,17 @@
         return math.exp(average.value) if average else 1.0
 
     def _log_slowness(self, worker_id: str, kind: str) -> float:
-        own = self._by_worker.get(worker_id, _Average())
-        of_kind = self._by_kind.get(kind, _Average())
-        weight = own.samples / (own.samples + WORKER_PRIOR_SAMPLES)
-        slowness = weight * own.value + (1 - weight) * of_kind.value
-        return slowness - self._mean_log_slowness()
-
-    def _mean_log_slowness(self) -> float:
-        """Return the mean of all kinds.
+        """Return the logarithm of a worker's slowness relative to the mean of kinds.
 
         Runs are only compared with each other, so a shift of all averages by the same
         amount means nothing.
         """
-        if not self._by_kind:
+        of_kind = self._by_kind.get(kind)
+        if of_kind is None:
             return 0.0
-        return sum(item.value for item in self._by_kind.values()) / len(self._by_kind)
+        slowness = of_kind.value
+        own = self._by_worker.get(worker_id)
+        if own is not None:
+            weight = own.samples / (own.samples + WORKER_PRIOR_SAMPLES)
+            slowness += weight * (own.value - of_kind.value)
+        return slowness - self._mean_of_kinds
