--- a/lab/cell.py
+++ b/lab/cell.py
@@ -12,7 +12,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
 
@@ -77,9 +77,11 @@
 
 
 # Below the kernel's range of ephemeral ports: no outgoing connection can take a port
-# between the check that it is free and the listen. The start depends on the process,
-# so that concurrent cells rarely pick the same port.
-_PORTS = itertools.cycle(range(10_000 + os.getpid() % 20 * 1000, 32_000))
+# between the check that it is free and the listen.
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+# Ports are reserved in blocks, for as long as this process runs.
+PORTS_PER_BLOCK = 200
 
 
 @define
@@ -106,6 +108,31 @@
     mutation: str = ""
 
 
+def _ports_of_own_blocks() -> Iterator[int]:
+    """Yield ports that no other process of this program picks, over and over.
+
+    Such a process may check a port in the moment before this one listens on it. So each
+    holds the first port of its blocks, and takes only the other ports of these.
+    """
+    guards: list[socket.socket] = []
+    blocks: list[int] = []
+    for block in range(FIRST_PORT, LAST_PORT, PORTS_PER_BLOCK):
+        guard = socket.socket()
+        try:
+            guard.bind((IP, block))
+        except OSError:
+            guard.close()
+            continue
+        guards.append(guard)
+        blocks.append(block)
+        yield from range(block + 1, block + PORTS_PER_BLOCK)
+    for block in itertools.cycle(blocks):
+        yield from range(block + 1, block + PORTS_PER_BLOCK)
+
+
+_PORTS = _ports_of_own_blocks()
+
+
 def free_ports(count: int) -> list[int]:
     """Return ports of the loopback address that are free now."""
     found: list[int] = []
