Room holds: whether a task is large is judged by the largest worker of its pool, once a plan

Cause: found by reading: it was judged by any one worker. Change: Candidates keeps the largest capacity of a pool for the plan. Test: those of room holds and of costs pass.

--- a/redwingrun/jobs/candidates.py
+++ b/redwingrun/jobs/candidates.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Mapping
 
+from redwingrun.jobs.spec import TaskSize
 from redwingrun.jobs.workerpool import Worker
 
 # A worker whose last report is older gets no new runs.
@@ -20,6 +21,7 @@
         self._workers = workers
         self._now_s = now_s
         self._by_pool: dict[str, dict[str, Worker]] | None = None
+        self._largest_by_pool: dict[str, TaskSize] = {}
 
     def in_pool(self, pool: str) -> Mapping[str, Worker]:
         """Return the usable workers of a pool, by id."""
@@ -27,6 +29,19 @@
             self._by_pool = self._group_by_pool()
         return self._by_pool.get(pool, {})
 
+    def largest_capacity(self, pool: str) -> TaskSize:
+        """Return the largest capacity of a usable worker of a pool, by resource."""
+        if pool not in self._largest_by_pool:
+            capacities = [
+                worker.info.capacity for worker in self.in_pool(pool).values()
+            ]
+            self._largest_by_pool[pool] = TaskSize(
+                max((item.cpu_milli for item in capacities), default=0),
+                max((item.memory_mb for item in capacities), default=0),
+                max((item.gpus for item in capacities), default=0),
+            )
+        return self._largest_by_pool[pool]
+
     def _group_by_pool(self) -> dict[str, dict[str, Worker]]:
         by_pool: dict[str, dict[str, Worker]] = {}
         for worker_id, worker in self._workers.items():
--- a/redwingrun/jobs/placement.py
+++ b/redwingrun/jobs/placement.py
@@ -71,6 +71,7 @@
 
     :param priority: the priority of its queue.
     :param urgent: whether its tasks should get the fastest workers.
+    :param is_large: whether a task of it needs a large part of a worker.
     :param policy_cache: ``None`` when no placement policy applies.
     :param far_factor: run time of a task outside its data's rack, as a multiple of the
         run time in it.
@@ -81,6 +82,7 @@
     step: StepSpec
     priority: int
     urgent: bool
+    is_large: bool
     policy_cache: StepPolicyCache | None
     far_factor: float
     excluded_by_index: Mapping[int, frozenset[str]] = field(factory=dict)
--- a/redwingrun/jobs/policyqueries.py
+++ b/redwingrun/jobs/policyqueries.py
@@ -10,7 +10,6 @@
 
 from redwingrun.jobs.job import Job
 from redwingrun.jobs.placement import Placer, StepView, may_run, reserved_size
-from redwingrun.jobs.roomholds import needs_large_part
 from redwingrun.jobs.spec import TaskSize
 from redwingrun.jobs.workerpool import PolicyQuery, Worker
 
@@ -214,7 +213,7 @@
         and not worker.is_room_held_from(job.job_id, view.priority, now_s)
     ]
     with_room = [worker for worker in usable if worker.fits(size)]
-    if with_room or not needs_large_part(size, workers):
+    if with_room or not view.is_large:
         return [
             worker
             for worker in with_room
--- a/redwingrun/jobs/roomholds.py
+++ b/redwingrun/jobs/roomholds.py
@@ -23,16 +23,12 @@
 MAX_HELD_SHARE = 0.25
 
 
-def needs_large_part(size: TaskSize, workers: Mapping[str, Worker]) -> bool:
-    """Return whether a task needs a large part of a worker, judged by the first one."""
-    worker = next(iter(workers.values()), None)
-    if worker is None:
-        return False
-    capacity = worker.info.capacity
+def needs_large_part(size: TaskSize, largest: TaskSize) -> bool:
+    """Return whether a task needs a large part of the largest worker."""
     return (
-        size.cpu_milli >= LARGE_SHARE * max(1, capacity.cpu_milli)
-        or size.memory_mb >= LARGE_SHARE * max(1, capacity.memory_mb)
-        or size.gpus >= LARGE_SHARE * max(1, capacity.gpus)
+        size.cpu_milli >= LARGE_SHARE * max(1, largest.cpu_milli)
+        or size.memory_mb >= LARGE_SHARE * max(1, largest.memory_mb)
+        or size.gpus >= LARGE_SHARE * max(1, largest.gpus)
     )
 
 
@@ -51,9 +47,9 @@
     :param workers: the workers that may be given new runs, by id.
     :param tasks: number of waiting tasks.
     """
-    size = reserved_size(view.step)
-    if not needs_large_part(size, workers):
+    if not view.is_large:
         return
+    size = reserved_size(view.step)
     suitable = [
         worker
         for worker in workers.values()
--- a/redwingrun/jobs/stepscheduler.py
+++ b/redwingrun/jobs/stepscheduler.py
@@ -17,7 +17,7 @@
 from redwingrun.jobs.policycache import StepPolicyCache
 from redwingrun.jobs.policyqueries import PolicyQueryPlanner
 from redwingrun.jobs.progress import JobState, TaskState
-from redwingrun.jobs.roomholds import hold_room
+from redwingrun.jobs.roomholds import hold_room, needs_large_part
 from redwingrun.jobs.slicestate import ReadyStep, SliceState
 from redwingrun.jobs.spec import (
     RunId,
@@ -90,7 +90,11 @@
         if job.step(step_id).gang and len(waiting) < len(job.tasks(step_id)):
             return
         workers = candidates.in_pool(job.queue.pool)
-        view = self._view(job, step_id, waiting, workers, now_s)
+        is_large = needs_large_part(
+            reserved_size(job.step(step_id)),
+            candidates.largest_capacity(job.queue.pool),
+        )
+        view = self._view(job, step_id, waiting, workers, is_large, now_s)
         suspects = job.suspect_indexes(step_id, waiting)
         started = len(starts)
         others = waiting
@@ -158,6 +162,7 @@
         step_id: StepId,
         waiting: list[int],
         workers: Mapping[str, Worker],
+        is_large: bool,
         now_s: float,
     ) -> StepView:
         """Return the step as the placer needs it."""
@@ -179,6 +184,7 @@
             step,
             job.queue.priority,
             urgent=job.queue.priority == URGENT_PRIORITY,
+            is_large=is_large,
             policy_cache=policy_cache,
             far_factor=self._far_factor,
             excluded_by_index=excluded_by_index(job, step_id, waiting, eligible, now_s),
