Read-through: a probe's finding and the bound on named workers have names that say so

Cause: `Member._is_owner(liveness)` beside the property `is_owner` meant something else; a constant was a function. Renamed, nothing else. Tests: test_takeover, test_policyqueries.

--- a/redwingrun/jobs/member.py
+++ b/redwingrun/jobs/member.py
@@ -370,7 +370,9 @@
             self._watch.record_read(row, now_s - started_s, now_s)
             claim_is_due = self._watch.unchanged_s >= self._claim_after_s()
             self._start_due_probe()
-            if (claim_is_due or self._is_owner(Liveness.ENDED)) and not self._leaving:
+            if (
+                claim_is_due or self._probe_has_found(Liveness.ENDED)
+            ) and not self._leaving:
                 await self._claim()
 
     def _poll_delay_s(self) -> float:
@@ -382,17 +384,19 @@
     def _claim_after_s(self) -> float:
         """Return how long the owner's row must be unchanged before a claim."""
         name, claim_delay_s = self._settings.name, self._claim_order.claim_delay_s()
-        is_silent = self._is_owner(Liveness.SILENT)
+        is_silent = self._probe_has_found(Liveness.SILENT)
         return self._watch.claim_after_s(
             name, self._handover_from, claim_delay_s, is_silent
         )
 
-    def _is_owner(self, liveness: Liveness) -> bool:
-        """Return whether a probe has found this since the owner's row last changed."""
-        is_current = self._probed_row is not None and (
-            self._probed_row == self._watch.row
-        )
-        return is_current and self._owner_liveness is liveness
+    def _probe_has_found(self, liveness: Liveness) -> bool:
+        """Return whether a probe of the owner has found this.
+
+        What it found does not count once the owner's row has changed.
+        """
+        if self._probed_row is None or self._probed_row != self._watch.row:
+            return False
+        return self._owner_liveness is liveness
 
     def _start_due_probe(self) -> None:
         """Start a probe of the owner in the background if one is due.
--- a/redwingrun/jobs/policyqueries.py
+++ b/redwingrun/jobs/policyqueries.py
@@ -20,6 +20,7 @@
 # different proxies.
 MAX_WORKERS_PER_QUERY = 30
 MAX_QUERIES_PER_STEP = 3
+MAX_WORKERS_NAMED = MAX_QUERIES_PER_STEP * MAX_WORKERS_PER_QUERY
 # The policy handles the queries of one proxy one after the other: a query that takes
 # longer than this would delay short queries behind it.
 LONG_QUERY_S = 0.2
@@ -137,12 +138,12 @@
         ranked = self._placer.rank(view, eligible, now_s, self._pledged_share)
         share = self._share_by_queue.get(job.queue.name, _AllowedShare()).value
         room = 0.0
-        for count, worker in enumerate(ranked[: _max_workers_named()], start=1):
+        for count, worker in enumerate(ranked[:MAX_WORKERS_NAMED], start=1):
             is_known = worker.worker_id in policy_cache.allowed
             room += (1.0 if is_known else share) * self._room_for(view, worker, size)
             if count >= MIN_WORKERS_NAMED and room >= ROOM_FACTOR * len(waiting):
                 return ranked[:count]
-        return ranked[: _max_workers_named()]
+        return ranked[:MAX_WORKERS_NAMED]
 
     def _room_for(self, view: StepView, worker: Worker, size: TaskSize) -> int:
         """Return how many tasks of a step a worker has room for, less the pledges."""
@@ -227,10 +228,6 @@
     ]
 
 
-def _max_workers_named() -> int:
-    return MAX_QUERIES_PER_STEP * MAX_WORKERS_PER_QUERY
-
-
 def _quotient(free: float, size: float) -> float:
     """Return how many tasks fit by one resource, infinite if they use none of it."""
     return free // size if size else math.inf
