--- /dev/null
+++ b/review/3/case.py
@@ -0,0 +1,71 @@
+"""Case 3: the owner is killed after a route with an unfinished job was removed."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+
+from review.cell.cell import QUEUE_HOST, CaseNotRun, Cell
+
+FOLDER = Path(__file__).resolve().parent
+MINIONS = 6
+TASK_S = 4.0
+JOB_ID = f"{1:016x}"
+FINISH_S = 14.0
+IDLE_S = 3.0
+
+
+def _route(name: str) -> dict:
+    return {
+        "name": name,
+        "hostname": QUEUE_HOST,
+        "pathPrefix": f"/{name}/",
+        "backend": "desk",
+        "priority": 2,
+        "attempts": 4,
+        "stretch": 2,
+        "sloMs": 1200,
+    }
+
+
+async def run(has_trouble: bool) -> int:
+    """Play the case; return the exit code."""
+    cell = Cell(MINIONS, lambda task_id, spec: TASK_S)
+    try:
+        await cell.open([_route("plans"), _route("watches")])
+        await asyncio.sleep(3.0)
+        step = {"taskCount": 4, "cpu": 1000, "memMb": 64, "estRuntimeMs": 4000}
+        steps = [step, {**step, "after": [0]}]
+        status, _ = await cell.call("POST", f"/plans/{JOB_ID}", {"spec": "s", "steps": steps})
+        cell.note(f"client: POST /plans/{JOB_ID} with 2 steps -> {status}")
+        if status != 200:
+            raise CaseNotRun("the job was not accepted")
+        await asyncio.sleep(1.0)
+        cell.write_config(2, [_route("watches")])
+        await asyncio.sleep(1.5)
+        if has_trouble:
+            cell.signal(cell.owner(), signal.SIGKILL)
+        await asyncio.sleep(FINISH_S)
+        before = len(cell.events)
+        await asyncio.sleep(IDLE_S)
+        started = {event.task_id for event in cell.events if event.kind == "start"}
+        done = {event.task_id for event in cell.events if event.kind == "done"}
+        cell.note(f"minions: tasks started {sorted(started)}")
+        cell.note(f"minions: tasks done {sorted(done)}")
+        cell.note(f"minions: {len(cell.events) - before} events in the last {IDLE_S:g} s")
+        is_broken = len(done) < 8
+        cell.note(f"result: LOST is {'broken' if is_broken else 'kept'}")
+        return 1 if is_broken else 0
+    except CaseNotRun as error:
+        cell.note(f"not run: {error}")
+        return 2
+    finally:
+        cell.save(FOLDER / "record.txt")
+        cell.close(FOLDER / "logs" if os.environ.get("KEEP_LOGS") else None)
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(run(os.environ.get("TROUBLE", "1") != "0")))
