--- a/review/cell/minion.py
+++ b/review/cell/minion.py
@@ -17,6 +17,8 @@
 from review.cell.store import Store
 
 HEARTBEAT_S = 1.5
+# The store removes an entry after three heartbeat intervals of silence.
+MAX_SILENCE_S = 3 * HEARTBEAT_S
 MAX_HOLD_S = 10.0
 STOP_S = 0.1
 TICK_S = 0.02
@@ -142,7 +144,12 @@
         self._is_cut = True
         self._server.stop()
         await self._server.close_all_connections()
+        loop = asyncio.get_running_loop()
+        removal = loop.call_later(
+            MAX_SILENCE_S, self.store.remove, "servers", self.instance_id
+        )
         self._server = await self._listen_after(for_s)
+        removal.cancel()
         self._is_cut = False
 
     async def _listen_after(self, for_s: float) -> HTTPServer:
