--- a/review/3/case.py
+++ b/review/3/case.py
@@ -7,7 +7,7 @@
 import sys
 from pathlib import Path
 
-from review.cell.cell import QUEUE_HOST, CaseNotRun, Cell
+from review.cell.cell import QUEUE_HOST, CaseNotRun, Cell, main
 from review.cell.checks import overlapping_runs, starts_after_done
 
 FOLDER = Path(__file__).resolve().parent
@@ -15,8 +15,8 @@
 JOBS = 9
 TASKS_PER_JOB = 200
 TASK_S = 6.0
-# Site file: platform_down lasts 4.5 s.
-STORE_DOWN_S = 4.5
+# Site file: the whole store is down ("busy") for 4.2 s.
+STORE_DOWN_S = 4.2
 FINISH_TIMEOUT_S = 60.0
 ROUTE = {
     "name": "plans",
@@ -91,4 +91,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(run(os.environ.get("TROUBLE", "1") != "0")))
+    sys.exit(main(run))
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -7,7 +7,7 @@
 import sys
 from pathlib import Path
 
-from review.cell.cell import QUEUE_HOST, CaseNotRun, Cell
+from review.cell.cell import QUEUE_HOST, CaseNotRun, Cell, main
 
 FOLDER = Path(__file__).resolve().parent
 MINIONS = 6
@@ -46,13 +46,13 @@
         await asyncio.sleep(FINISH_S)
         cell.note(f"client: {FINISH_S:g} s after the last job; free of load")
         before = len(cell.events)
-        await asyncio.sleep(IDLE_S)
+        is_idle = await cell.is_idle(IDLE_S)
         has_run = {event.task_id.partition(".")[0] for event in cell.events}
         broken = []
         for job_id in small:
             status, body = await cell.call("GET", f"/plans/{job_id}")
             cell.note(f"client: GET /plans/{job_id} -> {status} {body}")
-            if body.get("state") != "completed" and job_id not in has_run:
+            if is_idle and body.get("state") != "completed" and job_id not in has_run:
                 broken.append(job_id)
         cell.note(
             f"minions: {len(cell.events) - before} events in the last {IDLE_S:g} s"
@@ -87,4 +87,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(run(os.environ.get("TROUBLE", "1") != "0")))
+    sys.exit(main(run))
--- a/review/cell/cell.py
+++ b/review/cell/cell.py
@@ -12,7 +12,8 @@
 import tempfile
 import time
 import tomllib
-from collections.abc import Callable
+import traceback
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -77,6 +78,7 @@
         self._member_count = members
         self.process_by_name: dict[str, subprocess.Popen] = {}
         self._front_by_name: dict[str, str] = {}
+        self._settings_by_name: dict[str, Path] = {}
         self._folder = Path(tempfile.mkdtemp())
         self._client = AsyncHTTPClient(force_instance=True, max_clients=200)
         self._started_s = time.monotonic()
@@ -98,7 +100,12 @@
         path.write_text("\n".join([*self.lines, "", *runs]) + "\n")
 
     async def open(self, routes: list[dict[str, Any]]) -> None:
-        """Start everything, and wait until each process is ready."""
+        """Start everything, and wait until each process is ready.
+
+        From then on SIGTERM cancels the caller, which closes the cell.
+        """
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         store_address = self._serve(store_application(self.store))
         self.write_config(1, routes)
         for minion in self.minions:
@@ -157,16 +164,32 @@
         path = self._folder / f"{name}.json"
         path.write_bytes(orjson.dumps(settings))
         self._front_by_name[name] = front
-        log = (self._folder / f"{name}.log").open("wb")
-        self.process_by_name[name] = subprocess.Popen(
-            _run_command(),
-            cwd=ROOT,
-            env=_environment(path),
-            stdout=log,
-            stderr=log,
-        )
+        self._settings_by_name[name] = path
+        self.start_process(name)
         return ready
 
+    def start_process(self, name: str) -> None:
+        """Start a process with its settings, also again after it was killed."""
+        with (self._folder / f"{name}.log").open("ab") as log:
+            self.process_by_name[name] = subprocess.Popen(
+                _run_command(),
+                cwd=ROOT,
+                env=_environment(self._settings_by_name[name]),
+                stdout=log,
+                stderr=log,
+            )
+        self.note(f"platform: starts {name}")
+
+    async def is_idle(self, for_s: float) -> bool:
+        """Return whether no minion runs anything for a time."""
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + for_s
+        while loop.time() < deadline_s:
+            if any(minion.runs for minion in self.minions):
+                return False
+            await asyncio.sleep(0.02)
+        return True
+
     async def _wait_until_ready(self, address: str) -> None:
         deadline_s = time.monotonic() + START_TIMEOUT_S
         while time.monotonic() < deadline_s:
@@ -248,6 +271,15 @@
         shutil.rmtree(self._folder, ignore_errors=True)
 
 
+def main(run: Callable[[bool], Coroutine[Any, Any, int]]) -> int:
+    """Play a case; return its exit code, which is 2 if it did not come to an end."""
+    try:
+        return asyncio.run(run(os.environ.get("TROUBLE", "1") != "0"))
+    except (Exception, asyncio.CancelledError):
+        traceback.print_exc()
+        return 2
+
+
 def _run_command() -> list[str]:
     """Return the command of the deploy file's only role."""
     deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
