A refused connection no longer ends a worker's runs; only its lease or its next life does

What callers saw: a non-idempotent task ran twice at the same time.

Cause: no answer was taken for an answer. After two refused connections in a row a link declared the worker dead and the engine gave up its runs, although their lease had up to 6 s to go. Two hypotheses were ruled out by the record of the case: a lease that was counted as expired too early (all restarts came 0.2 s after the cut), and starts that were carried out late (each first run had been confirmed).

Change: a failed heartbeat keeps new work away from the worker at once, and nothing more. Its runs are lost when another incarnation answers at its address, when the worker answers with a later start time, or when the lease has expired on the slowest clock. `worker-unreachable` and `worker-reached` say so in the log, with the lease that is left.

Related paths changed here: - A worker that has answered a new owner can't be renewed by the former one, so its lease ends 6.3 s after the answer and not 10.1 s after the takeover. - A new owner counts a crash as certain when the worker is younger than the runs that it inherited there; before, only refused connections were certain. - A run counted as sound (10 s old) by the time at which its loss was noticed; now by the worker's last answer, since it is noticed later than before.

--- a/redwingrun/jobs/candidates.py
+++ b/redwingrun/jobs/candidates.py
@@ -53,7 +53,7 @@
 def is_usable(worker: Worker, now_s: float) -> bool:
     """Return whether new runs may start on the worker now."""
     return (
-        worker.has_reported
+        worker.is_reachable
         and not worker.info.draining
         and now_s - worker.last_report_s < MAX_REPORT_AGE_S
         and now_s >= worker.avoid_until_s
--- a/redwingrun/jobs/crashes.py
+++ b/redwingrun/jobs/crashes.py
@@ -75,7 +75,7 @@
         self._state = state
 
     def record_crash(
-        self, worker: Worker, runs: Iterable[Run], is_certain: bool, now_s: float
+        self, worker: Worker, runs: Iterable[Run], is_certain: bool
     ) -> CrashReport:
         """Count the end of a worker under some runs.
 
@@ -100,7 +100,7 @@
                 continue
             is_suspect = run in suspects
             is_sole = alone and is_suspect
-            _count(task, run, is_suspect, is_certain, now_s)
+            _count(task, run, is_suspect, is_certain, worker.last_contact_s)
             task.sole_suspect += is_sole and is_certain and run.started_s is not None
             job.has_suspects = job.has_suspects or task.is_suspect
             self._state.changed.add(job.job_id)
@@ -129,20 +129,27 @@
 
 
 def _count(
-    task: TaskProgress, run: Run, is_suspect: bool, is_certain: bool, now_s: float
+    task: TaskProgress,
+    run: Run,
+    is_suspect: bool,
+    is_certain: bool,
+    last_contact_s: float,
 ) -> None:
-    if _is_sound(run, now_s):
+    if _is_sound(run, last_contact_s):
         task.crashes = task.suspected = task.sole_suspect = 0
         return
     task.crashes += is_certain and run.started_s is not None
     task.suspected += is_suspect
 
 
-def _is_sound(run: Run, now_s: float) -> bool:
-    """Return whether a run is known to have lasted long enough to clear its task."""
+def _is_sound(run: Run, last_contact_s: float) -> bool:
+    """Return whether a run is known to have lasted long enough to clear its task.
+
+    After the worker's last contact nothing is known of it.
+    """
     if run.started_s is None or math.isinf(run.started_s):
         return False
-    return now_s - run.started_s > SOUND_AGE_S
+    return last_contact_s - run.started_s > SOUND_AGE_S
 
 
 def _is_given_up(task: TaskProgress, is_isolated: bool) -> bool:
--- a/redwingrun/jobs/engine.py
+++ b/redwingrun/jobs/engine.py
@@ -124,12 +124,14 @@
 
     def process_report(
         self, worker_id: str, report: WorkerReport, sent_s: float, now_s: float
-    ) -> None:
+    ) -> CrashReport:
         """Apply a worker's report.
 
         :param sent_s: monotonic time at which the heartbeat was sent.
+        :return: the tasks that are suspected or given up because of a crash that the
+            report shows.
         """
-        self._reports.process_report(worker_id, report, sent_s, now_s)
+        return self._reports.process_report(worker_id, report, sent_s, now_s)
 
     def worker_restarted(
         self, worker_id: str, report: WorkerReport, sent_s: float, now_s: float
@@ -239,10 +241,14 @@
         if not worker.run_by_id:
             del self.state.worker_by_id[worker_id]
 
-    def worker_lost(
-        self, worker_id: str, has_crashed: bool, now_s: float
-    ) -> CrashReport:
-        """Treat all runs of a worker as lost: it died, or their lease has expired.
+    def worker_unreachable(self, worker_id: str) -> None:
+        """Place no new runs on a worker until it reports again; its runs may go on."""
+        worker = self.state.worker_by_id.get(worker_id)
+        if worker is not None:
+            worker.is_reachable = False
+
+    def worker_lost(self, worker_id: str, has_crashed: bool) -> CrashReport:
+        """Treat all runs of a worker as lost: it restarted, or their lease has expired.
 
         :return: the tasks that are suspected or given up because of it.
         """
@@ -250,7 +256,7 @@
         if worker is None:
             return CrashReport()
         runs = worker.run_by_id.values()
-        crash = self._crashes.record_crash(worker, runs, has_crashed, now_s)
+        crash = self._crashes.record_crash(worker, runs, has_crashed)
         self.state.lose_all_runs(worker)
         self._crashes.give_up(crash)
         if not worker.is_registered:
--- a/redwingrun/jobs/ports.py
+++ b/redwingrun/jobs/ports.py
@@ -35,13 +35,11 @@
 
     :param failure: says whether the call may have had an effect.
     :param refusal: the worker's reason; ``None`` if it gave none.
-    :param dead: whether the connection was refused: no process listens there.
     :param clock_ms: the worker's monotonic clock, if it was in the answer.
     """
 
     failure: Failure
     refusal: Refusal | None = None
-    dead: bool = False
     clock_ms: float | None = None
 
 
--- a/redwingrun/jobs/slicereader.py
+++ b/redwingrun/jobs/slicereader.py
@@ -23,7 +23,8 @@
     last_segment,
 )
 from redwingrun.jobs.spec import decode_submission
-from redwingrun.jobs.workerlink import LEASE_S, MIN_CLOCK_RATE
+from redwingrun.jobs.workerlink import LEASE_S
+from redwingrun.jobs.workerpool import MIN_CLOCK_RATE
 
 if TYPE_CHECKING:
     from redwingrun.jobs.sliceowner import SliceOwner
--- a/redwingrun/jobs/slicestate.py
+++ b/redwingrun/jobs/slicestate.py
@@ -127,7 +127,7 @@
 
     def lose_all_runs(self, worker: Worker) -> None:
         """Treat all runs of a worker as lost; its next report makes it usable again."""
-        worker.has_reported = False
+        worker.is_reachable = False
         worker.last_end_number = 0
         for run_id in list(worker.run_by_id):
             self.lose_run(worker, run_id)
--- a/redwingrun/jobs/workerlink.py
+++ b/redwingrun/jobs/workerlink.py
@@ -13,6 +13,7 @@
 from redwingrun.jobs.ports import Heartbeat, WorkerAddress, WorkerFault, WorkerPort
 from redwingrun.jobs.spec import RunId
 from redwingrun.jobs.workerpool import (
+    MIN_CLOCK_RATE,
     EndKind,
     PaceOrder,
     Refusal,
@@ -29,8 +30,6 @@
 # Runs on a worker continue for this time after the owner's last heartbeat. It is longer
 # than a takeover, so that a new owner can renew the lease.
 LEASE_S = 6.0
-# The platform allows that a worker's clock runs 2 % slow.
-MIN_CLOCK_RATE = 0.98
 LEASE_EXPIRY_MARGIN_S = 0.2
 # Longest delay of a worker's answer to a heartbeat; it answers earlier if a run ends.
 IDLE_WAIT_S = 1.8
@@ -51,8 +50,6 @@
 MAX_ORDER_DELAY_S = 15.0
 # A line names at most so many tasks, so that its length is bounded.
 MAX_LOGGED_SUSPECTS = 20
-# A worker is dead after this many refused connections in a row.
-DEAD_AFTER_REFUSED_CONNECTIONS = 2
 
 
 class WorkerLink:
@@ -70,7 +67,6 @@
         self._last_deadline_ms: float | None = None
         self._unanswered_start_s: dict[RunId, float] = {}
         self._failed_heartbeats = 0
-        self._refused_connections = 0
 
     async def run(self) -> None:
         """Send heartbeats until the engine drops the worker."""
@@ -98,13 +94,13 @@
             return
         report = answer.ok
         received_s = owner.now()
-        self._failed_heartbeats = 0
-        self._refused_connections = 0
+        self._note_answer(worker, received_s)
         self._record_clock(report.clock_ms)
         if self._has_restarted(worker, report):
             await self._handle_restart(worker, report, sent_s)
         self._log_abnormal_ends(worker, report)
-        owner.engine.process_report(self._worker_id, report, sent_s, received_s)
+        crash = owner.engine.process_report(self._worker_id, report, sent_s, received_s)
+        self._log_crash(crash)
         owner.wake()
         if report.ends:
             await owner.wait_until_durable(self._worker_id, STORE_WAIT_S)
@@ -128,7 +124,7 @@
 
     def _wait_s(self, worker: Worker, durable_end_number: int) -> float:
         """Return how long the worker may wait for an end before it answers."""
-        if not worker.has_reported or self._failed_heartbeats or self._clock_ms is None:
+        if not worker.is_reachable or self._failed_heartbeats or self._clock_ms is None:
             return 0.0
         if worker.last_end_number > durable_end_number:
             return 0.0
@@ -151,10 +147,8 @@
         if self._clock_ms is None:
             return None
         since_s = self._owner.now() - self._clock_read_s
-        expires_in_s = (since_s + LEASE_S) / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN_S
-        worker.lease_expiry_s = max(
-            worker.lease_expiry_s, self._clock_read_s + expires_in_s
-        )
+        expires_s = self._clock_read_s + _longest_lease_s(since_s)
+        worker.lease_expiry_s = max(worker.lease_expiry_s, expires_s)
         self._last_deadline_ms = round(self._clock_ms + (since_s + LEASE_S) * MS_PER_S)
         return self._last_deadline_ms
 
@@ -169,11 +163,26 @@
             else self._deadline_ms(worker)
         )
 
+    def _note_answer(self, worker: Worker, received_s: float) -> None:
+        """Record that the worker has answered a heartbeat."""
+        if self._clock_ms is None:
+            # The worker has seen this owner's fence, so that a former owner can't renew
+            # its lease any more.
+            expires_s = received_s + _longest_lease_s(0)
+            worker.lease_expiry_s = min(worker.lease_expiry_s, expires_s)
+        if self._failed_heartbeats:
+            self._owner.log.event(
+                "worker-reached", worker=self._worker_id, failed=self._failed_heartbeats
+            )
+        self._failed_heartbeats = 0
+
     async def _heartbeat_failed(self, worker: Worker, fault: WorkerFault) -> None:
         """Handle a failed heartbeat.
 
-        The worker's runs are lost once it is dead, has restarted, or the lease has
-        expired. A worker that has seen a newer fence belongs to a newer owner.
+        It gets no new work before it answers again. A worker that refuses connections
+        may be cut off and run on, so its runs are lost only once another incarnation
+        has answered at its address or the lease has expired. A worker that has seen a
+        newer fence belongs to a newer owner.
         """
         owner = self._owner
         self._failed_heartbeats += 1
@@ -181,28 +190,43 @@
             owner.lose_ownership(f"worker {self._worker_id} has seen a newer fence")
             await asyncio.sleep(MAX_RETRY_DELAY_S)
             return
-        self._refused_connections = self._refused_connections + 1 if fault.dead else 0
-        is_dead = self._refused_connections >= DEAD_AFTER_REFUSED_CONNECTIONS
+        if self._failed_heartbeats == 1:
+            self._log_unreachable(worker, fault)
+        owner.engine.worker_unreachable(self._worker_id)
         has_restarted = fault.refusal is Refusal.OTHER_INCARNATION
         lease_expired = owner.now() > worker.lease_expiry_s
-        if (is_dead or has_restarted or lease_expired) and (
+        if (has_restarted or lease_expired) and (
             worker.run_by_id or not worker.is_registered
         ):
-            why = "dead" if is_dead else "other-life" if has_restarted else "lapsed"
-            owner.log.event(
-                "worker-lost",
-                worker=self._worker_id,
-                why=why,
-                runs=len(worker.run_by_id),
-            )
-            has_crashed = is_dead or has_restarted
-            crash = owner.engine.worker_lost(self._worker_id, has_crashed, owner.now())
-            self._log_crash(crash)
-            owner.wake()
+            self._lose_worker(worker, has_restarted)
         await asyncio.sleep(
             min(MAX_RETRY_DELAY_S, RETRY_STEP_S * self._failed_heartbeats)
         )
 
+    def _log_unreachable(self, worker: Worker, fault: WorkerFault) -> None:
+        """Log the first failed heartbeat after an answer."""
+        owner = self._owner
+        owner.log.event(
+            "worker-unreachable",
+            worker=self._worker_id,
+            reason=fault.refusal.value if fault.refusal else fault.failure.reason,
+            runs=len(worker.run_by_id),
+            lease_left_s=round(worker.lease_expiry_s - owner.now(), 3),
+        )
+
+    def _lose_worker(self, worker: Worker, has_restarted: bool) -> None:
+        """Report to the engine that all runs of a worker have ended."""
+        owner = self._owner
+        owner.log.event(
+            "worker-lost",
+            worker=self._worker_id,
+            why="other-life" if has_restarted else "lapsed",
+            runs=len(worker.run_by_id),
+        )
+        crash = owner.engine.worker_lost(self._worker_id, has_restarted)
+        self._log_crash(crash)
+        owner.wake()
+
     def _log_crash(self, crash: CrashReport) -> None:
         """Log the tasks that are suspected of a crash, or given up because of it."""
         if crash.suspects:
@@ -371,3 +395,12 @@
                 return
             failures += 1
             await asyncio.sleep(min(MAX_RETRY_DELAY_S, RETRY_STEP_S * failures))
+
+
+def _longest_lease_s(since_s: float) -> float:
+    """Return after which time a lease has certainly expired on any worker's clock.
+
+    :param since_s: seconds from the reading of that clock to the grant of the lease.
+    :return: seconds from the reading of the clock.
+    """
+    return (since_s + LEASE_S) / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN_S
--- a/redwingrun/jobs/workerpool.py
+++ b/redwingrun/jobs/workerpool.py
@@ -8,6 +8,8 @@
 
 from redwingrun.jobs.spec import RunId, StepId, TaskSize
 
+# The platform allows that a worker's clock runs 2 % slow.
+MIN_CLOCK_RATE = 0.98
 # A slow factor is ignored after this time; reports of the worker renew it.
 SLOW_FACTOR_VALID_S = 2.0
 # A task that crashes its worker does so within this time after its start.
@@ -94,7 +96,7 @@
     """A worker with its runs, its reserved resources and the lease of its runs.
 
     :param is_registered: whether it is in the registry now.
-    :param has_reported: whether it has reported under this owner's fencing token.
+    :param is_reachable: whether it has answered this owner's last heartbeat.
     :param last_end_number: number of the last run end that was processed.
     :param last_report_s: monotonic time of its last report.
     :param lease_expiry_s: monotonic time at which the lease of its runs has certainly
@@ -115,7 +117,7 @@
 
     info: WorkerInfo
     is_registered: bool = True
-    has_reported: bool = False
+    is_reachable: bool = False
     last_end_number: int = 0
     last_report_s: float = 0
     lease_expiry_s: float = 0
--- a/redwingrun/jobs/workerreports.py
+++ b/redwingrun/jobs/workerreports.py
@@ -15,6 +15,7 @@
 from redwingrun.jobs.speeds import SpeedModel
 from redwingrun.jobs.stragglers import StragglerDetector
 from redwingrun.jobs.workerpool import (
+    MIN_CLOCK_RATE,
     EndKind,
     PaceOrder,
     Run,
@@ -80,17 +81,19 @@
 
     def process_report(
         self, worker_id: str, report: WorkerReport, sent_s: float, now_s: float
-    ) -> None:
+    ) -> CrashReport:
         """Apply a worker's report.
 
         :param sent_s: monotonic time at which the heartbeat was sent.
+        :return: the tasks that are suspected or given up because of a crash that the
+            report shows.
         """
         worker = self._state.worker_by_id.get(worker_id)
         if worker is None:
-            return
+            return CrashReport()
         if report.born_ms:
             worker.info = evolve(worker.info, born_ms=report.born_ms)
-        worker.has_reported = True
+        worker.is_reachable = True
         worker.last_report_s = worker.last_contact_s = now_s
         if worker.info.draining:
             self.evacuate(worker)
@@ -100,7 +103,7 @@
                 worker.last_end_number = end.number
                 self._apply_end(worker, end, now_s)
         self._apply_running(worker, report, now_s)
-        self._lose_missing_runs(worker, report, ended, sent_s, now_s)
+        return self._lose_missing_runs(worker, report, ended, sent_s, now_s)
 
     def worker_restarted(
         self, worker_id: str, report: WorkerReport, sent_s: float, now_s: float
@@ -127,7 +130,7 @@
             if run_id not in running
             and (run.answered_s is None or run.answered_s < sent_s)
         ]
-        crash = self._crashes.record_crash(worker, ended, True, now_s)
+        crash = self._crashes.record_crash(worker, ended, True)
         for run_id, run in list(worker.run_by_id.items()):
             if run.answered_s is None:
                 self._state.stop(run_id, worker, "ordered-before-new-life")
@@ -296,11 +299,12 @@
         ended: set[RunId],
         sent_s: float,
         now_s: float,
-    ) -> None:
+    ) -> CrashReport:
         """Treat runs as lost that the report should list but does not.
 
         If the worker has started a short while ago, those that a former owner placed
-        there may have ended in a crash.
+        there may have ended in a crash. They have if the worker is younger than they
+        are.
 
         :param ended: ids of the runs whose end is in the report.
         :param sent_s: monotonic time at which the heartbeat was sent. A run whose start
@@ -315,8 +319,13 @@
             and run.answered_s is not None
             and run.answered_s < sent_s
         ]
+        crash = CrashReport()
         if report.clock_ms < RECENT_START_S * MS_PER_S:
             inherited = [run for run in missing if run.answered_s == -math.inf]
-            self._crashes.record_crash(worker, inherited, False, now_s)
+            max_age_s = report.clock_ms / MS_PER_S / MIN_CLOCK_RATE
+            is_certain = all(now_s - run.ordered_s > max_age_s for run in inherited)
+            crash = self._crashes.record_crash(worker, inherited, is_certain)
         for run in missing:
             self._state.lose_run(worker, run.run_id)
+        self._crashes.give_up(crash)
+        return crash
--- a/redwingrun/platform/workerclient.py
+++ b/redwingrun/platform/workerclient.py
@@ -160,9 +160,7 @@
         call = HttpCall("POST", url, timeout_s, body, headers, CONNECT_TIMEOUT_S)
         http_reply = await self._client.send(call)
         if http_reply.is_error():
-            failure = http_reply.error
-            dead = failure.reason == "connection-refused"
-            return Error(WorkerFault(failure, dead=dead))
+            return Error(WorkerFault(http_reply.error))
         reply = decode_reply(http_reply.ok.status, http_reply.ok.body)
         if reply.is_error():
             return Error(WorkerFault(reply.error))
--- a/tests/jobs/clusterports.py
+++ b/tests/jobs/clusterports.py
@@ -214,8 +214,8 @@
         worker = self._cluster.worker_by_id[target.worker_id]
         if not target.address:
             return Error(WorkerFault(not_run("not-connected")))
-        if not worker.up:
-            return Error(WorkerFault(not_run("connection-refused"), dead=True))
+        if not worker.up or worker.cut_refuses:
+            return Error(WorkerFault(not_run("connection-refused")))
         await asyncio.sleep(ORDER_TIMEOUT_S)
         await self._process.wait_until_resumed()
         return Error(WorkerFault(may_have_run("timeout")))
--- a/tests/jobs/simulatedworker.py
+++ b/tests/jobs/simulatedworker.py
@@ -57,6 +57,7 @@
         expired.
     :ivar hangs: whether the runs make no progress.
     :ivar cut: names of the members that can't reach the worker.
+    :ivar cut_refuses: whether their connections are refused; else calls time out.
     """
 
     cluster: SimulatedCluster
@@ -73,6 +74,7 @@
     expired_ends: set[int] = field(factory=set)
     hangs: bool = False
     cut: set[str] = field(factory=set)
+    cut_refuses: bool = False
 
     def clock_ms(self) -> float:
         """Return the worker's monotonic clock in milliseconds."""
