A report that does not list all ends no longer loses the runs that it leaves out

What callers saw: after 4.2 s without the table, non-idempotent tasks that had ended done ran again.

Cause: absence from a report was read as the end of a run. A run that was neither running nor among the listed ends counted as lost, whether the list was whole or cut. Ruled out: an end that was acknowledged before it was stored (the numbers acknowledged stay where they were during the outage), and a lapsed lease (no run ended so).

Change: the adapter, which knows the limit, says in the report whether it lists all ends. If not, a run that is not listed is in the phase ENDED: it keeps its reservation, as the platform frees capacity when an end is listed, and is neither lost, stuck, slow nor paced until a report lists its end or lists all ends without it.

Ends that are listed out of order would let the highest number acknowledge lower ones that were passed over; the adapter sorts them.

--- a/redwingrun/jobs/workerpool.py
+++ b/redwingrun/jobs/workerpool.py
@@ -48,6 +48,7 @@
     ORDERED = "ordered"  # the start may have been sent; not acknowledged yet
     ALIVE = "alive"  # the worker has confirmed the run
     STOPPING = "stopping"  # a stop was issued; the end is not reported yet
+    ENDED = "ended"  # the worker does not run it any more; its end is not listed yet
 
 
 @define
@@ -291,7 +292,10 @@
 
     :param clock_ms: the worker's monotonic clock.
     :param running: the runs that have not ended.
-    :param ends: the ends that are not acknowledged yet.
+    :param ends: the ends that are not acknowledged yet, those with the lowest numbers
+        first.
+    :param lists_all_ends: whether ``ends`` holds all of them. If not, a run that is not
+        listed at all may have ended.
     :param born_ms: start of the worker process, as in :class:`WorkerInfo`; 0 if not
         reported.
     :param draining: whether the worker will shut down soon; ``None`` if not reported.
@@ -303,6 +307,7 @@
     ends: tuple[RunEnd, ...]
     born_ms: int = 0
     draining: bool | None = None
+    lists_all_ends: bool = True
 
 
 class Refusal(Enum):
--- a/redwingrun/jobs/workerreports.py
+++ b/redwingrun/jobs/workerreports.py
@@ -110,8 +110,9 @@
     ) -> CrashReport:
         """Record that a worker process has restarted.
 
-        The runs of its former incarnation are lost. Runs that the report lists or whose
-        start was answered after ``sent_s`` belong to the new incarnation and are kept.
+        The runs of its former incarnation are lost. Runs that the report lists, as
+        running or ended, or whose start was answered after ``sent_s`` belong to the new
+        incarnation and are kept, and so are those that the report has no room for.
         A start without an answer may have reached the new one: that run is stopped.
 
         :param report: the first report of the new incarnation.
@@ -123,18 +124,19 @@
             return CrashReport()
         worker.last_end_number = 0
         worker.info = evolve(worker.info, born_ms=report.born_ms)
-        running = {status.run_id for status in report.running}
-        ended = [
+        listed = {item.run_id for item in (*report.running, *report.ends)}
+        former = [
             run
             for run_id, run in worker.run_by_id.items()
-            if run_id not in running
+            if run_id not in listed
+            and report.lists_all_ends
             and (run.answered_s is None or run.answered_s < sent_s)
         ]
-        crash = self._crashes.record_crash(worker, ended, True)
+        crash = self._crashes.record_crash(worker, former, True)
         for run_id, run in list(worker.run_by_id.items()):
             if run.answered_s is None:
                 self._state.stop(run_id, worker, "ordered-before-new-life")
-            elif run in ended:
+            elif run in former:
                 self._state.lose_run(worker, run_id)
         self._crashes.give_up(crash)
         return crash
@@ -292,6 +294,12 @@
             worker.add(Run(run_id, worker.worker_id, worker.info.capacity, now_s))
         self._state.stop(run_id, worker, "not-ours")
 
+    def _await_ends(self, missing: list[Run]) -> None:
+        """Record that runs are gone whose ends a later report will list."""
+        for run in missing:
+            if run.phase is not RunPhase.STOPPING:
+                run.phase = RunPhase.ENDED
+
     def _lose_missing_runs(
         self,
         worker: Worker,
@@ -302,6 +310,8 @@
     ) -> CrashReport:
         """Treat runs as lost that the report should list but does not.
 
+        If the report does not list all ends, they are kept until one does.
+
         If the worker has started a short while ago, those that a former owner placed
         there may have ended in a crash. They have if the worker is younger than they
         are.
@@ -319,6 +329,9 @@
             and run.answered_s is not None
             and run.answered_s < sent_s
         ]
+        if not report.lists_all_ends:
+            self._await_ends(missing)
+            return CrashReport()
         crash = CrashReport()
         if report.clock_ms < RECENT_START_S * MS_PER_S:
             inherited = [run for run in missing if run.answered_s == -math.inf]
--- a/redwingrun/platform/workerclient.py
+++ b/redwingrun/platform/workerclient.py
@@ -53,6 +53,8 @@
     503: Refusal.UNHEALTHY,
 }
 CONFLICT_STATUS = 409
+# A minion lists at most so many ends in a report, those with the lowest numbers.
+MAX_LISTED_ENDS = 500
 
 
 def encode_task_id(task: TaskId) -> str:
@@ -193,11 +195,16 @@
     """
     if "clockMs" not in data:
         raise BadFieldError("the report has no clockMs")
+    ends = sorted(
+        (_decode_end(row) for row in get_list(data, "finished")),
+        key=lambda end: end.number,
+    )
     return WorkerReport(
         clock_ms=get_number(data, "clockMs"),
         running=tuple(_decode_status(row) for row in get_list(data, "running")),
-        ends=tuple(_decode_end(row) for row in get_list(data, "finished")),
+        ends=tuple(ends),
         born_ms=get_integer(data, "born"),
+        lists_all_ends=len(ends) < MAX_LISTED_ENDS,
     )
 
 
--- a/tests/jobs/simulatedworker.py
+++ b/tests/jobs/simulatedworker.py
@@ -23,6 +23,7 @@
     from tests.jobs.cluster import SimulatedCluster
 
 STOP_DURATION_S = 0.3
+MAX_LISTED_ENDS = 500
 RESTART_DELAY_S = 3.0
 
 
@@ -56,6 +57,7 @@
     :ivar expired_ends: numbers of ends that were not acknowledged before the lease
         expired.
     :ivar hangs: whether the runs make no progress.
+    :ivar max_listed_ends: a report lists at most so many ends.
     :ivar cut: names of the members that can't reach the worker.
     :ivar cut_refuses: whether their connections are refused; else calls time out.
     """
@@ -73,6 +75,7 @@
     highest_ended_run: dict[TaskId, int] = field(factory=dict)
     expired_ends: set[int] = field(factory=set)
     hangs: bool = False
+    max_listed_ends: int = MAX_LISTED_ENDS
     cut: set[str] = field(factory=set)
     cut_refuses: bool = False
 
@@ -238,5 +241,9 @@
             for run in self.runs.values()
         )
         return WorkerReport(
-            self.clock_ms(), running, tuple(self.ends), self.info.born_ms
+            self.clock_ms(),
+            running,
+            tuple(self.ends[: self.max_listed_ends]),
+            self.info.born_ms,
+            lists_all_ends=len(self.ends) < self.max_listed_ends,
         )
--- a/tests/platform/test_registry.py
+++ b/tests/platform/test_registry.py
@@ -218,3 +218,28 @@
     assert report.running[0].metric_value == 120
     assert report.ends[0].kind is EndKind.GANG_MEMBER_ENDED
     assert encode_task_id(decode_task_id(task_id)) == task_id
+
+
+# Guards against a list of ends that was cut at the platform's limit and is taken for
+# complete.
+@pytest.mark.parametrize(
+    ("count", "lists_all"), [(0, True), (499, True), (500, False), (501, False)]
+)
+def test_a_report_says_whether_it_lists_all_ends(count: int, lists_all: bool):
+    ends = [
+        [number, f"5c0e7a21d94b36f8.0.1.{number}", 1, "done", ""]
+        for number in range(count)
+    ]
+    report = decode_report({"clockMs": 5, "born": 9, "running": [], "finished": ends})
+    assert report.lists_all_ends is lists_all
+
+
+# Guards against ends that are listed in another order: the number of the last one would
+# acknowledge earlier ones that were never applied.
+def test_the_ends_of_a_report_are_sorted_by_their_numbers():
+    ends = [
+        [number, f"5c0e7a21d94b36f8.0.1.{number}", 1, "done", ""]
+        for number in (3, 1, 2)
+    ]
+    report = decode_report({"clockMs": 5, "born": 9, "running": [], "finished": ends})
+    assert [end.number for end in report.ends] == [1, 2, 3]
