A worker that crashes while it is sent a stop is noticed

What callers would see: a job that never ends, with tasks left lying at a worker that has crashed.

Cause: after a restart under its id, a link stopped the starts that the former incarnation may not have carried out, and repeated each stop without a limit, inside the heartbeat loop. A worker that crashed meanwhile was never heard of again: no heartbeat failed, so no lease expired.

Change: these stops are sent beside the heartbeats, for as long as a late order may still be carried out (15 s). A worker that is merely unhealthy, which has then done nothing, no longer counts as one that has been told.

--- a/redwingrun/jobs/workerlink.py
+++ b/redwingrun/jobs/workerlink.py
@@ -48,6 +48,10 @@
 MAX_RETRY_DELAY_S = 0.6
 # An order without an answer may still be carried out up to 12 s later; with a margin.
 MAX_ORDER_DELAY_S = 15.0
+# A worker that refuses a stop so will refuse the start, too.
+FINAL_STOP_REFUSALS = frozenset(
+    {Refusal.STALE_FENCE, Refusal.OTHER_INCARNATION, Refusal.BAD_ORDER}
+)
 # A line names at most so many tasks, so that its length is bounded.
 MAX_LOGGED_SUSPECTS = 20
 
@@ -277,15 +281,19 @@
         owner.wake()
         for run_id in self._possibly_late_starts():
             if run_id not in worker.run_by_id:
-                await self._stop_until_acknowledged(
-                    worker, StopOrder(run_id, self._worker_id)
-                )
+                order = StopOrder(run_id, self._worker_id)
+                owner.spawn(self._prevent_late_start(worker, order))
+
+    async def _prevent_late_start(self, worker: Worker, order: StopOrder) -> None:
+        """Send a stop until it is acknowledged, or its start can't be carried out now.
 
-    async def _stop_until_acknowledged(self, worker: Worker, order: StopOrder) -> None:
+        Heartbeats go on meanwhile: the worker may crash again.
+        """
         owner = self._owner
-        while True:
+        until_s = owner.now() + MAX_ORDER_DELAY_S
+        while owner.now() < until_s:
             answer = await self._port.stop(self._target(worker), order, owner.fence)
-            if answer.is_ok() or answer.error.refusal is not None:
+            if answer.is_ok() or answer.error.refusal in FINAL_STOP_REFUSALS:
                 return
             await asyncio.sleep(RETRY_STEP_S)
 
--- a/tests/jobs/test_unreachable_workers.py
+++ b/tests/jobs/test_unreachable_workers.py
@@ -6,11 +6,16 @@
 from collections.abc import Iterator
 
 import pytest
+from expression import Error
 
+from redwingrun.coordination.verdict import not_run
+from redwingrun.jobs.ports import WorkerFault
 from redwingrun.jobs.progress import JobState
+from redwingrun.jobs.spec import RunId, TaskId
 from redwingrun.jobs.workerlink import LEASE_EXPIRY_MARGIN_S, LEASE_S
 from redwingrun.jobs.workerpool import MIN_CLOCK_RATE
 from tests.jobs.cluster import SimulatedCluster, job, job_id, make_cluster, step
+from tests.jobs.clusterports import SimulatedWorkers
 
 # Longest time from a worker's crash until its lease has certainly expired, with a
 # second for the next plan and the start.
@@ -142,3 +147,30 @@
     assert last_start_s(cluster) <= restarted_s + 1.0
     assert cluster.state(job_id(1)) is JobState.COMPLETED
     assert cluster.all_violations() == []
+
+
+# Guards against a link that repeats a stop for ever, and so never notices that its
+# worker has crashed: the tasks there were left lying.
+def test_a_worker_that_crashes_while_it_is_sent_a_stop_is_lost(
+    cluster: SimulatedCluster, monkeypatch: pytest.MonkeyPatch
+):
+    """The stop is for a start of earlier that the next life might still carry out."""
+    worker = cluster.worker_by_id["i-1"]
+    owner = cluster.member_by_name[cluster.owner_name()]._owner
+    late_run = RunId(TaskId(job_id(9), 0, 0, 0), 1)
+    owner._link_by_worker["i-1"]._unanswered_start_s[late_run] = cluster.loop.time()
+
+    async def crash_at_stop(self, target, order, fence):
+        worker.crash()
+        return Error(WorkerFault(not_run("connection-refused")))
+
+    monkeypatch.setattr(SimulatedWorkers, "stop", crash_at_stop)
+    worker.crash()
+    worker.restart()
+    cluster.submit(job_id(1), job(step(9, 2.0)))
+    cluster.run(0.1)
+    assert starts_at(cluster, "i-1")
+    cluster.run(15.0)
+    assert not worker.up
+    assert cluster.state(job_id(1)) is JobState.COMPLETED
+    assert cluster.all_violations() == []
