A job of thousands of tasks is stored in several rows, and started a part at a time

What callers saw: one accepted job of 4,000 tasks stopped the whole system.

Causes, two of them, one behind the other: 1. The progress of a job was one row without a bound: 88,042 bytes of 65,536. The table answered 400, which was taken for a partition that is away: the same transaction was sent again for ever, 164 times in 17 s, and took all other changes with it. 2. Ruled out: the submission (it is small), and placement (all tasks were placed).

Change: - A job that needs more than 16 KB has rows of 200 tasks (progressrows.py). Only changed ones are written, before the job's own row, which refers to them: an incomplete commit counts as none. Rows of the version before are read as they are, also too large ones, and divided with the next change. - TableRejected: an answer that says "never" (400, 413). The rows of such a transaction are stored one at a time; the job of a rejected row fails, with `job-rejected` in the log, and nothing else stops. If the table rejects the owner's row by itself, no job is blamed; the counts in that row have a bound of their own. - A submission that the table rejects gets 413 at once, was 504 until the deadline, with the partition marked as failing. It was never accepted before either. - At most 200 starts wait for a first answer, and 200 stops. A plan places as many tasks.

Related paths, by reading: submissions (above), the owner's row (above); members, secrets and cancellations do not grow. The product's own tables (ledger, group commit) have the same belief about refusals; their rows have bounds; not changed.

--- a/redwingrun/coordination/table.py
+++ b/redwingrun/coordination/table.py
@@ -12,6 +12,13 @@
     """The table refused the call or was not reached; the call had no effect."""
 
 
+class TableRejected(TableUnavailable):
+    """The table will never carry out the call, for example because a row is too large.
+
+    The call had no effect, and neither has the same call later.
+    """
+
+
 class TableUnknown(Exception):
     """The outcome is unknown: the call may have had an effect.
 
--- a/redwingrun/jobs/engine.py
+++ b/redwingrun/jobs/engine.py
@@ -40,6 +40,8 @@
 from redwingrun.jobs.workerreports import ReportProcessor
 
 MS_PER_S = 1000
+# More tasks than a slice ever places at once.
+MAX_STARTS = 1_000_000
 # How long a worker gets no new runs after it refused a start, by reason.
 AVOID_S_BY_REFUSAL = {
     Refusal.NO_ROOM: 0.3,
@@ -212,6 +214,13 @@
         job.progress.state = JobState.CANCELLED
         self.state.finish(job)
 
+    def give_up_job(self, job_id: str) -> None:
+        """Fail a job that can't go on, unless it has finished."""
+        job = self.state.job_by_id.get(job_id)
+        if job is not None and not job.is_final:
+            job.progress.state = JobState.FAILED
+            self.state.finish(job)
+
     def remove_job(self, job_id: str) -> None:
         """Remove a finished job whose rows were deleted."""
         self.state.job_by_id.pop(job_id, None)
@@ -353,15 +362,23 @@
         if policy_cache is not None:
             policy_cache.record_failure(query.worker_ids, retry_at_s)
 
-    def plan(self, now_s: float) -> Plan:
-        """Place waiting tasks and return all orders issued since the last plan."""
+    def plan(self, now_s: float, max_starts: int = MAX_STARTS) -> Plan:
+        """Place waiting tasks and return all orders issued since the last plan.
+
+        :param max_starts: how many tasks to place at most, but for a gang, which is
+            placed as a whole.
+        """
         self.state.add_due_occurrences()
         self._reports.check_progress(now_s)
         starts: list[StartOrder] = []
         policy_queries: list[PolicyQuery] = []
         candidates = Candidates(self.state.worker_by_id, now_s)
         for step in sorted(self.state.ready_step_by_id.values(), key=lambda s: s.order):
-            self._steps.schedule(step, candidates, now_s, starts, policy_queries)
+            if len(starts) >= max_starts:
+                break
+            self._steps.schedule(
+                step, candidates, now_s, starts, policy_queries, max_starts
+            )
         stops, self.state.stops = self.state.stops, []
         paces = self._reports.pop_pace_orders()
         changed, self.state.changed = frozenset(self.state.changed), set()
--- a/redwingrun/jobs/jobservice.py
+++ b/redwingrun/jobs/jobservice.py
@@ -12,7 +12,7 @@
 from redwingrun.coordination.clock import Clock
 from redwingrun.coordination.verdict import Failure, Verdict, may_have_run
 from redwingrun.jobs.cancellation import cancel_all
-from redwingrun.jobs.jobstore import TABLE_UNAVAILABLE, JobStore
+from redwingrun.jobs.jobstore import TABLE_REJECTS, TABLE_UNAVAILABLE, JobStore
 from redwingrun.jobs.memberport import MemberPort
 from redwingrun.jobs.peerlinks import PeerLinks, RelayAnswer, RelayCall, RelayVerb
 from redwingrun.jobs.progress import JobState
@@ -107,7 +107,7 @@
         uncertain: Failure | None = None
         if not (self._member.table_is_unavailable() and peers):
             result = await self._serve_locally(local, timeout_s, bool(peers))
-            if result.is_ok():
+            if result.is_ok() or result.error.reason == TABLE_REJECTS:
                 return result
             uncertain = _as_may_have_run(result.error)
         failure = uncertain or Failure(Verdict.NOT_RUN, "table-away")
@@ -120,8 +120,8 @@
                 return Ok(result.ok)
             uncertain = uncertain or _as_may_have_run(result.error)
             failure = result.error
-            if failure.reason == TABLE_UNAVAILABLE:
-                # The table does not answer the peer either: no need to try another.
+            if failure.reason in (TABLE_UNAVAILABLE, TABLE_REJECTS):
+                # The table does not answer the peer either, or rejects the request.
                 break
             self._avoid_until_s_by_peer[address] = self._clock.now() + AVOID_PEER_S
         self._log.detail("not-relayed", job=call.job_id, why=failure.reason)
--- a/redwingrun/jobs/jobstore.py
+++ b/redwingrun/jobs/jobstore.py
@@ -13,6 +13,7 @@
     Committed,
     Condition,
     Table,
+    TableRejected,
     TableUnavailable,
     TableUnknown,
     Transaction,
@@ -33,6 +34,8 @@
 RETRY_CUTOFF_S = 0.25
 # Reason of a failure when the table does not answer.
 TABLE_UNAVAILABLE = "table-away"
+# Reason of a failure when the table will never store the submission.
+TABLE_REJECTS = "too-large"
 # Attempts at a write that certainly had no effect, before the request is refused.
 NOT_RUN_ATTEMPTS = 2
 MAX_CACHED_JOBS = 20_000
@@ -204,7 +207,8 @@
         """Apply one of several transactions: the first whose partition answers.
 
         :param transactions: alternatives by the key that they write.
-        :return: ``True`` if the transaction was committed, ``False`` on a conflict.
+        :return: ``True`` if the transaction was committed, ``False`` on a conflict; a
+            failure with the reason ``TABLE_REJECTS`` if it never will be.
         """
         last_retry_s = self._clock.now() + timeout_s - RETRY_CUTOFF_S
         attempts = 0
@@ -213,7 +217,7 @@
             attempts += 1
             for key in self._health.healthy_first(transactions):
                 result = await self._write_once(key, transactions[key], last_retry_s)
-                if result.is_ok():
+                if result.is_ok() or result.error.reason == TABLE_REJECTS:
                     return result
                 failure = _less_certain(failure, result.error)
             is_uncertain = failure.verdict is Verdict.MAY_HAVE_RUN
@@ -237,6 +241,8 @@
             return Error(
                 may_have_run(TABLE_UNAVAILABLE, "no answer before the deadline")
             )
+        except TableRejected as error:
+            return Error(not_run(TABLE_REJECTS, str(error)))
         except TableUnavailable as error:
             self._health.record_failure(key)
             return Error(not_run(TABLE_UNAVAILABLE, str(error)))
--- a/redwingrun/jobs/partitionwriter.py
+++ b/redwingrun/jobs/partitionwriter.py
@@ -21,6 +21,7 @@
     Condition,
     Row,
     Table,
+    TableRejected,
     TableUnavailable,
     TableUnknown,
     Transaction,
@@ -37,6 +38,8 @@
 # and its condition another.
 MAX_WRITES = 90
 MAX_BYTES = 600_000
+# The counts of waiting jobs are left out of a larger owner's row.
+MAX_OWNER_ROW_BYTES = 32_768
 
 
 class CommitOutcome(Enum):
@@ -45,6 +48,7 @@
     STORED = "stored"
     NO_EFFECT = "without-effect"  # the row is of an earlier transaction: try again
     REFUSED = "refused"
+    REJECTED = "rejected"  # the table would refuse the same transaction again
     UNKNOWN = "silent"  # it may have taken effect, or may still do so
 
 
@@ -52,6 +56,17 @@
     """This process does not own the slice any more."""
 
 
+class WritesRejected(Exception):
+    """The table will never accept some writes; the others are stored.
+
+    :ivar keys: the keys of the rejected writes.
+    """
+
+    def __init__(self, keys: frozenset[str]):
+        super().__init__(f"the table rejects {len(keys)} rows: {sorted(keys)[:3]}")
+        self.keys = keys
+
+
 @frozen
 class OwnerRow:
     """The content of an owner's row.
@@ -167,14 +182,50 @@
         :param used: new value of the flag in the owner's row.
         :return: whether all are certainly stored; if not, some may be stored.
         :raises OwnershipLost: when another owner has claimed the partition.
+        :raises WritesRejected: when the table will never accept some of the writes, and
+            all others are certainly stored.
         """
+        rejected: set[str] = set()
         rest = list(writes)
         while True:
             batch, rest = _split(rest)
-            if not await self._try_commit_batch(batch, waiting_by_queue, used):
+            outcome = await self._try_commit_batch(batch, waiting_by_queue, used)
+            if outcome is CommitOutcome.REJECTED:
+                outcome = await self._commit_one_by_one(
+                    batch, waiting_by_queue, used, rejected
+                )
+            if outcome is not CommitOutcome.STORED:
                 return False
             if not rest:
-                return True
+                break
+        if rejected:
+            raise WritesRejected(frozenset(rejected))
+        return True
+
+    async def _commit_one_by_one(
+        self,
+        writes: Sequence[Write],
+        waiting_by_queue: dict[str, int] | None,
+        used: bool,
+        rejected: set[str],
+    ) -> CommitOutcome:
+        """Store each of some writes in a transaction of its own.
+
+        If the table rejects the owner's row by itself, the writes are not at fault.
+
+        :param rejected: receives the keys of the writes that the table rejects.
+        :return: ``STORED`` if the others are stored.
+        """
+        outcome = await self._try_commit_batch((), waiting_by_queue, used)
+        if outcome is not CommitOutcome.STORED:
+            return CommitOutcome.REFUSED
+        for write in writes:
+            outcome = await self._try_commit_batch((write,), waiting_by_queue, used)
+            if outcome is CommitOutcome.REJECTED:
+                rejected.add(write.key)
+            elif outcome is not CommitOutcome.STORED:
+                return outcome
+        return CommitOutcome.STORED
 
     async def check_ownership(self) -> None:
         """Read the owner's row, and check that it still holds this claim.
@@ -198,7 +249,12 @@
     async def _commit_batch(
         self, writes: Sequence[Write], waiting_by_queue: dict[str, int] | None
     ) -> None:
-        while not await self._try_commit_batch(writes, waiting_by_queue, self.row.used):
+        while True:
+            outcome = await self._try_commit_batch(
+                writes, waiting_by_queue, self.row.used
+            )
+            if outcome is CommitOutcome.STORED:
+                return
             if self.abandoned:
                 raise OwnershipLost(
                     "the claim was abandoned while the table was unavailable"
@@ -210,12 +266,12 @@
         writes: Sequence[Write],
         waiting_by_queue: dict[str, int] | None,
         used: bool,
-    ) -> bool:
+    ) -> CommitOutcome:
         """Try to commit one transaction.
 
-        :return: whether it is stored; ``False`` if the partition refused it
-            ``MAX_REFUSALS`` times, its outcome could not be read back, or the claim was
-            abandoned.
+        :return: ``STORED``; ``REJECTED`` if the table would refuse it again; any other
+            if the partition refused it ``MAX_REFUSALS`` times, its outcome could not be
+            read back, or the claim was abandoned.
         """
         refusals = 0
         while True:
@@ -225,17 +281,21 @@
                 waiting_by_queue=waiting_by_queue,
                 used=used,
             )
+            if waiting_by_queue and len(encode(row)) > MAX_OWNER_ROW_BYTES:
+                queues = len(waiting_by_queue)
+                self.log.fault("waiting-counts-left-out", queues=queues)
+                row = evolve(row, waiting_by_queue=None)
             self.row = row
             outcome = await self._commit_once(row, writes)
-            if outcome is CommitOutcome.STORED:
-                return True
+            if outcome in (CommitOutcome.STORED, CommitOutcome.REJECTED):
+                return outcome
             refusals += outcome is CommitOutcome.REFUSED
             if (
                 outcome is CommitOutcome.UNKNOWN
                 or refusals >= MAX_REFUSALS
                 or self.abandoned
             ):
-                return False
+                return outcome
             if outcome is CommitOutcome.REFUSED:
                 await asyncio.sleep(RETRY_INTERVAL_S)
 
@@ -248,6 +308,16 @@
         )
         try:
             outcome = await self.table.transact(transaction)
+        except TableRejected as error:
+            self.log.fault(
+                "commit-rejected",
+                part=self.partition,
+                count=row.count,
+                rows=len(writes),
+                largest=max((len(write.value or "") for write in writes), default=0),
+                why=str(error),
+            )
+            return CommitOutcome.REJECTED
         except TableUnavailable as error:
             self.log.event(
                 "commit-refused",
--- a/redwingrun/jobs/progress.py
+++ b/redwingrun/jobs/progress.py
@@ -119,40 +119,84 @@
 
 def encode_progress(progress: JobProgress) -> str:
     """Return the value of a progress row; finished jobs are stored without tasks."""
-    encoded: dict[str, object] = {"state": int(progress.state), "at": progress.stamp}
-    if progress.finished_occurrences:
-        encoded["finished"] = progress.finished_occurrences
-    if progress.finished_ms:
-        encoded["finished_ms"] = progress.finished_ms
+    encoded = _encode_job(progress)
     if not progress.state.is_final:
         encoded["tasks"] = {
-            str(number): [[_encode_task(task) for task in step] for step in steps]
+            str(number): [encode_tasks(step) for step in steps]
             for number, steps in progress.tasks_by_occurrence.items()
         }
     return orjson.dumps(encoded).decode()
 
 
+def encode_without_tasks(progress: JobProgress) -> str:
+    """Return the value of a progress row whose tasks are stored in rows of their own.
+
+    It holds the number of tasks in each step instead.
+    """
+    encoded = _encode_job(progress)
+    encoded["task_counts"] = {
+        str(number): [len(step) for step in steps]
+        for number, steps in progress.tasks_by_occurrence.items()
+    }
+    return orjson.dumps(encoded).decode()
+
+
+def encode_tasks(tasks: list[TaskProgress]) -> list[list[object]]:
+    """Return some tasks of a step in the form in which rows hold them."""
+    return [_encode_task(task) for task in tasks]
+
+
+def decode_tasks(encoded: list[list]) -> list[TaskProgress]:
+    """Parse tasks in the form in which rows hold them."""
+    return [_decode_task(item) for item in encoded]
+
+
 def decode_progress(text: str) -> JobProgress:
-    """Parse a value written by :func:`encode_progress`."""
+    """Parse a value written by :func:`encode_progress`.
+
+    A row without tasks gives as many waiting tasks as it counts.
+    """
     encoded = orjson.loads(text)
     tasks = {
-        int(number): [[_decode_task(item) for item in step] for step in steps]
+        int(number): [decode_tasks(step) for step in steps]
         for number, steps in encoded.get("tasks", {}).items()
     }
+    for number, counts in encoded.get("task_counts", {}).items():
+        tasks[int(number)] = [[TaskProgress() for _ in range(n)] for n in counts]
     return JobProgress(
         JobState(encoded["state"]),
         tasks,
         encoded.get("finished", 0),
         encoded.get("finished_ms", 0),
-        tuple(encoded.get("at", (0, 0))),
+        decode_stamp(text),
     )
 
 
+def decode_stamp(text: str) -> tuple[int, int]:
+    """Parse only the stamp of a progress row, or of a row of some of its tasks."""
+    return tuple(orjson.loads(text).get("at", (0, 0)))
+
+
+def has_task_rows(text: str) -> bool:
+    """Return whether a progress row has its tasks in rows of their own."""
+    return "task_counts" in orjson.loads(text)
+
+
 def decode_state(text: str) -> JobState:
     """Parse only the state of a value written by :func:`encode_progress`."""
     return JobState(orjson.loads(text)["state"])
 
 
+def _encode_job(progress: JobProgress) -> dict[str, object]:
+    """Return the fields of a progress row that do not grow with the job."""
+    encoded: dict[str, object] = {"state": int(progress.state), "at": progress.stamp}
+    if progress.finished_occurrences:
+        encoded["finished"] = progress.finished_occurrences
+    if progress.finished_ms:
+        encoded["finished_ms"] = progress.finished_ms
+    return encoded
+
+
 def _encode_task(task: TaskProgress) -> list[object]:
     if task.state is TaskState.DONE:
         return [int(task.state), task.run]
--- a/redwingrun/jobs/sliceowner.py
+++ b/redwingrun/jobs/sliceowner.py
@@ -47,6 +47,11 @@
 BATCH_INTERVAL_S = 0.04
 # A batch that would have to wait for less than this is stored without waiting.
 MIN_BATCH_DELAY_S = 0.001
+# Orders that wait for a worker's answer at the same time, first attempts of starts and
+# stops. More of them would delay each other until they time out, and with them the
+# renewal of leases and of the claim.
+MAX_STARTS_IN_FLIGHT = 200
+MAX_STOPS_IN_FLIGHT = 200
 POLICY_RETRY_INTERVAL_S = 0.1
 POLICY_TIMEOUT_MARGIN_S = 1.0
 # If the release of the slice is not stored within this time the ownership ends without
@@ -83,6 +88,7 @@
 
     :param writer: stores the progress of jobs under the claim.
     :ivar loss_reason: why the ownership is lost; empty while it is not.
+    :ivar stop_slots: limits the stops that are sent at the same time.
     """
 
     def __init__(
@@ -105,6 +111,8 @@
         self._last_commit_s = dependencies.clock.now()
         self._last_batch_s = 0.0
         self._unsaved_jobs: set[str] = set()
+        self._starts_in_flight = 0
+        self.stop_slots = asyncio.Semaphore(MAX_STOPS_IN_FLIGHT)
         self._reader = SliceReader(self)
         self._waiting_by_queue: dict[str, int] | None = None
 
@@ -272,7 +280,8 @@
             await asyncio.wait_for(self._wake_event.wait(), self._cycle_delay_s())
         self._wake_event.clear()
         self.engine.set_time(self.dependencies.unix_ms())
-        plan = self.engine.plan(self.now())
+        max_starts = MAX_STARTS_IN_FLIGHT - self._starts_in_flight
+        plan = self.engine.plan(self.now(), max_starts)
         for stop in plan.stops:
             self._send_stop(stop)
         for pace in plan.paces:
@@ -318,15 +327,29 @@
         if progress or not recently_committed:
             self._last_batch_s = started_s
             self._waiting_by_queue = self.engine.waiting_by_queue()
-            await self.writer.commit(progress, self._waiting_by_queue, self.spawn)
+            rejected = await self.writer.commit(
+                progress, self._waiting_by_queue, self.spawn
+            )
             self._last_commit_s = started_s
-            self._log_finished(changed)
+            self._give_up_rejected(rejected)
+            self._log_finished(changed - rejected)
             self.dependencies.metrics.seconds("commit_s", self.now() - started_s)
         self._durable_end_number_by_worker.update(end_number_by_worker)
         # Wakes the coroutines that wait now; later ones wait for the new event.
         self._stored_event.set()
         self._stored_event = asyncio.Event()
 
+    def _give_up_rejected(self, rejected: frozenset[str]) -> None:
+        """Fail the jobs whose progress the table rejects.
+
+        Their tasks can't be started: the next owner would not know of them. The row of
+        a failed job has no tasks, so that it can be stored.
+        """
+        for job_id in sorted(rejected):
+            self.dependencies.metrics.count("jobs_rejected_total")
+            self.log.fault("job-rejected", job=job_id)
+            self.engine.give_up_job(job_id)
+
     def _log_finished(self, changed: frozenset[str]) -> None:
         """Log the jobs whose final state has just been stored."""
         for job_id in sorted(changed):
@@ -364,7 +387,17 @@
             self.engine.withdraw_start(order)
             return
         self.dependencies.metrics.count("starts_total")
-        self.spawn(link.start(order))
+        self._starts_in_flight += 1
+        self.spawn(self._start(link, order))
+
+    async def _start(self, link: WorkerLink, order: StartOrder) -> None:
+        """Send a start until its outcome is certain."""
+        try:
+            is_settled = await link.try_start(order, 0)
+        finally:
+            self._starts_in_flight -= 1
+        if not is_settled:
+            await link.repeat_start(order)
 
     def _send_stop(self, order: StopOrder) -> None:
         task = order.run_id.task
--- a/redwingrun/jobs/slicewriter.py
+++ b/redwingrun/jobs/slicewriter.py
@@ -6,7 +6,7 @@
 
 A new owner claims all three partitions, so that neither a former owner nor a late
 transaction can write any more. Then it reads the primary and the standbys in use. Of
-two rows of a job the one with the higher stamp is the newer one.
+two rows with the same name the one with the higher stamp is the newer one.
 """
 
 from __future__ import annotations
@@ -32,10 +32,17 @@
     OwnerRow,
     OwnershipLost,
     PartitionWriter,
+    WritesRejected,
     decode_owner_row,
     owner_key,
 )
-from redwingrun.jobs.progress import JobProgress, decode_progress, encode_progress
+from redwingrun.jobs.progress import JobProgress
+from redwingrun.jobs.progressrows import (
+    ProgressRowEncoder,
+    decode_rows,
+    job_of,
+    newer_rows,
+)
 from redwingrun.jobs.rowkeys import (
     last_segment,
     progress_key,
@@ -45,6 +52,8 @@
 from redwingrun.logs import Log
 
 PROBE_INTERVAL_S = 0.15
+# A line names at most so many rows, so that its length is bounded.
+MAX_LOGGED_ROWS = 20
 
 
 def _set_event() -> asyncio.Event:
@@ -71,8 +80,11 @@
     _active_standby: PartitionWriter | None = None
     _commit_number: int = 0
     _loss_reason: str = ""
-    # Encoded progress that the primary partition lacks, by job.
+    _encoder: ProgressRowEncoder = field(factory=ProgressRowEncoder)
+    # Rows that the primary partition lacks, by name.
     _not_in_primary: dict[str, str] = field(factory=dict)
+    # Jobs with rows that the table rejects, in the present commit.
+    _rejected_jobs: set[str] = field(factory=set)
 
     @classmethod
     async def claim(
@@ -173,44 +185,56 @@
         """
         newest = await self._read(table, self.slice_name)
         for name in sorted(self._unread_standbys):
-            for job_id, progress in (await self._read(table, name)).items():
-                if job_id not in newest or newest[job_id].stamp < progress.stamp:
-                    newest[job_id] = progress
-                    self._not_in_primary[job_id] = encode_progress(progress)
+            newer = newer_rows(newest, await self._read(table, name))
+            newest.update(newer)
+            self._not_in_primary.update(newer)
             self.log.event(
                 "standby-read",
                 part=name,
-                jobs=len(self._not_in_primary),
+                rows=len(self._not_in_primary),
                 fence=self.fence,
             )
         self._unread_standbys.clear()
-        return newest
+        return decode_rows(newest)
 
-    async def _read(
-        self, table: WatchableTable, partition: str
-    ) -> dict[str, JobProgress]:
+    async def _read(self, table: WatchableTable, partition: str) -> dict[str, str]:
+        """Return the progress rows of a partition, by name."""
         snapshot = await table.snapshot(progress_prefix(partition))
-        return {
-            last_segment(row.key): decode_progress(row.value) for row in snapshot.rows
-        }
+        return {last_segment(row.key): row.value for row in snapshot.rows}
 
     async def commit(
         self,
         progress_by_job: dict[str, JobProgress],
         waiting_by_queue: dict[str, int] | None,
         spawn: Callable[[Coroutine[Any, Any, None]], None],
-    ) -> None:
+    ) -> frozenset[str]:
         """Store changes; return when they are certainly stored in one partition.
 
-        Retry while no partition answers.
+        Retry while no partition answers. A row that the table rejects is not stored,
+        and does not hold up the rows of other jobs.
 
         :param waiting_by_queue: number of jobs of which nothing has started; ``None``
             if unknown.
         :param spawn: runs a coroutine in the background until the ownership ends.
+        :return: the ids of the jobs of which the table rejects a row.
         :raises OwnershipLost: when another owner has claimed the slice, or the claim
             was abandoned.
         """
         texts = self._stamp_and_encode(progress_by_job)
+        self._rejected_jobs.clear()
+        await self._commit_texts(texts, waiting_by_queue, spawn)
+        self._encoder.mark_stored(
+            name for name in texts if job_of(name) not in self._rejected_jobs
+        )
+        return frozenset(self._rejected_jobs)
+
+    async def _commit_texts(
+        self,
+        texts: dict[str, str],
+        waiting_by_queue: dict[str, int] | None,
+        spawn: Callable[[Coroutine[Any, Any, None]], None],
+    ) -> None:
+        """Store rows in whichever partition answers."""
         while True:
             if self._primary_available.is_set():
                 if await self._commit_primary(texts, waiting_by_queue):
@@ -238,24 +262,47 @@
     def _stamp_and_encode(
         self, progress_by_job: dict[str, JobProgress]
     ) -> dict[str, str]:
-        """Stamp each progress with this commit's number, and return it encoded."""
+        """Stamp each progress with this commit's number; return its rows by name."""
         self._commit_number += 1
-        texts = {}
+        texts: dict[str, str] = {}
         for job_id in sorted(progress_by_job):
             progress = progress_by_job[job_id]
             progress.stamp = (self.fence, self._commit_number)
-            texts[job_id] = encode_progress(progress)
+            texts.update(self._encoder.encode(job_id, progress))
         return texts
 
+    async def _store_rows(
+        self,
+        writer: PartitionWriter,
+        texts: dict[str, str],
+        waiting_by_queue: dict[str, int] | None,
+        used: bool = False,
+    ) -> bool:
+        """Store rows in a partition, but for those that the table rejects.
+
+        :return: whether all others are certainly stored.
+        """
+        writes = _writes(writer.partition, texts)
+        try:
+            return await writer.try_commit(writes, waiting_by_queue, used)
+        except WritesRejected as error:
+            names = {last_segment(key) for key in error.keys}
+            self.log.fault("rows-rejected", rows=sorted(names)[:MAX_LOGGED_ROWS])
+            self._rejected_jobs |= {job_of(name) for name in names}
+            for name in names:
+                self._not_in_primary.pop(name, None)
+            return True
+
     async def _commit_primary(
         self, texts: dict[str, str], waiting_by_queue: dict[str, int] | None
     ) -> bool:
         """Store changes in the primary, with those that only a standby holds."""
         # A copy, because load() may add entries during the commit.
         written_back = dict(self._not_in_primary)
-        all_texts = {**written_back, **texts}
-        writes = _writes(self.slice_name, all_texts)
-        if not await self.primary.try_commit(writes, waiting_by_queue):
+        # The order of a commit's own rows matters; see ProgressRowEncoder.encode().
+        others = {name: written_back[name] for name in written_back.keys() - texts}
+        all_texts = {**others, **texts}
+        if not await self._store_rows(self.primary, all_texts, waiting_by_queue):
             return False
         for job_id, text in written_back.items():
             if self._not_in_primary.get(job_id) == text:
@@ -312,9 +359,7 @@
         loop = asyncio.get_running_loop()
         writer_by_attempt = {
             loop.create_task(
-                writer.try_commit(
-                    _writes(writer.partition, texts), waiting_by_queue, used=True
-                )
+                self._store_rows(writer, texts, waiting_by_queue, used=True)
             ): writer
             for writer in candidates
         }
@@ -352,7 +397,7 @@
             except OwnershipLost as error:
                 self._loss_reason = str(error)
                 self.abandon()
-            self.log.event("primary-part-back", jobs=len(self._not_in_primary))
+            self.log.event("primary-part-back", rows=len(self._not_in_primary))
             self._primary_available.set()
 
     async def release(self, successor: str) -> None:
--- a/redwingrun/jobs/stepscheduler.py
+++ b/redwingrun/jobs/stepscheduler.py
@@ -65,6 +65,7 @@
         now_s: float,
         starts: list[StartOrder],
         policy_queries: list[PolicyQuery],
+        max_starts: int,
     ) -> None:
         """Place as many tasks of a step as possible, and query the policy for the rest.
 
@@ -73,6 +74,7 @@
 
         :param starts: receives the start orders.
         :param policy_queries: receives the queries.
+        :param max_starts: how many start orders there may be; a gang may exceed it.
         """
         job, step_id = ready_step.job, ready_step.step_id
         policy_cache = self._state.policy_cache_by_step.get(step_id)
@@ -87,8 +89,11 @@
             if not job.waiting_indexes(step_id):
                 self._state.ready_step_by_id.pop(step_id, None)
             return
-        if job.step(step_id).gang and len(waiting) < len(job.tasks(step_id)):
+        is_gang = job.step(step_id).gang
+        if is_gang and len(waiting) < len(job.tasks(step_id)):
             return
+        if not is_gang:
+            waiting = waiting[: max_starts - len(starts)]
         workers = candidates.in_pool(job.queue.pool)
         is_large = needs_large_part(
             reserved_size(job.step(step_id)),
--- a/redwingrun/jobs/workerlink.py
+++ b/redwingrun/jobs/workerlink.py
@@ -307,33 +307,40 @@
         }
         return list(self._unanswered_start_s)
 
-    async def start(self, order: StartOrder) -> None:
-        """Send a start to the worker until its outcome is certain.
+    async def repeat_start(self, order: StartOrder) -> None:
+        """Repeat a start that got no answer until its outcome is certain."""
+        attempts = 1
+        while True:
+            await asyncio.sleep(min(MAX_RETRY_DELAY_S, RETRY_STEP_S * attempts))
+            if await self.try_start(order, attempts):
+                return
+            attempts += 1
+
+    async def try_start(self, order: StartOrder, attempts: int) -> bool:
+        """Send a start to the worker once.
 
         It is withdrawn while the worker's clock is not known, because it can have no
         deadline then. It is replaced by a stop if, after an attempt without an answer,
         it is refused or no longer needed.
+
+        :param attempts: earlier attempts to send the same start.
+        :return: whether no other attempt is needed.
         """
         owner = self._owner
-        attempts = 0
-        while True:
-            worker = owner.engine.worker_by_id.get(self._worker_id)
-            if worker is None or not owner.engine.has_run(order):
-                return
-            if attempts and not owner.engine.should_send_start(order):
-                await self.stop(StopOrder(order.run_id, self._worker_id))
-                return
-            deadline_ms = self._order_deadline_ms(worker)
-            if deadline_ms is None:
-                owner.engine.withdraw_start(order)
-                return
-            answer = await self._port.start(
-                self._target(worker), order, owner.fence, deadline_ms
-            )
-            if self._process_start_answer(order, answer, attempts):
-                return
-            attempts += 1
-            await asyncio.sleep(min(MAX_RETRY_DELAY_S, RETRY_STEP_S * attempts))
+        worker = owner.engine.worker_by_id.get(self._worker_id)
+        if worker is None or not owner.engine.has_run(order):
+            return True
+        if attempts and not owner.engine.should_send_start(order):
+            await self.stop(StopOrder(order.run_id, self._worker_id))
+            return True
+        deadline_ms = self._order_deadline_ms(worker)
+        if deadline_ms is None:
+            owner.engine.withdraw_start(order)
+            return True
+        answer = await self._port.start(
+            self._target(worker), order, owner.fence, deadline_ms
+        )
+        return self._process_start_answer(order, answer, attempts)
 
     def _process_start_answer(
         self, order: StartOrder, answer: Result[float, WorkerFault], attempts: int
@@ -394,7 +401,8 @@
             worker = owner.engine.worker_by_id.get(self._worker_id)
             if worker is None or order.run_id not in worker.run_by_id:
                 return
-            answer = await self._port.stop(self._target(worker), order, owner.fence)
+            async with owner.stop_slots:
+                answer = await self._port.stop(self._target(worker), order, owner.fence)
             if answer.is_ok():
                 owner.engine.stop_acknowledged(order, owner.now())
                 return
--- a/redwingrun/platform/clientapi.py
+++ b/redwingrun/platform/clientapi.py
@@ -11,6 +11,7 @@
 
 from redwingrun.coordination.clock import Clock
 from redwingrun.coordination.verdict import Failure, Verdict
+from redwingrun.jobs.jobstore import TABLE_REJECTS
 from redwingrun.jobs.member import Member
 from redwingrun.jobs.progress import JobState
 from redwingrun.jobs.spec import (
@@ -78,8 +79,13 @@
         """Send no ETag: replies must not be cached."""
 
     def reply_failure(self, failure: Failure, job_id: str) -> None:
-        """Reply with a failure: 503 if the request did not run, 504 if it may have."""
-        if failure.verdict is Verdict.NOT_RUN:
+        """Reply with a failure: 503 if the request did not run, 504 if it may have.
+
+        413 if it never will run.
+        """
+        if failure.reason == TABLE_REJECTS:
+            status = 413
+        elif failure.verdict is Verdict.NOT_RUN:
             self.set_header("Retry-After", RETRY_AFTER_S)
             status = 503
         else:
--- a/redwingrun/platform/table.py
+++ b/redwingrun/platform/table.py
@@ -21,6 +21,7 @@
     HistoryTruncated,
     Row,
     Snapshot,
+    TableRejected,
     TableUnavailable,
     TableUnknown,
     Transaction,
@@ -34,7 +35,9 @@
 OK_STATUS = 200
 CONFLICT_STATUS = 412
 HISTORY_TRUNCATED_STATUS = 410
-NO_EFFECT_STATUSES = frozenset({400, 403, 404, 429, 503, 507})
+NO_EFFECT_STATUSES = frozenset({403, 404, 429, 503, 507})
+# The call is malformed, or a row or the call is too large.
+REJECTED_STATUSES = frozenset({400, 413})
 MS_PER_S = 1000
 # Stands for a value that is not base64. It is no JSON, so nothing takes it for a row.
 UNREADABLE_VALUE = "\ufffd"
@@ -265,6 +268,7 @@
         """Return the reply if its status is an expected one.
 
         :raises HistoryTruncated: if the requested changes are no longer stored.
+        :raises TableRejected: if the same call would be refused again.
         :raises TableUnavailable: if the call had no effect.
         :raises TableUnknown: if the call may have had an effect.
         """
@@ -278,6 +282,8 @@
             return reply
         if reply.status == HISTORY_TRUNCATED_STATUS:
             raise HistoryTruncated
+        if reply.status in REJECTED_STATUSES:
+            raise TableRejected(f"status {reply.status}")
         if reply.status in NO_EFFECT_STATUSES:
             raise TableUnavailable(f"status {reply.status}")
         raise TableUnknown(f"status {reply.status}")
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -20,6 +20,7 @@
     Conflict,
     Row,
     Table,
+    TableRejected,
     TableUnavailable,
     TableUnknown,
     Transaction,
@@ -35,6 +36,7 @@
 LATE = "late"
 TABLE_MODES = (OK, DOWN, LOST_REQUEST, LOST_ANSWER, LATE)
 CALL_TIMEOUT_S = 0.5
+MAX_VALUE_BYTES = 65_536
 SEARCH_SEED = 20261204
 
 
@@ -101,12 +103,27 @@
     :ivar deleted_version_by_key: version of the commit that deleted each missing row.
     :ivar version: version of the last commit.
     :ivar commits: number of commits.
+    :ivar max_value_bytes: size above which the table rejects a row.
+    :ivar rejected_keys: keys of the rows that it has rejected.
     """
 
     by_key: dict[str, Row] = field(factory=dict)
     deleted_version_by_key: dict[str, int] = field(factory=dict)
     version: int = 0
     commits: int = 0
+    max_value_bytes: int = MAX_VALUE_BYTES
+    rejected_keys: list[str] = field(factory=list)
+
+    def check_sizes(self, transaction: Transaction) -> None:
+        """Reject a transaction with a row that is too large."""
+        too_large = [
+            write.key
+            for write in transaction.writes
+            if len((write.value or "").encode()) > self.max_value_bytes
+        ]
+        self.rejected_keys += too_large
+        if too_large:
+            raise TableRejected(f"too large: {too_large}")
 
     def apply(self, transaction: Transaction) -> Committed | Conflict:
         """Apply a transaction without delay or failure."""
@@ -164,6 +181,7 @@
         await self._process.wait_until_resumed()
         mode = self._process.table_mode
         await self._simulate_request(mode)
+        self._rows.check_sizes(transaction)
         if mode == LATE:
             loop = asyncio.get_running_loop()
             loop.call_later(self._process.late_s, self._rows.apply, transaction)
