After a restart under its id, a worker's lease is counted at its longest

What callers would see: tasks that run twice at the same time, after a worker had started again under its id and was then cut off.

Cause: a start that is sent before the restart is known has a deadline on the clock of the former incarnation. The new one, whose clock began anew, takes it for the longest lease that there is, 10 s, also for a start that it refuses as old. The owner counted 6.3 s from the last renewal and started the tasks elsewhere.

Change: when a restart is known, the lease counts as the longest one from then on, and from the last moment at which an order without an answer may still be carried out. The longest lease comes from the settings (`holdMaxMs`).

Price: only work on a worker that crashes again within 10 s (25 s after late orders) of a restart under its id waits longer.

Not covered: a restart and a cut between two heartbeats, so that the restart is not known when the lease is counted. Only suspected.

--- a/redwingrun/jobs/engine.py
+++ b/redwingrun/jobs/engine.py
@@ -61,10 +61,12 @@
         run time in it.
     :param early_s: how many seconds before its due time an occurrence may start. Not
         used: occurrences start at their due time.
+    :param max_lease_s: a worker shortens a longer lease to this.
     """
 
     far_factor: float = 2.0
     early_s: float = 0.0
+    max_lease_s: float = 10.0
 
 
 @frozen
--- a/redwingrun/jobs/workerlink.py
+++ b/redwingrun/jobs/workerlink.py
@@ -279,11 +279,26 @@
         )
         self._log_crash(crash)
         owner.wake()
-        for run_id in self._possibly_late_starts():
+        late_starts = self._possibly_late_starts()
+        self._assume_longest_lease(worker)
+        for run_id in late_starts:
             if run_id not in worker.run_by_id:
                 order = StopOrder(run_id, self._worker_id)
                 owner.spawn(self._prevent_late_start(worker, order))
 
+    def _assume_longest_lease(self, worker: Worker) -> None:
+        """Record until when the leases of a new incarnation may last.
+
+        Orders that were sent before its restart was known have deadlines on the clock
+        of the former one, which may be far in its future. Late ones may still arrive.
+        """
+        owner = self._owner
+        sent_s = self._unanswered_start_s.values()
+        latest_s = max([owner.now(), *(at_s + MAX_ORDER_DELAY_S for at_s in sent_s)])
+        max_lease_s = owner.dependencies.settings.max_lease_s / MIN_CLOCK_RATE
+        expires_s = latest_s + max_lease_s + LEASE_EXPIRY_MARGIN_S
+        worker.lease_expiry_s = max(worker.lease_expiry_s, expires_s)
+
     async def _prevent_late_start(self, worker: Worker, order: StopOrder) -> None:
         """Send a stop until it is acknowledged, or its start can't be carried out now.
 
--- a/redwingrun/platform/__main__.py
+++ b/redwingrun/platform/__main__.py
@@ -106,7 +106,10 @@
             log,
             metrics,
         )
-        engine = EngineSettings(settings.bounds.far_factor, settings.bounds.early_s)
+        bounds = settings.bounds
+        engine = EngineSettings(
+            bounds.far_factor, bounds.early_s, max_lease_s=bounds.max_lease_s
+        )
         address = f"{settings.ip}:{settings.peer_port}"
         member_settings = MemberSettings(
             settings.node, address, engine=engine, speed=settings.speed
--- a/redwingrun/platform/settings.py
+++ b/redwingrun/platform/settings.py
@@ -27,6 +27,7 @@
     :param config_deadline_s: time after which a new configuration must be used.
     :param far_factor: factor by which a task takes longer away from its data.
     :param keep_results_s: how long clients may ask for a finished job's state.
+    :param max_lease_s: a minion shortens a longer lease to this.
     """
 
     grace_s: float = 6.0
@@ -34,6 +35,7 @@
     config_deadline_s: float = 2.0
     far_factor: float = 2.0
     keep_results_s: float = 120.0
+    max_lease_s: float = 10.0
 
 
 @frozen
@@ -113,6 +115,8 @@
             / 1000,
             far_factor=float(bounds.get("farX", defaults.far_factor)),
             keep_results_s=float(bounds.get("status_s", defaults.keep_results_s)),
+            max_lease_s=float(bounds.get("holdMaxMs", defaults.max_lease_s * 1000))
+            / 1000,
         ),
         # The platform gives the speed of a core as a number of ordinary cores.
         speed=float(limits.get("cpuShare") or 1.0)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -35,6 +35,12 @@
     assert settings.advice == ""
     assert settings.bounds.grace_s == 4
     assert settings.bounds.early_s == 0.25
+    assert settings.bounds.max_lease_s == 10.0
+
+
+def test_the_longest_lease_is_read_from_the_bounds(tmp_path: Path):
+    data = {**VALID, "bounds": {"holdMaxMs": 8000}}
+    assert load_settings(write_settings(tmp_path, data)).bounds.max_lease_s == 8.0
 
 
 @pytest.mark.parametrize(
