A report of a large job costs no more than its runs

What callers saw: with a job of 4,000 tasks accepted, jobs after it stayed queued for good if the owner changed meanwhile.

Cause: each end and each lost run looked at all tasks of its job for steps that had become ready, and each suspected run was looked for in a list of all others. A new owner needed 0.5 to 0.95 s for one report of 800 runs, six of them in a row; it lost its claim before it had renewed it, and the next one began anew.

Change: ends and losses note the occurrence; the next plan looks once. A job is finished once a report. Sets in place of lists. Ruled out: a count of starts in flight that is never given back (each way out of the first attempt gives it back), rows over the limit (none).

--- a/redwingrun/jobs/crashes.py
+++ b/redwingrun/jobs/crashes.py
@@ -89,8 +89,8 @@
         if worker.info.draining:
             return CrashReport()
         lost = list(runs)
-        suspects = [run for run in lost if _is_young(run, worker.last_contact_s)]
-        alone = len({run.run_id.task.job for run in suspects}) == 1
+        suspects = {run.run_id for run in lost if _is_young(run, worker.last_contact_s)}
+        alone = len({run_id.task.job for run_id in suspects}) == 1
         given_up: dict[str, GivenUpTask] = {}
         for run in lost:
             task_id = run.run_id.task
@@ -98,7 +98,7 @@
             task = job.task(task_id) if job else None
             if task is None or job.is_final or task.state is TaskState.DONE:
                 continue
-            is_suspect = run in suspects
+            is_suspect = run.run_id in suspects
             is_sole = alone and is_suspect
             _count(task, run, is_suspect, is_certain, worker.last_contact_s)
             task.sole_suspect += is_sole and is_certain and run.started_s is not None
@@ -108,7 +108,7 @@
             if is_certain and _is_given_up(task, is_isolated):
                 counts = task.crashes, task.suspected
                 given_up.setdefault(job.job_id, GivenUpTask(task_id, *counts, is_sole))
-        suspected = tuple(run.run_id.task for run in suspects)
+        suspected = tuple(run.run_id.task for run in lost if run.run_id in suspects)
         return CrashReport(suspected, tuple(given_up.values()))
 
     def give_up(self, report: CrashReport) -> None:
--- a/redwingrun/jobs/engine.py
+++ b/redwingrun/jobs/engine.py
@@ -372,6 +372,7 @@
         """
         self.state.add_due_occurrences()
         self._reports.check_progress(now_s)
+        self.state.find_ready_steps()
         starts: list[StartOrder] = []
         policy_queries: list[PolicyQuery] = []
         candidates = Candidates(self.state.worker_by_id, now_s)
--- a/redwingrun/jobs/slicestate.py
+++ b/redwingrun/jobs/slicestate.py
@@ -64,6 +64,7 @@
         self.stops: list[StopOrder] = []
         self.changed: set[str] = set()
         self.scheduled: set[str] = set()
+        self._unchecked_occurrences: dict[tuple[str, int], Job] = {}
         self.unix_ms = 0
         self.inherited_lease_expiry_s = 0.0
 
@@ -179,12 +180,22 @@
                     self.stop_task(task_id, why)
 
     def add_ready_steps(self, job: Job, occurrence: int) -> None:
-        """Record the steps of an occurrence that have tasks to place."""
-        if occurrence not in job.progress.tasks_by_occurrence:
-            return
-        for step_id in job.ready_steps(occurrence):
-            if job.waiting_indexes(step_id):
-                self.ready_step_by_id.setdefault(step_id, ReadyStep(step_id, job))
+        """Have the next plan look for steps of an occurrence that have tasks to place.
+
+        Ends and losses come in large numbers, so that not each of them looks at all
+        tasks.
+        """
+        self._unchecked_occurrences[job.job_id, occurrence] = job
+
+    def find_ready_steps(self) -> None:
+        """Record the steps that may have become ready since the last call."""
+        unchecked, self._unchecked_occurrences = self._unchecked_occurrences, {}
+        for (_, occurrence), job in unchecked.items():
+            if job.is_final or occurrence not in job.progress.tasks_by_occurrence:
+                continue
+            for step_id in job.ready_steps(occurrence):
+                if job.waiting_indexes(step_id):
+                    self.ready_step_by_id.setdefault(step_id, ReadyStep(step_id, job))
 
     def add_due_occurrences(self) -> None:
         """Start the occurrences of scheduled jobs that are due."""
--- a/redwingrun/jobs/workerreports.py
+++ b/redwingrun/jobs/workerreports.py
@@ -98,10 +98,15 @@
         if worker.info.draining:
             self.evacuate(worker)
         ended = {end.run_id for end in report.ends}
+        changed_jobs = {}
         for end in report.ends:
             if end.number > worker.last_end_number:
                 worker.last_end_number = end.number
-                self._apply_end(worker, end, now_s)
+                job = self._apply_end(worker, end, now_s)
+                if job is not None:
+                    changed_jobs[job.job_id] = job
+        for job in changed_jobs.values():
+            self._finish_if_done(job)
         self._apply_running(worker, report, now_s)
         return self._lose_missing_runs(worker, report, ended, sent_s, now_s)
 
@@ -125,18 +130,18 @@
         worker.last_end_number = 0
         worker.info = evolve(worker.info, born_ms=report.born_ms)
         listed = {item.run_id for item in (*report.running, *report.ends)}
-        former = [
-            run
+        former = {
+            run_id: run
             for run_id, run in worker.run_by_id.items()
             if run_id not in listed
             and report.lists_all_ends
             and (run.answered_s is None or run.answered_s < sent_s)
-        ]
-        crash = self._crashes.record_crash(worker, former, True)
+        }
+        crash = self._crashes.record_crash(worker, former.values(), True)
         for run_id, run in list(worker.run_by_id.items()):
             if run.answered_s is None:
                 self._state.stop(run_id, worker, "ordered-before-new-life")
-            elif run in former:
+            elif run_id in former:
                 self._state.lose_run(worker, run_id)
         self._crashes.give_up(crash)
         return crash
@@ -204,26 +209,31 @@
         highest = max((item.percent for item in gang_runs if item), default=0)
         return not run.percent and highest < GANG_STARTED_PERCENT
 
-    def _apply_end(self, worker: Worker, end: RunEnd, now_s: float) -> None:
+    def _apply_end(self, worker: Worker, end: RunEnd, now_s: float) -> Job | None:
+        """Apply the end of a run; return its job if the end has changed it."""
         run = self._state.remove_run(worker, end.run_id)
         job = self._state.job_by_id.get(end.run_id.task.job)
         if job is None:
-            return
+            return None
         if not apply_run_end(job, end, worker.worker_id, now_s):
-            return
+            return None
         self._state.changed.add(job.job_id)
         self._update_failed_jobs(worker, job, end, now_s)
-        step_id = end.run_id.task.step_id
         if end.kind is EndKind.DONE and run is not None:
             self._speed_meter.run_done(worker, run, job, now_s)
         if end.kind is not EndKind.DONE:
             self._state.stop_gang(job, end.run_id.task)
-        if remove_done_occurrences(job, self._state.unix_ms) and not job.is_final:
-            return
+        self._state.add_ready_steps(job, end.run_id.task.occurrence)
+        return job
+
+    def _finish_if_done(self, job: Job) -> None:
+        """Remove the occurrences of a job that are done, and finish it after the last.
+
+        It may also have failed.
+        """
+        remove_done_occurrences(job, self._state.unix_ms)
         if job.is_final:
             self._state.finish(job)
-        else:
-            self._state.add_ready_steps(job, step_id.occurrence)
 
     def _update_failed_jobs(
         self, worker: Worker, job: Job, end: RunEnd, now_s: float
--- a/tests/jobs/test_large_jobs.py
+++ b/tests/jobs/test_large_jobs.py
@@ -6,9 +6,10 @@
 
 import pytest
 
+from redwingrun.jobs.job import Job
 from redwingrun.jobs.progress import JobState, encode_progress
 from redwingrun.jobs.rowkeys import progress_key
-from redwingrun.jobs.spec import StepSpec, TaskSize
+from redwingrun.jobs.spec import StepId, StepSpec, TaskSize
 from tests.jobs.cluster import (
     SimulatedCluster,
     job,
@@ -16,6 +17,7 @@
     make_cluster,
     step,
 )
+from tests.jobs.test_workerreports import EngineHarness
 
 TASKS = 1100
 LARGE, SMALL = job_id(1), job_id(2)
@@ -163,3 +165,30 @@
     cluster.run(6.0)
     assert cluster.state(SMALL) is JobState.COMPLETED
     assert cluster.all_violations() == []
+
+
+# Guards against a cost that grows with the square of a job's tasks: a new owner needed
+# seconds for the first reports of a large job, lost its claim meanwhile, and so did the
+# next ones, for good.
+@pytest.mark.parametrize("is_lost", [True, False], ids=["lost", "ended"])
+def test_a_report_does_not_look_at_all_tasks_for_each_run(
+    is_lost: bool, monkeypatch: pytest.MonkeyPatch
+):
+    looks = 0
+    original = Job.ready_steps
+
+    def ready_steps(self: Job, occurrence: int) -> Iterator[StepId]:
+        nonlocal looks
+        looks += 1
+        return original(self, occurrence)
+
+    harness = EngineHarness(1)
+    run_ids = [order.run_id for order in harness.start_job(large_step(1000))]
+    monkeypatch.setattr(Job, "ready_steps", ready_steps)
+    done = [] if is_lost else list(enumerate(run_ids[:500], start=1))
+    running = {} if is_lost else dict.fromkeys(run_ids[500:], 50)
+    harness.now_s += 1.0
+    harness.report_with_ends("w0", running, done)
+    starts = harness.engine.plan(harness.now_s).starts
+    assert looks == 1
+    assert len(starts) == (1000 if is_lost else 0)
