A large gang that was stored as done in a part is done; a search for missing news

A gang of over 200 tasks has several rows. If its owner ends between the transactions that store it as done, the next owner finds tasks that are done beside tasks that run. Their runs may be listed by one end only, of a task that is done already: the job would wait for ever. Found by reading the divided rows (case 4) for incomplete commits; shown by test_a_gang_that_is_stored_as_done_in_a_part_is_done, which failed before (nothing started). Such a gang is completed when its job is added.

tests/jobs/test_missing_news_model.py, the search of the slice with refusals, silence, cut reports and outages at work. Two mutants: refusals that end runs, and cut reports that count as complete.

--- a/redwingrun/jobs/engine.py
+++ b/redwingrun/jobs/engine.py
@@ -183,6 +183,7 @@
         self.state.job_by_id[job_id] = job
         if job.is_final:
             return
+        job.complete_done_gangs()
         job.has_suspects = job.progress.has_suspects
         for task_id, task in job.placed_tasks():
             self.state.restore_run(job, RunId(task_id, task.run), task.worker, now_s)
--- a/redwingrun/jobs/job.py
+++ b/redwingrun/jobs/job.py
@@ -83,6 +83,17 @@
                     if task.state is TaskState.PLACED:
                         yield TaskId(self.job_id, occurrence, position, index), task
 
+    def complete_done_gangs(self) -> None:
+        """Mark all tasks of a gang as done if one of them is.
+
+        They end together, but the rows that hold them may not all have been stored.
+        """
+        for steps in self.progress.tasks_by_occurrence.values():
+            for spec, tasks in zip(self.spec.steps, steps, strict=False):
+                if spec.gang and any(item.state is TaskState.DONE for item in tasks):
+                    for task in tasks:
+                        task.state = TaskState.DONE
+
     def ready_steps(self, occurrence: int) -> Iterator[StepId]:
         """Yield the steps that are not done but whose predecessors are all done."""
         steps = self.progress.tasks_by_occurrence[occurrence]
--- a/tests/jobs/test_large_jobs.py
+++ b/tests/jobs/test_large_jobs.py
@@ -7,10 +7,16 @@
 import pytest
 
 from redwingrun.jobs.job import Job
-from redwingrun.jobs.progress import JobState, encode_progress
+from redwingrun.jobs.progress import (
+    JobProgress,
+    JobState,
+    TaskState,
+    encode_progress,
+)
 from redwingrun.jobs.rowkeys import progress_key
-from redwingrun.jobs.spec import StepId, StepSpec, TaskSize
+from redwingrun.jobs.spec import StepId, StepSpec, Submission, TaskSize
 from tests.jobs.cluster import (
+    QUEUE,
     SimulatedCluster,
     job,
     job_id,
@@ -192,3 +198,20 @@
     starts = harness.engine.plan(harness.now_s).starts
     assert looks == 1
     assert len(starts) == (1000 if is_lost else 0)
+
+
+# Guards against a large gang of which one row says that it is done and another one,
+# which its owner could not store any more, that it runs: it would wait for ever.
+def test_a_gang_that_is_stored_as_done_in_a_part_is_done():
+    harness = EngineHarness(1)
+    spec = job(step(3, 1.0, gang=True), step(1, 1.0, after=(0,)))
+    progress = JobProgress.fresh()
+    progress.state = JobState.RUNNING
+    progress.add_occurrence(0, spec)
+    for index, task in enumerate(progress.tasks_by_occurrence[0][0]):
+        task.state = TaskState.DONE if index else TaskState.PLACED
+        task.run, task.worker = 1, "w0"
+    submission = Submission(QUEUE, spec, 0)
+    harness.engine.add_job(job_id(1), submission, progress, harness.now_s)
+    (order,) = harness.engine.plan(harness.now_s).starts
+    assert order.run_id.task.step == 1
--- a/tests/jobs/test_missing_news_model.py
+++ b/tests/jobs/test_missing_news_model.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import pytest
-from hypothesis import settings
+from hypothesis import seed, settings
 from hypothesis import strategies as st
-from hypothesis.stateful import rule
+from hypothesis.stateful import rule, run_state_machine_as_test
 
 from redwingrun.jobs.workerlink import WorkerLink
 from redwingrun.jobs.workerreports import ReportProcessor
@@ -13,6 +13,8 @@
 from tests.jobs.simulatedworker import MAX_LISTED_ENDS
 from tests.jobs.test_engine_model import SETTINGS, WORKERS, SliceMachine
 
+# The place of a job of long tasks in job_specs().
+LONG_JOB = 2
 FEW_EXAMPLES = settings(SETTINGS, max_examples=15)
 ORIGINAL_HEARTBEAT_FAILED = WorkerLink._heartbeat_failed
 ORIGINAL_LOSE_MISSING_RUNS = ReportProcessor._lose_missing_runs
@@ -21,16 +23,23 @@
 class MissingNewsMachine(SliceMachine):
     """The faults of the slice's search, and refusals, cut reports and outages."""
 
-    @rule(number=st.integers(1, WORKERS), refuses=st.booleans())
-    def cut_off_or_reconnect_worker(self, number: int, refuses: bool) -> None:
-        """Cut a worker off from all members, with refusals or in silence."""
+    @rule(
+        number=st.integers(1, WORKERS),
+        refuses=st.booleans(),
+        seconds=st.sampled_from([0.5, 2.5, 8.0]),
+    )
+    def cut_off_worker_at_work(
+        self, number: int, refuses: bool, seconds: float
+    ) -> None:
+        """Cut a worker off from all members after a job was submitted."""
+        self.submit(LONG_JOB)
+        self.cluster.run(0.5)
         worker = self.cluster.worker_by_id[f"i-{number}"]
-        if worker.cut:
-            worker.cut.clear()
-            worker.cut_refuses = False
-        else:
-            worker.cut.update(self.cluster.member_by_name)
-            worker.cut_refuses = refuses
+        worker.cut.update(self.cluster.member_by_name)
+        worker.cut_refuses = refuses
+        self.cluster.run(seconds)
+        worker.cut.clear()
+        worker.cut_refuses = False
 
     @rule(number=st.integers(1, WORKERS), limit=st.sampled_from([1, 2]))
     def limit_or_free_reports(self, number: int, limit: int) -> None:
@@ -47,10 +56,15 @@
         for process in processes:
             process.table_mode = OK if is_down else DOWN
 
-    def _lift_faults(self) -> None:
-        super()._lift_faults()
-        for worker in self.cluster.worker_by_id.values():
-            worker.cut_refuses = False
+
+def search(seed_number: int, examples: int = 40) -> None:
+    """Search with another seed than the tests, by hand.
+
+    :raises AssertionError: if it finds a violation.
+    """
+    machine = seed(seed_number)(MissingNewsMachine)
+    more_examples = settings(SETTINGS, max_examples=examples, print_blob=False)
+    run_state_machine_as_test(machine, settings=more_examples)
 
 
 # Guards against work that runs twice or is left lying because an owner takes what it
