Owner: one module holds the evidence that ends a run, and each restart of a task is logged with it

The logs could not tell the incident's hypotheses apart: a start of a task that ran before said neither which run came before it nor what ended that one.

jobs/evidence.py has a class for each kind of evidence; SliceState.lose_run asks it, and is the only way in which a run ends without its end in a report. A line restart names the run and worker before, the evidence, its age and the lease that was left; event-loop-late tells that a process was stopped or starved. worker-lost says lease-expired and other-worker-at-address instead of lapsed and other-life.

Tests: test_evidence, test_looplag; the signature of Engine.worker_lost changed in the tests that call it, their checks did not.

--- /dev/null
+++ b/redwingrun/jobs/decisionlog.py
@@ -0,0 +1,116 @@
+"""The log lines of a slice owner's decisions about runs and jobs."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from redwingrun.coordination.clock import Clock
+from redwingrun.jobs.engine import Engine
+from redwingrun.jobs.evidence import EndedRun
+from redwingrun.jobs.ports import WorkerFault
+from redwingrun.jobs.spec import RunId, StepId, TaskId
+from redwingrun.jobs.workerpool import StartOrder, StopOrder
+from redwingrun.logs import Log
+
+# The number of the first run of a task.
+FIRST_RUN = 1
+
+
+class DecisionLog:
+    """Writes the lines about starts, stops and ends of runs, and about ends of jobs."""
+
+    def __init__(self, log: Log, engine: Engine, clock: Clock):
+        self._log = log
+        self._engine = engine
+        self._clock = clock
+
+    def starts(self, orders: tuple[StartOrder, ...], fence: int) -> None:
+        """Log which tasks start on which workers, one line for each step.
+
+        A task that ran before gets a line of its own.
+        """
+        orders_by_step: dict[StepId, list[StartOrder]] = {}
+        for order in orders:
+            orders_by_step.setdefault(order.run_id.task.step_id, []).append(order)
+        for step_id, step_orders in orders_by_step.items():
+            job = self._engine.job_by_id[step_id.job]
+            self._log.event(
+                "start",
+                job=step_id.job,
+                step=f"{step_id.occurrence}.{step_id.step}",
+                due_in_s=round(job.due_s - self._clock.now(), 3),
+                fence=fence,
+                runs=[
+                    f"{order.run_id.task.index}/{order.run_id.run}@{order.worker_id}"
+                    for order in step_orders
+                ],
+            )
+        for order in orders:
+            ended = self._engine.pop_ended_run(order.run_id.task)
+            if order.run_id.run > FIRST_RUN:
+                self._restart(order, ended)
+
+    def _restart(self, order: StartOrder, ended: EndedRun | None) -> None:
+        """Log what ended the run before, and how old that evidence is.
+
+        Of a run that ended under a former owner only the stored state is known.
+        """
+        fields: dict[str, object] = {"evidence": "stored-by-former-owner"}
+        if ended is not None:
+            age_s = self._clock.now() - ended.evidence.seen_s
+            fields = {
+                "before_run": ended.run_id.run,
+                "before_worker": ended.worker_id,
+                "evidence": ended.evidence.name,
+                "evidence_age_s": round(age_s, 3),
+                "lease_left_s": round(ended.lease_left_s, 3),
+            }
+        self._log.event(
+            "restart",
+            **_run_fields(order.run_id),
+            worker=order.worker_id,
+            **fields,
+        )
+
+    def stop(self, order: StopOrder) -> None:
+        """Log that a run is told to stop, and why."""
+        self._log.event(
+            "stop", **_run_fields(order.run_id), worker=order.worker_id, why=order.why
+        )
+
+    def order_failed(
+        self, what: str, run_id: RunId, worker_id: str, fault: WorkerFault
+    ) -> None:
+        """Log an order that a worker refused or did not answer.
+
+        :param what: name of the log event.
+        """
+        self._log.event(
+            what,
+            **_run_fields(run_id),
+            worker=worker_id,
+            reason=fault.refusal.value if fault.refusal else fault.failure.reason,
+            verdict=fault.failure.verdict.value,
+        )
+
+    def finished_jobs(self, job_ids: Iterable[str]) -> None:
+        """Log those of some jobs whose final state has just been stored."""
+        for job_id in sorted(job_ids):
+            job = self._engine.job_by_id[job_id]
+            if job.is_final:
+                self._log.event(
+                    "job-ended",
+                    job=job_id,
+                    state=job.progress.state.name.lower(),
+                    before_due_s=round(job.due_s - self._clock.now(), 3),
+                )
+
+
+def task_name(task: TaskId) -> str:
+    """Return the name of a task within its job, as log lines have it."""
+    return f"{task.occurrence}.{task.step}.{task.index}"
+
+
+def _run_fields(run_id: RunId) -> dict[str, object]:
+    task = run_id.task
+    return {"job": task.job, "task": task_name(task), "run": run_id.run}
--- a/redwingrun/jobs/engine.py
+++ b/redwingrun/jobs/engine.py
@@ -10,6 +10,12 @@
 
 from redwingrun.jobs.candidates import Candidates
 from redwingrun.jobs.crashes import CrashRecorder, CrashReport
+from redwingrun.jobs.evidence import (
+    EndedRun,
+    Evidence,
+    NotCarriedOut,
+    OtherWorkerAtAddress,
+)
 from redwingrun.jobs.job import Job
 from redwingrun.jobs.placement import Placer
 from redwingrun.jobs.policycache import Ticket
@@ -21,6 +27,7 @@
     QueueSet,
     RunId,
     Submission,
+    TaskId,
 )
 from redwingrun.jobs.speedmeter import SpeedMeter
 from redwingrun.jobs.speeds import SpeedModel
@@ -259,19 +266,21 @@
         if worker is not None:
             worker.is_reachable = False
 
-    def worker_lost(self, worker_id: str, has_crashed: bool) -> CrashReport:
-        """Treat all runs of a worker as lost: it restarted, or their lease has expired.
+    def worker_lost(self, worker_id: str, evidence: Evidence) -> CrashReport:
+        """Treat all runs of a worker as lost.
 
+        :param evidence: that it has restarted, or that their lease has expired.
         :return: the tasks that are suspected or given up because of it.
         """
         worker = self.state.worker_by_id.get(worker_id)
         if worker is None:
             return CrashReport()
         runs = worker.run_by_id.values()
+        has_crashed = isinstance(evidence, OtherWorkerAtAddress)
         crash = self._crashes.record_crash(worker, runs, has_crashed)
-        self.state.lose_all_runs(worker)
+        self.state.lose_all_runs(worker, evidence)
         self._crashes.give_up(crash)
-        if not worker.is_registered:
+        if not worker.is_registered and not worker.run_by_id:
             del self.state.worker_by_id[worker_id]
         return crash
 
@@ -301,7 +310,8 @@
         avoid_s = AVOID_S_BY_REFUSAL.get(refusal, 0)
         worker.avoid_until_s = max(worker.avoid_until_s, now_s + avoid_s)
         self._start_answered(worker, order, now_s)
-        self.state.lose_run(worker, order.run_id)
+        evidence = NotCarriedOut(now_s, refusal.value)
+        self.state.lose_run(worker, order.run_id, evidence)
 
     def _start_answered(self, worker: Worker, order: StartOrder, now_s: float) -> None:
         """Hold the worker of a watched start for no longer than needed."""
@@ -337,11 +347,16 @@
         """Return whether the run still has resources reserved on its worker."""
         return self.state.run(order.worker_id, order.run_id) is not None
 
-    def withdraw_start(self, order: StartOrder) -> None:
+    def withdraw_start(self, order: StartOrder, now_s: float) -> None:
         """Treat a run as lost whose start was never sent."""
         worker = self.state.worker_by_id.get(order.worker_id)
         if worker is not None:
-            self.state.lose_run(worker, order.run_id)
+            evidence = NotCarriedOut(now_s, "never-sent")
+            self.state.lose_run(worker, order.run_id, evidence)
+
+    def pop_ended_run(self, task_id: TaskId) -> EndedRun | None:
+        """Return and forget the run of a task that ended before its latest start."""
+        return self.state.ended_run_by_task.pop(task_id, None)
 
     def policy_answered(
         self, query: PolicyQuery, ticket_by_worker: dict[str, Ticket]
--- a/redwingrun/jobs/sliceowner.py
+++ b/redwingrun/jobs/sliceowner.py
@@ -17,23 +17,20 @@
 from redwingrun.coordination.table import WatchableTable
 from redwingrun.coordination.verdict import Failure
 from redwingrun.jobs.cancellation import cancel_all
+from redwingrun.jobs.decisionlog import DecisionLog
 from redwingrun.jobs.engine import Engine, EngineSettings
+from redwingrun.jobs.looplag import watch_loop_lag
 from redwingrun.jobs.partitionwriter import OwnershipLost
 from redwingrun.jobs.policycache import Ticket
 from redwingrun.jobs.policyproxies import PolicyProxies, PolicyProxy
 from redwingrun.jobs.ports import (
     PolicyAnswer,
-    WorkerFault,
     WorkerPort,
     WorkerRegistry,
 )
 from redwingrun.jobs.slicereader import SliceReader
 from redwingrun.jobs.slicewriter import SliceWriter
-from redwingrun.jobs.spec import (
-    QueueSet,
-    RunId,
-    StepId,
-)
+from redwingrun.jobs.spec import QueueSet
 from redwingrun.jobs.workerlink import WorkerLink
 from redwingrun.jobs.workerpool import PaceOrder, PolicyQuery, StartOrder, StopOrder
 from redwingrun.logs import Log
@@ -88,6 +85,7 @@
 
     :param writer: stores the progress of jobs under the claim.
     :ivar loss_reason: why the ownership is lost; empty while it is not.
+    :ivar decisions: the log of what it decides about runs and jobs.
     :ivar stop_slots: limits the stops that are sent at the same time.
     """
 
@@ -99,6 +97,7 @@
         self.engine = Engine(dependencies.settings)
         self.engine.set_queues(queues)
         self.log = dependencies.log
+        self.decisions = DecisionLog(self.log, self.engine, dependencies.clock)
         self.policy_proxies = PolicyProxies()
         self._link_by_worker: dict[str, WorkerLink] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -178,28 +177,12 @@
         self.writer.abandon()
         self.wake()
 
-    def log_order_fault(
-        self, what: str, run_id: RunId, worker_id: str, fault: WorkerFault
-    ) -> None:
-        """Log an order that a worker refused or did not answer.
-
-        :param what: name of the log event.
-        """
-        task = run_id.task
-        self.log.event(
-            what,
-            job=task.job,
-            task=f"{task.occurrence}.{task.step}.{task.index}",
-            run=run_id.run,
-            worker=worker_id,
-            reason=fault.refusal.value if fault.refusal else fault.failure.reason,
-            verdict=fault.failure.verdict.value,
-        )
-
     # Ownership.
 
     async def run(self) -> str:
         """Own the slice until the ownership ends; return why it ended."""
+        dependencies = self.dependencies
+        self.spawn(watch_loop_lag(dependencies.clock, self.log, dependencies.metrics))
         try:
             await self._load()
             while not self.loss_reason and self._successor is None:
@@ -291,7 +274,7 @@
         self._unsaved_jobs |= plan.changed_jobs
         if plan.starts or self._batch_delay_s() < MIN_BATCH_DELAY_S:
             await self._store()
-        self._log_starts(plan.starts)
+        self.decisions.starts(plan.starts, self.fence)
         for start in plan.starts:
             self._send_start(start)
 
@@ -332,7 +315,7 @@
             )
             self._last_commit_s = started_s
             self._give_up_rejected(rejected)
-            self._log_finished(changed - rejected)
+            self.decisions.finished_jobs(changed - rejected)
             self.dependencies.metrics.seconds("commit_s", self.now() - started_s)
         self._durable_end_number_by_worker.update(end_number_by_worker)
         # Wakes the coroutines that wait now; later ones wait for the new event.
@@ -350,41 +333,10 @@
             self.log.fault("job-rejected", job=job_id)
             self.engine.give_up_job(job_id)
 
-    def _log_finished(self, changed: frozenset[str]) -> None:
-        """Log the jobs whose final state has just been stored."""
-        for job_id in sorted(changed):
-            job = self.engine.job_by_id[job_id]
-            if job.is_final:
-                self.log.event(
-                    "job-ended",
-                    job=job_id,
-                    state=job.progress.state.name.lower(),
-                    before_due_s=round(job.due_s - self.now(), 3),
-                )
-
-    def _log_starts(self, starts: tuple[StartOrder, ...]) -> None:
-        """Log which tasks start on which workers, one line for each step."""
-        orders_by_step: dict[StepId, list[StartOrder]] = {}
-        for order in starts:
-            orders_by_step.setdefault(order.run_id.task.step_id, []).append(order)
-        for step_id, orders in orders_by_step.items():
-            job = self.engine.job_by_id[step_id.job]
-            self.log.event(
-                "start",
-                job=step_id.job,
-                step=f"{step_id.occurrence}.{step_id.step}",
-                due_in_s=round(job.due_s - self.now(), 3),
-                fence=self.fence,
-                runs=[
-                    f"{order.run_id.task.index}/{order.run_id.run}@{order.worker_id}"
-                    for order in orders
-                ],
-            )
-
     def _send_start(self, order: StartOrder) -> None:
         link = self._link_by_worker.get(order.worker_id)
         if link is None or not self.engine.should_send_start(order):
-            self.engine.withdraw_start(order)
+            self.engine.withdraw_start(order, self.now())
             return
         self.dependencies.metrics.count("starts_total")
         self._starts_in_flight += 1
@@ -400,15 +352,7 @@
             await link.repeat_start(order)
 
     def _send_stop(self, order: StopOrder) -> None:
-        task = order.run_id.task
-        self.log.event(
-            "stop",
-            job=task.job,
-            task=f"{task.occurrence}.{task.step}.{task.index}",
-            run=order.run_id.run,
-            worker=order.worker_id,
-            why=order.why,
-        )
+        self.decisions.stop(order)
         link = self._link_by_worker.get(order.worker_id)
         if link is not None:
             self.spawn(link.stop(order))
--- a/redwingrun/jobs/slicestate.py
+++ b/redwingrun/jobs/slicestate.py
@@ -6,6 +6,7 @@
 
 from attrs import define
 
+from redwingrun.jobs.evidence import EndedRun, Evidence
 from redwingrun.jobs.job import Job, apply_run_loss
 from redwingrun.jobs.placement import reserved_size
 from redwingrun.jobs.policycache import StepPolicyCache
@@ -47,6 +48,7 @@
     :ivar ready_step_by_id: steps with waiting tasks that may be placed.
     :ivar policy_cache_by_step: answers of the placement policy.
     :ivar live_runs: by task and run number, the worker of each run that may be alive.
+    :ivar ended_run_by_task: of each task that waits for another run, the one before.
     :ivar stops: stop orders that no plan has returned yet.
     :ivar changed: ids of the jobs whose progress must be stored.
     :ivar scheduled: ids of the jobs with occurrences that have not begun.
@@ -65,6 +67,7 @@
         self.changed: set[str] = set()
         self.scheduled: set[str] = set()
         self._unchecked_occurrences: dict[tuple[str, int], Job] = {}
+        self.ended_run_by_task: dict[TaskId, EndedRun] = {}
         self.unix_ms = 0
         self.inherited_lease_expiry_s = 0.0
 
@@ -114,24 +117,40 @@
                 del self.live_runs[run_id.task]
         return worker.remove(run_id)
 
-    def lose_run(self, worker: Worker, run_id: RunId) -> None:
-        """Remove a run that ended without a report; its task waits again.
+    def lose_run(self, worker: Worker, run_id: RunId, evidence: Evidence) -> bool:
+        """Remove a run that ended without a report, if there is evidence of its end.
 
-        The rest of its gang is stopped.
+        Its task waits again. The rest of its gang is stopped.
+
+        :return: whether the run has ended.
         """
+        run = worker.run_by_id.get(run_id)
+        if run is None or not evidence.proves_end(run, worker):
+            return False
         self.remove_run(worker, run_id)
         job = self.job_by_id.get(run_id.task.job)
         if job is not None and apply_run_loss(job, run_id.task, run_id.run):
+            self.record_ended_run(worker, run_id, evidence)
             self.changed.add(job.job_id)
             self.add_ready_steps(job, run_id.task.occurrence)
             self.stop_gang(job, run_id.task)
+        return True
 
-    def lose_all_runs(self, worker: Worker) -> None:
+    def lose_all_runs(self, worker: Worker, evidence: Evidence) -> None:
         """Treat all runs of a worker as lost; its next report makes it usable again."""
         worker.is_reachable = False
         worker.last_end_number = 0
         for run_id in list(worker.run_by_id):
-            self.lose_run(worker, run_id)
+            self.lose_run(worker, run_id, evidence)
+
+    def record_ended_run(
+        self, worker: Worker, run_id: RunId, evidence: Evidence
+    ) -> None:
+        """Record why a task waits for another run, for the log of its next start."""
+        lease_left_s = worker.lease_expiry_s - evidence.seen_s
+        self.ended_run_by_task[run_id.task] = EndedRun(
+            run_id, worker.worker_id, evidence, lease_left_s
+        )
 
     def stop(self, run_id: RunId, worker: Worker, why: str) -> None:
         """Issue a stop order for a run, unless one was issued before.
@@ -177,6 +196,7 @@
             for position, tasks in enumerate(steps):
                 for index in range(len(tasks)):
                     task_id = TaskId(job.job_id, occurrence, position, index)
+                    self.ended_run_by_task.pop(task_id, None)
                     self.stop_task(task_id, why)
 
     def add_ready_steps(self, job: Job, occurrence: int) -> None:
--- a/redwingrun/jobs/workerlink.py
+++ b/redwingrun/jobs/workerlink.py
@@ -9,6 +9,7 @@
 
 from redwingrun.coordination.verdict import Verdict
 from redwingrun.jobs.crashes import CrashReport
+from redwingrun.jobs.evidence import Evidence, LeaseExpired, OtherWorkerAtAddress
 from redwingrun.jobs.pacing import has_mixed_load
 from redwingrun.jobs.ports import Heartbeat, WorkerAddress, WorkerFault, WorkerPort
 from redwingrun.jobs.spec import RunId
@@ -197,16 +198,22 @@
         if self._failed_heartbeats == 1:
             self._log_unreachable(worker, fault)
         owner.engine.worker_unreachable(self._worker_id)
-        has_restarted = fault.refusal is Refusal.OTHER_INCARNATION
-        lease_expired = owner.now() > worker.lease_expiry_s
-        if (has_restarted or lease_expired) and (
-            worker.run_by_id or not worker.is_registered
-        ):
-            self._lose_worker(worker, has_restarted)
+        evidence = self._evidence_of_loss(worker, fault)
+        if evidence is not None and (worker.run_by_id or not worker.is_registered):
+            self._lose_worker(worker, evidence)
         await asyncio.sleep(
             min(MAX_RETRY_DELAY_S, RETRY_STEP_S * self._failed_heartbeats)
         )
 
+    def _evidence_of_loss(self, worker: Worker, fault: WorkerFault) -> Evidence | None:
+        """Return what shows, after a failed heartbeat, that all runs have ended."""
+        now_s = self._owner.now()
+        if fault.refusal is Refusal.OTHER_INCARNATION:
+            return OtherWorkerAtAddress(now_s)
+        if now_s > worker.lease_expiry_s:
+            return LeaseExpired(now_s)
+        return None
+
     def _log_unreachable(self, worker: Worker, fault: WorkerFault) -> None:
         """Log the first failed heartbeat after an answer."""
         owner = self._owner
@@ -218,16 +225,16 @@
             lease_left_s=round(worker.lease_expiry_s - owner.now(), 3),
         )
 
-    def _lose_worker(self, worker: Worker, has_restarted: bool) -> None:
+    def _lose_worker(self, worker: Worker, evidence: Evidence) -> None:
         """Report to the engine that all runs of a worker have ended."""
         owner = self._owner
         owner.log.event(
             "worker-lost",
             worker=self._worker_id,
-            why="other-life" if has_restarted else "lapsed",
+            why=evidence.name,
             runs=len(worker.run_by_id),
         )
-        crash = owner.engine.worker_lost(self._worker_id, has_restarted)
+        crash = owner.engine.worker_lost(self._worker_id, evidence)
         self._log_crash(crash)
         owner.wake()
 
@@ -350,7 +357,7 @@
             return True
         deadline_ms = self._order_deadline_ms(worker)
         if deadline_ms is None:
-            owner.engine.withdraw_start(order)
+            owner.engine.withdraw_start(order, owner.now())
             return True
         answer = await self._port.start(
             self._target(worker), order, owner.fence, deadline_ms
@@ -372,12 +379,14 @@
         fault = answer.error
         if fault.failure.verdict is Verdict.MAY_HAVE_RUN:
             self._unanswered_start_s[order.run_id] = owner.now()
-            owner.log_order_fault(
+            owner.decisions.order_failed(
                 "start-unanswered", order.run_id, self._worker_id, fault
             )
             return False
         refusal = fault.refusal or Refusal.NOT_SENT
-        owner.log_order_fault("start-refused", order.run_id, self._worker_id, fault)
+        owner.decisions.order_failed(
+            "start-refused", order.run_id, self._worker_id, fault
+        )
         if refusal is Refusal.STALE_FENCE:
             owner.lose_ownership(f"worker {self._worker_id} has seen a newer fence")
             return True
@@ -404,7 +413,7 @@
         if answer.is_ok():
             owner.engine.pace_acknowledged(order)
         else:
-            owner.log_order_fault(
+            owner.decisions.order_failed(
                 "pace-failed", order.run_id, self._worker_id, answer.error
             )
 
--- a/redwingrun/jobs/workerpool.py
+++ b/redwingrun/jobs/workerpool.py
@@ -300,6 +300,7 @@
         reported.
     :param draining: whether the worker will shut down soon; ``None`` if not reported.
         Not used: the registration counts.
+    :ivar listed_runs: the runs that it lists, as running or as ended.
     """
 
     clock_ms: float
@@ -308,6 +309,11 @@
     born_ms: int = 0
     draining: bool | None = None
     lists_all_ends: bool = True
+    listed_runs: frozenset[RunId] = field(init=False, repr=False)
+
+    @listed_runs.default
+    def _collect_listed_runs(self) -> frozenset[RunId]:
+        return frozenset(item.run_id for item in (*self.running, *self.ends))
 
 
 class Refusal(Enum):
--- a/redwingrun/jobs/workerreports.py
+++ b/redwingrun/jobs/workerreports.py
@@ -7,8 +7,10 @@
 from attrs import evolve
 
 from redwingrun.jobs.crashes import CrashRecorder, CrashReport
+from redwingrun.jobs.evidence import AbsentFromReport, LaterIncarnation, ListedEnd
 from redwingrun.jobs.job import Job, apply_run_end, remove_done_occurrences
 from redwingrun.jobs.pacing import pace_orders
+from redwingrun.jobs.progress import TaskState
 from redwingrun.jobs.slicestate import SliceState
 from redwingrun.jobs.spec import RunId
 from redwingrun.jobs.speedmeter import SpeedMeter
@@ -97,7 +99,6 @@
         worker.last_report_s = worker.last_contact_s = now_s
         if worker.info.draining:
             self.evacuate(worker)
-        ended = {end.run_id for end in report.ends}
         changed_jobs = {}
         for end in report.ends:
             if end.number > worker.last_end_number:
@@ -108,7 +109,7 @@
         for job in changed_jobs.values():
             self._finish_if_done(job)
         self._apply_running(worker, report, now_s)
-        return self._lose_missing_runs(worker, report, ended, sent_s, now_s)
+        return self._lose_missing_runs(worker, report, sent_s, now_s)
 
     def worker_restarted(
         self, worker_id: str, report: WorkerReport, sent_s: float, now_s: float
@@ -129,11 +130,11 @@
             return CrashReport()
         worker.last_end_number = 0
         worker.info = evolve(worker.info, born_ms=report.born_ms)
-        listed = {item.run_id for item in (*report.running, *report.ends)}
+        evidence = LaterIncarnation(now_s, report, sent_s)
         former = {
             run_id: run
             for run_id, run in worker.run_by_id.items()
-            if run_id not in listed
+            if run_id not in report.listed_runs
             and report.lists_all_ends
             and (run.answered_s is None or run.answered_s < sent_s)
         }
@@ -141,8 +142,8 @@
         for run_id, run in list(worker.run_by_id.items()):
             if run.answered_s is None:
                 self._state.stop(run_id, worker, "ordered-before-new-life")
-            elif run_id in former:
-                self._state.lose_run(worker, run_id)
+            else:
+                self._state.lose_run(worker, run_id, evidence)
         self._crashes.give_up(crash)
         return crash
 
@@ -218,6 +219,9 @@
         if not apply_run_end(job, end, worker.worker_id, now_s):
             return None
         self._state.changed.add(job.job_id)
+        if job.task(end.run_id.task).state is TaskState.WAITING:
+            evidence = ListedEnd(now_s, end.kind, end.number)
+            self._state.record_ended_run(worker, end.run_id, evidence)
         self._update_failed_jobs(worker, job, end, now_s)
         if end.kind is EndKind.DONE and run is not None:
             self._speed_meter.run_done(worker, run, job, now_s)
@@ -314,7 +318,6 @@
         self,
         worker: Worker,
         report: WorkerReport,
-        ended: set[RunId],
         sent_s: float,
         now_s: float,
     ) -> CrashReport:
@@ -326,19 +329,11 @@
         there may have ended in a crash. They have if the worker is younger than they
         are.
 
-        :param ended: ids of the runs whose end is in the report.
         :param sent_s: monotonic time at which the heartbeat was sent. A run whose start
             was answered later may be missing without being lost.
         """
-        running = {status.run_id for status in report.running}
-        missing = [
-            run
-            for run_id, run in worker.run_by_id.items()
-            if run_id not in running
-            and run_id not in ended
-            and run.answered_s is not None
-            and run.answered_s < sent_s
-        ]
+        evidence = AbsentFromReport(now_s, report, sent_s)
+        missing = [run for run in worker.run_by_id.values() if evidence.is_missing(run)]
         if not report.lists_all_ends:
             self._await_ends(missing)
             return CrashReport()
@@ -349,6 +344,6 @@
             is_certain = all(now_s - run.ordered_s > max_age_s for run in inherited)
             crash = self._crashes.record_crash(worker, inherited, is_certain)
         for run in missing:
-            self._state.lose_run(worker, run.run_id)
+            self._state.lose_run(worker, run.run_id, evidence)
         self._crashes.give_up(crash)
         return crash
--- a/tests/jobs/test_crashingtasks.py
+++ b/tests/jobs/test_crashingtasks.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from redwingrun.jobs.evidence import LeaseExpired, OtherWorkerAtAddress
 from redwingrun.jobs.progress import JobProgress, JobState, TaskState
 from redwingrun.jobs.spec import Submission
 from tests.helpers import DOWN, OK
@@ -175,7 +176,7 @@
             harness.engine.start_accepted(order, harness.now_s)
         state = harness.engine.job_by_id[job_id(1)].progress.state
         assert state is JobState.RUNNING
-        harness.engine.worker_lost(order.worker_id, True)
+        harness.engine.worker_lost(order.worker_id, OtherWorkerAtAddress(harness.now_s))
         harness.now_s += 1.0
         for name in harness.names:
             harness.report(name, {})
@@ -193,7 +194,7 @@
     while progress.state is not JobState.FAILED:
         (order,) = harness.engine.plan(harness.now_s).starts
         starts += 1
-        harness.engine.worker_lost(order.worker_id, True)
+        harness.engine.worker_lost(order.worker_id, OtherWorkerAtAddress(harness.now_s))
         harness.now_s += 1.0
         for name in harness.names:
             harness.report(name, {})
@@ -213,7 +214,7 @@
     for _ in range(3):
         for order in harness.engine.plan(harness.now_s).starts:
             harness.engine.start_accepted(order, harness.now_s)
-        harness.engine.worker_lost("w0", True)
+        harness.engine.worker_lost("w0", OtherWorkerAtAddress(harness.now_s))
         survived.append([item.state is not JobState.FAILED for item in states])
         harness.now_s += 1.0
         harness.report("w0", {})
@@ -229,7 +230,8 @@
     progress = harness.engine.job_by_id[job_id(1)].progress
     for has_crashed in (False, False, False, True, True):
         assert progress.state is JobState.RUNNING
-        harness.engine.worker_lost(order.worker_id, has_crashed)
+        evidence = OtherWorkerAtAddress if has_crashed else LeaseExpired
+        harness.engine.worker_lost(order.worker_id, evidence(harness.now_s))
         harness.now_s += 1.0
         for name in harness.names:
             harness.report(name, {})
@@ -254,7 +256,7 @@
     harness.engine.add_job(job_id(1), submission, progress, harness.now_s)
     (run_id,) = harness.engine.worker_by_id["w0"].run_by_id
     harness.report("w0", {run_id: 10})
-    harness.engine.worker_lost("w0", True)
+    harness.engine.worker_lost("w0", OtherWorkerAtAddress(harness.now_s))
     assert (task.crashes, task.suspected) == (3, 1)
 
 
@@ -263,7 +265,7 @@
 def test_a_suspected_task_that_had_to_wait_for_room_is_still_watched():
     harness = EngineHarness(1)
     (order,) = harness.start_job(step(1))
-    harness.engine.worker_lost("w0", True)
+    harness.engine.worker_lost("w0", OtherWorkerAtAddress(harness.now_s))
     harness.report("w0", {})
     other = Submission(QUEUE, job(step(4, 30.0)), 0)
     harness.engine.add_job(job_id(2), other, None, harness.now_s)
--- a/tests/jobs/test_missing_news_model.py
+++ b/tests/jobs/test_missing_news_model.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import rule, run_state_machine_as_test
 
+from redwingrun.jobs.evidence import OtherWorkerAtAddress
 from redwingrun.jobs.workerlink import WorkerLink
 from redwingrun.jobs.workerreports import ReportProcessor
 from tests.helpers import DOWN, OK, run_state_machine
@@ -76,14 +77,15 @@
 async def _lose_runs_at_a_refusal(self, worker, fault):
     """Treat a worker as dead when it refuses a connection."""
     if fault.failure.reason == "connection-refused":
-        self._owner.engine.worker_lost(self._worker_id, True)
+        evidence = OtherWorkerAtAddress(self._owner.now())
+        self._owner.engine.worker_lost(self._worker_id, evidence)
     await ORIGINAL_HEARTBEAT_FAILED(self, worker, fault)
 
 
-def _ignore_that_reports_are_cut(self, worker, report, ended, sent_s, now_s):
+def _ignore_that_reports_are_cut(self, worker, report, sent_s, now_s):
     """Treat each report as one that lists all ends."""
     object.__setattr__(report, "lists_all_ends", True)
-    return ORIGINAL_LOSE_MISSING_RUNS(self, worker, report, ended, sent_s, now_s)
+    return ORIGINAL_LOSE_MISSING_RUNS(self, worker, report, sent_s, now_s)
 
 
 MUTANTS = {
--- a/tests/jobs/test_shrinkingcapacity.py
+++ b/tests/jobs/test_shrinkingcapacity.py
@@ -92,7 +92,7 @@
         if harness.engine.should_send_start(order):
             sent.append(order)
         else:
-            harness.engine.withdraw_start(order)
+            harness.engine.withdraw_start(order, harness.now_s)
     assert len(sent) == 1
     assert worker.cpu_used == 2000
 
