--- a/tests/jobs/cluster.py
+++ b/tests/jobs/cluster.py
@@ -78,6 +78,7 @@
         their present state can.
     :ivar notifications_are_lost: notifications between members are lost.
     :ivar feed_is_silent: the table's feed reports no changes.
+    :ivar isolated_members: names of members that reach no peer, nor are reached.
     :ivar open_member_by_name: the members that accept calls from peers.
     :ivar accepted: ids of the jobs whose submission was confirmed.
     :ivar gang_ready_s: time at which all tasks of a gang step were running, by step
@@ -87,6 +88,7 @@
     :ivar crash_delay_s: how long after its start such a task crashes its worker.
     :ivar crashes_s_by_task: times at which a worker crashed under a run of a task.
     :ivar order_delays_s: delays of the next orders to workers; their answers are lost.
+    :ivar heartbeat_delays_s: the same for the next heartbeats.
     :ivar lost_answers: how many of the next answers to orders are lost.
     :ivar live_runs: worker by run, for each task with runs that have not ended.
     :ivar acked_ends: ends that the owner has acknowledged, by task and run.
@@ -108,6 +110,7 @@
     worker_by_id: dict[str, SimulatedWorker] = field(factory=dict)
     process_by_name: dict[str, FakeProcess] = field(factory=dict)
     member_by_name: dict[str, Member] = field(factory=dict)
+    isolated_members: set[str] = field(factory=set)
     open_member_by_name: dict[str, Member] = field(factory=dict)
     submission_by_job: dict[str, Submission] = field(factory=dict)
     accepted: set[str] = field(factory=set)
@@ -117,6 +120,7 @@
     crash_delay_s: float = 0.01
     crashes_s_by_task: dict[TaskId, list[float]] = field(factory=dict)
     order_delays_s: list[float] = field(factory=list)
+    heartbeat_delays_s: list[float] = field(factory=list)
     lost_answers: int = 0
     live_runs: dict[TaskId, dict[RunId, str]] = field(factory=dict)
     done_tasks: set[TaskId] = field(factory=set)
--- a/tests/jobs/clusterports.py
+++ b/tests/jobs/clusterports.py
@@ -247,6 +247,12 @@
         worker = await self._reach(target)
         if worker is None:
             return await self._no_answer(target)
+        if self._cluster.heartbeat_delays_s:
+            delay_s = self._cluster.heartbeat_delays_s.pop(0)
+            self._cluster.loop.call_later(
+                delay_s, self._carry_out_late, worker, lambda m: m.heartbeat(call)
+            )
+            return await self._no_answer(target)
         refusal = worker.heartbeat(call)
         until_s = self._cluster.loop.time() + call.wait_s
         while refusal is None and self._cluster.loop.time() < until_s:
@@ -345,6 +351,8 @@
         process = self._cluster.process_by_name.get(address)
         if process is None or not process.resumed.is_set():
             return None
+        if self._cluster.isolated_members & {address, self._process.name}:
+            return None
         return self._cluster.open_member_by_name.get(address)
 
     async def query_policy(
@@ -394,7 +402,8 @@
         process = self._cluster.process_by_name.get(address)
         if process is None:
             return Liveness.ENDED
-        if not process.resumed.is_set():
+        isolated = self._cluster.isolated_members & {address, self._process.name}
+        if isolated or not process.resumed.is_set():
             await asyncio.sleep(LIVENESS_TIMEOUT_S)
             await self._process.wait_until_resumed()
             return Liveness.SILENT
