--- a/redwingrun/jobs/slicereader.py
+++ b/redwingrun/jobs/slicereader.py
@@ -23,8 +23,7 @@
     last_segment,
 )
 from redwingrun.jobs.spec import decode_submission
-from redwingrun.jobs.workerlink import LEASE_S
-from redwingrun.jobs.workerpool import MIN_CLOCK_RATE
+from redwingrun.jobs.workerlease import INHERITED_LEASE_S
 
 if TYPE_CHECKING:
     from redwingrun.jobs.sliceowner import SliceOwner
@@ -35,11 +34,6 @@
 # keep renewing their registrations. New jobs arrive earlier as notifications.
 REGISTRY_PAUSE_S = 0.25
 JOBS_PAUSE_S = 0.25
-# A former owner that can't reach the table stops renewing leases within this time.
-STEP_DOWN_S = 3.0
-# A former owner's lease on a worker that this owner can't reach ends within this time
-# after the claim.
-INHERITED_LEASE_S = STEP_DOWN_S + LEASE_S / MIN_CLOCK_RATE + 1.0
 
 
 class SliceReader:
--- /dev/null
+++ b/redwingrun/jobs/workerlease.py
@@ -0,0 +1,82 @@
+"""What an owner knows of the lease of a worker's runs, and of the worker's clock."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+from redwingrun.jobs.workerpool import MIN_CLOCK_RATE
+
+MS_PER_S = 1000
+# Runs on a worker continue for this time after the owner's last heartbeat. It is longer
+# than a takeover, so that a new owner can renew the lease.
+LEASE_S = 6.0
+LEASE_EXPIRY_MARGIN_S = 0.2
+# An order without an answer may still be carried out up to 12 s later; with a margin.
+MAX_ORDER_DELAY_S = 15.0
+# A former owner that can't reach the table stops renewing leases within this time.
+STEP_DOWN_S = 3.0
+# A former owner's lease on a worker that this owner can't reach ends within this time
+# after the claim.
+INHERITED_LEASE_S = STEP_DOWN_S + LEASE_S / MIN_CLOCK_RATE + 1.0
+
+
+@frozen
+class LeaseGrant:
+    """A lease that is sent to a worker.
+
+    :param deadline_ms: its end on the worker's clock.
+    :param expires_s: monotonic time at which it has certainly expired.
+    """
+
+    deadline_ms: float
+    expires_s: float
+
+
+class WorkerLease:
+    """The leases that one owner grants to the runs of one worker.
+
+    Times are the owner's monotonic seconds, deadlines are on the worker's clock.
+
+    :param max_lease_s: the worker shortens a longer lease to this.
+    """
+
+    def __init__(self, max_lease_s: float):
+        self._max_lease_s = max_lease_s
+        self._clock_ms: float | None = None
+        self._clock_read_s = 0.0
+        self.last_deadline_ms: float | None = None
+
+    @property
+    def is_clock_known(self) -> bool:
+        """Whether the worker's clock has been read."""
+        return self._clock_ms is not None
+
+    def record_clock(self, clock_ms: float, read_s: float) -> None:
+        """Record a reading of the worker's clock.
+
+        :param read_s: when the reading was received.
+        """
+        self._clock_ms = clock_ms
+        self._clock_read_s = read_s
+
+    def grant(self, now_s: float) -> LeaseGrant | None:
+        """Return a new lease; ``None`` while the worker's clock is not known."""
+        if self._clock_ms is None:
+            return None
+        since_s = now_s - self._clock_read_s
+        self.last_deadline_ms = round(self._clock_ms + (since_s + LEASE_S) * MS_PER_S)
+        return LeaseGrant(
+            self.last_deadline_ms, self._clock_read_s + longest_s(since_s + LEASE_S)
+        )
+
+    def longest_expiry_s(self, latest_order_s: float) -> float:
+        """Return when a lease of unknown length has certainly expired.
+
+        :param latest_order_s: latest time at which an order may have granted it.
+        """
+        return latest_order_s + longest_s(self._max_lease_s)
+
+
+def longest_s(lease_s: float) -> float:
+    """Return after which time a lease has certainly expired on any worker's clock."""
+    return lease_s / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN_S
--- a/redwingrun/jobs/workerlink.py
+++ b/redwingrun/jobs/workerlink.py
@@ -13,8 +13,13 @@
 from redwingrun.jobs.pacing import has_mixed_load
 from redwingrun.jobs.ports import Heartbeat, WorkerAddress, WorkerFault, WorkerPort
 from redwingrun.jobs.spec import RunId
+from redwingrun.jobs.workerlease import (
+    LEASE_S,
+    MAX_ORDER_DELAY_S,
+    WorkerLease,
+    longest_s,
+)
 from redwingrun.jobs.workerpool import (
-    MIN_CLOCK_RATE,
     EndKind,
     PaceOrder,
     Refusal,
@@ -27,11 +32,6 @@
 if TYPE_CHECKING:
     from redwingrun.jobs.sliceowner import SliceOwner
 
-MS_PER_S = 1000
-# Runs on a worker continue for this time after the owner's last heartbeat. It is longer
-# than a takeover, so that a new owner can renew the lease.
-LEASE_S = 6.0
-LEASE_EXPIRY_MARGIN_S = 0.2
 # Longest delay of a worker's answer to a heartbeat; it answers earlier if a run ends.
 IDLE_WAIT_S = 1.8
 BUSY_WAIT_S = 1.0
@@ -47,8 +47,6 @@
 # The delay before a retry grows by this step with each attempt.
 RETRY_STEP_S = 0.1
 MAX_RETRY_DELAY_S = 0.6
-# An order without an answer may still be carried out up to 12 s later; with a margin.
-MAX_ORDER_DELAY_S = 15.0
 # A worker that refuses a stop so will refuse the start, too.
 FINAL_STOP_REFUSALS = frozenset(
     {Refusal.STALE_FENCE, Refusal.OTHER_INCARNATION, Refusal.BAD_ORDER}
@@ -67,9 +65,7 @@
         self._owner = owner
         self._port = port
         self._worker_id = worker_id
-        self._clock_ms: float | None = None
-        self._clock_read_s = 0.0
-        self._last_deadline_ms: float | None = None
+        self._lease = WorkerLease(owner.dependencies.settings.max_lease_s)
         self._unanswered_start_s: dict[RunId, float] = {}
         self._failed_heartbeats = 0
 
@@ -100,7 +96,7 @@
         report = answer.ok
         received_s = owner.now()
         self._note_answer(worker, received_s)
-        self._record_clock(report.clock_ms)
+        self._lease.record_clock(report.clock_ms, owner.now())
         if self._has_restarted(worker, report):
             await self._handle_restart(worker, report, sent_s)
         self._log_abnormal_ends(worker, report)
@@ -129,7 +125,9 @@
 
     def _wait_s(self, worker: Worker, durable_end_number: int) -> float:
         """Return how long the worker may wait for an end before it answers."""
-        if not worker.is_reachable or self._failed_heartbeats or self._clock_ms is None:
+        if not worker.is_reachable or self._failed_heartbeats:
+            return 0.0
+        if not self._lease.is_clock_known:
             return 0.0
         if worker.last_end_number > durable_end_number:
             return 0.0
@@ -140,22 +138,16 @@
     def _target(self, worker: Worker) -> WorkerAddress:
         return WorkerAddress(worker.worker_id, worker.info.address)
 
-    def _record_clock(self, clock_ms: float) -> None:
-        self._clock_ms = clock_ms
-        self._clock_read_s = self._owner.now()
-
     def _deadline_ms(self, worker: Worker) -> float | None:
         """Return a new deadline of the lease, and record when it certainly expires.
 
-        :return: time on the worker's clock; ``None`` if that clock is not known yet.
+        :return: time on the worker's clock; ``None`` if no lease may be granted.
         """
-        if self._clock_ms is None:
+        grant = self._lease.grant(self._owner.now())
+        if grant is None:
             return None
-        since_s = self._owner.now() - self._clock_read_s
-        expires_s = self._clock_read_s + _longest_lease_s(since_s)
-        worker.lease_expiry_s = max(worker.lease_expiry_s, expires_s)
-        self._last_deadline_ms = round(self._clock_ms + (since_s + LEASE_S) * MS_PER_S)
-        return self._last_deadline_ms
+        worker.lease_expiry_s = max(worker.lease_expiry_s, grant.expires_s)
+        return grant.deadline_ms
 
     def _order_deadline_ms(self, worker: Worker) -> float | None:
         """Return the lease deadline for a start.
@@ -163,17 +155,17 @@
         After a failed heartbeat it is the last one, so that the lease is not renewed.
         """
         return (
-            self._last_deadline_ms
+            self._lease.last_deadline_ms
             if self._failed_heartbeats
             else self._deadline_ms(worker)
         )
 
     def _note_answer(self, worker: Worker, received_s: float) -> None:
         """Record that the worker has answered a heartbeat."""
-        if self._clock_ms is None:
+        if not self._lease.is_clock_known:
             # The worker has seen this owner's fence, so that a former owner can't renew
             # its lease any more.
-            expires_s = received_s + _longest_lease_s(0)
+            expires_s = received_s + longest_s(LEASE_S)
             worker.lease_expiry_s = min(worker.lease_expiry_s, expires_s)
         if self._failed_heartbeats:
             self._owner.log.event(
@@ -302,8 +294,7 @@
         owner = self._owner
         sent_s = self._unanswered_start_s.values()
         latest_s = max([owner.now(), *(at_s + MAX_ORDER_DELAY_S for at_s in sent_s)])
-        max_lease_s = owner.dependencies.settings.max_lease_s / MIN_CLOCK_RATE
-        expires_s = latest_s + max_lease_s + LEASE_EXPIRY_MARGIN_S
+        expires_s = self._lease.longest_expiry_s(latest_s)
         worker.lease_expiry_s = max(worker.lease_expiry_s, expires_s)
 
     async def _prevent_late_start(self, worker: Worker, order: StopOrder) -> None:
@@ -435,12 +426,3 @@
                 return
             failures += 1
             await asyncio.sleep(min(MAX_RETRY_DELAY_S, RETRY_STEP_S * failures))
-
-
-def _longest_lease_s(since_s: float) -> float:
-    """Return after which time a lease has certainly expired on any worker's clock.
-
-    :param since_s: seconds from the reading of that clock to the grant of the lease.
-    :return: seconds from the reading of the clock.
-    """
-    return (since_s + LEASE_S) / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN_S
--- a/tests/jobs/test_unreachable_workers.py
+++ b/tests/jobs/test_unreachable_workers.py
@@ -12,7 +12,7 @@
 from redwingrun.jobs.ports import WorkerFault
 from redwingrun.jobs.progress import JobState
 from redwingrun.jobs.spec import RunId, TaskId
-from redwingrun.jobs.workerlink import (
+from redwingrun.jobs.workerlease import (
     LEASE_EXPIRY_MARGIN_S,
     LEASE_S,
     MAX_ORDER_DELAY_S,
