Worker lease: a restart is noticed by the clock in the answer to a start

What callers saw: all tasks of a worker run twice at the same time. Cause: a worker that restarts under its id gets starts before its next report. Their deadlines are on the clock of its former incarnation, far in the new one's future, so that its lease is the longest (10 s); the owner counted 6.3 s. If it was cut off before that report, its runs were given up while they went on.

The answer to a start carries the worker's clock, which was not looked at. An incarnation's clock starts at zero, so that a reading below what the former one must show by now is a restart: the longest lease is counted, and the worker gets no starts and no lease until its next report. A start without an answer shows nothing.

--- a/redwingrun/jobs/workerlease.py
+++ b/redwingrun/jobs/workerlease.py
@@ -11,6 +11,8 @@
 # than a takeover, so that a new owner can renew the lease.
 LEASE_S = 6.0
 LEASE_EXPIRY_MARGIN_S = 0.2
+# A worker's clock is read in whole milliseconds, twice for a comparison.
+CLOCK_PRECISION_MS = 2.0
 # An order without an answer may still be carried out up to 12 s later; with a margin.
 MAX_ORDER_DELAY_S = 15.0
 # A former owner that can't reach the table stops renewing leases within this time.
@@ -59,6 +61,24 @@
         self._clock_ms = clock_ms
         self._clock_read_s = read_s
 
+    def forget_clock(self) -> None:
+        """Grant no more leases before the clock is read again."""
+        self._clock_ms = None
+        self.last_deadline_ms = None
+
+    def is_of_later_incarnation(self, clock_ms: float, sent_s: float) -> bool:
+        """Return whether a reading of the clock shows that the worker has restarted.
+
+        The clock of an incarnation starts at zero.
+
+        :param clock_ms: the reading, in the answer to an order.
+        :param sent_s: when that order was sent.
+        """
+        if self._clock_ms is None or sent_s < self._clock_read_s:
+            return False
+        elapsed_s = (sent_s - self._clock_read_s) * MIN_CLOCK_RATE
+        return clock_ms < self._clock_ms + elapsed_s * MS_PER_S - CLOCK_PRECISION_MS
+
     def grant(self, now_s: float) -> LeaseGrant | None:
         """Return a new lease; ``None`` while the worker's clock is not known."""
         if self._clock_ms is None:
--- a/redwingrun/jobs/workerlink.py
+++ b/redwingrun/jobs/workerlink.py
@@ -66,6 +66,7 @@
         self._port = port
         self._worker_id = worker_id
         self._lease = WorkerLease(owner.dependencies.settings.max_lease_s)
+        self._has_answered = False
         self._unanswered_start_s: dict[RunId, float] = {}
         self._failed_heartbeats = 0
 
@@ -162,7 +163,7 @@
 
     def _note_answer(self, worker: Worker, received_s: float) -> None:
         """Record that the worker has answered a heartbeat."""
-        if not self._lease.is_clock_known:
+        if not self._has_answered:
             # The worker has seen this owner's fence, so that a former owner can't renew
             # its lease any more.
             expires_s = received_s + longest_s(LEASE_S)
@@ -171,6 +172,7 @@
             self._owner.log.event(
                 "worker-reached", worker=self._worker_id, failed=self._failed_heartbeats
             )
+        self._has_answered = True
         self._failed_heartbeats = 0
 
     async def _heartbeat_failed(self, worker: Worker, fault: WorkerFault) -> None:
@@ -350,11 +352,33 @@
         if deadline_ms is None:
             owner.engine.withdraw_start(order, owner.now())
             return True
+        sent_s = owner.now()
         answer = await self._port.start(
             self._target(worker), order, owner.fence, deadline_ms
         )
+        if answer.is_ok():
+            self._check_clock(worker, answer.ok, sent_s)
         return self._process_start_answer(order, answer, attempts)
 
+    def _check_clock(self, worker: Worker, clock_ms: float, sent_s: float) -> None:
+        """Notice by its clock that a worker has restarted since its last report.
+
+        Deadlines on the clock of its former incarnation are the longest lease for the
+        new one. Until its next report it gets no starts and no lease.
+
+        :param clock_ms: the worker's clock in the answer to an order.
+        :param sent_s: when the order was sent.
+        """
+        owner = self._owner
+        if not self._lease.is_of_later_incarnation(clock_ms, sent_s):
+            return
+        owner.log.event(
+            "worker-clock-back", worker=self._worker_id, clock_ms=round(clock_ms)
+        )
+        self._assume_longest_lease(worker)
+        self._lease.forget_clock()
+        owner.engine.worker_unreachable(self._worker_id)
+
     def _process_start_answer(
         self, order: StartOrder, answer: Result[float, WorkerFault], attempts: int
     ) -> bool:
