Worker lease: a new owner counts the longest lease of a worker that has restarted lately

Cause: it counted 6.3 s from a worker's first answer, since its predecessor grants 6 s. A worker that has restarted under its id may have taken the predecessor's deadline on the old clock: 10 s.

A worker whose clock shows less than the time in which such an order can still arrive and its lease last (25 s) is counted with 10.4 s.

The first owner of a slice inherits no lease and waits for none; without that test_tasks_of_a_crashed_worker_restart_when_its_lease_has_expired failed, since its workers are young.

--- a/redwingrun/jobs/slicereader.py
+++ b/redwingrun/jobs/slicereader.py
@@ -54,7 +54,9 @@
         :raises OwnershipLost: when another member has claimed the slice.
         """
         self._engine.set_time(self._dependencies.unix_ms())
-        self._engine.set_inherited_lease_expiry(self._owner.now() + INHERITED_LEASE_S)
+        if self._owner.writer.has_former_owner:
+            lease_expiry_s = self._owner.now() + INHERITED_LEASE_S
+            self._engine.set_inherited_lease_expiry(lease_expiry_s)
         # A former owner can write until all partitions are claimed, so the progress of
         # jobs is read after that.
         workers, _ = await asyncio.gather(
--- a/redwingrun/jobs/slicewriter.py
+++ b/redwingrun/jobs/slicewriter.py
@@ -66,6 +66,7 @@
 class SliceWriter:
     """Writes the progress of a slice's jobs to whichever partition answers.
 
+    :param has_former_owner: whether the slice was ever claimed before.
     :ivar standby_by_name: writers for the standby partitions that are claimed.
     """
 
@@ -85,6 +86,7 @@
     _not_in_primary: dict[str, str] = field(factory=dict)
     # Jobs with rows that the table rejects, in the present commit.
     _rejected_jobs: set[str] = field(factory=set)
+    has_former_owner: bool = field(default=True, kw_only=True)
 
     @classmethod
     async def claim(
@@ -109,7 +111,9 @@
         primary = await PartitionWriter.claim(
             table, slice_name, member, address, expected, log
         )
-        return None if primary is None else cls(primary, log)
+        if primary is None:
+            return None
+        return cls(primary, log, has_former_owner=expected is not None)
 
     @property
     def slice_name(self) -> str:
--- a/redwingrun/jobs/workerlease.py
+++ b/redwingrun/jobs/workerlease.py
@@ -89,6 +89,22 @@
             self.last_deadline_ms, self._clock_read_s + longest_s(since_s + LEASE_S)
         )
 
+    def inherited_expiry_s(self, clock_ms: float, answered_s: float) -> float:
+        """Return when a former owner's lease has certainly expired.
+
+        The worker has answered this owner, so that it takes no more orders of the
+        former one. One that has restarted lately may have taken a deadline on the clock
+        of its former incarnation.
+
+        :param clock_ms: the worker's clock in that answer.
+        :param answered_s: when it was received.
+        """
+        longest_expiry_s = self.longest_expiry_s(answered_s)
+        recent_s = longest_expiry_s - answered_s + MAX_ORDER_DELAY_S
+        if clock_ms < recent_s * MS_PER_S:
+            return longest_expiry_s
+        return answered_s + longest_s(LEASE_S)
+
     def longest_expiry_s(self, latest_order_s: float) -> float:
         """Return when a lease of unknown length has certainly expired.
 
--- a/redwingrun/jobs/workerlink.py
+++ b/redwingrun/jobs/workerlink.py
@@ -13,12 +13,7 @@
 from redwingrun.jobs.pacing import has_mixed_load
 from redwingrun.jobs.ports import Heartbeat, WorkerAddress, WorkerFault, WorkerPort
 from redwingrun.jobs.spec import RunId
-from redwingrun.jobs.workerlease import (
-    LEASE_S,
-    MAX_ORDER_DELAY_S,
-    WorkerLease,
-    longest_s,
-)
+from redwingrun.jobs.workerlease import MAX_ORDER_DELAY_S, WorkerLease
 from redwingrun.jobs.workerpool import (
     EndKind,
     PaceOrder,
@@ -96,7 +91,7 @@
             return
         report = answer.ok
         received_s = owner.now()
-        self._note_answer(worker, received_s)
+        self._note_answer(worker, report, received_s)
         self._lease.record_clock(report.clock_ms, owner.now())
         if self._has_restarted(worker, report):
             await self._handle_restart(worker, report, sent_s)
@@ -161,12 +156,12 @@
             else self._deadline_ms(worker)
         )
 
-    def _note_answer(self, worker: Worker, received_s: float) -> None:
+    def _note_answer(
+        self, worker: Worker, report: WorkerReport, received_s: float
+    ) -> None:
         """Record that the worker has answered a heartbeat."""
-        if not self._has_answered:
-            # The worker has seen this owner's fence, so that a former owner can't renew
-            # its lease any more.
-            expires_s = received_s + longest_s(LEASE_S)
+        if not self._has_answered and self._owner.writer.has_former_owner:
+            expires_s = self._lease.inherited_expiry_s(report.clock_ms, received_s)
             worker.lease_expiry_s = min(worker.lease_expiry_s, expires_s)
         if self._failed_heartbeats:
             self._owner.log.event(
