Worker lease: a heartbeat without an answer may lengthen the lease of the next incarnation

What callers saw: tasks twice at the same time, all of one worker. Cause: only starts without an answer were counted as grants that may still arrive.

Both kinds of call are recorded in one place.

--- a/redwingrun/jobs/workerlease.py
+++ b/redwingrun/jobs/workerlease.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from attrs import frozen
 
 from redwingrun.jobs.workerpool import MIN_CLOCK_RATE
@@ -46,6 +48,7 @@
         self._max_lease_s = max_lease_s
         self._clock_ms: float | None = None
         self._clock_read_s = 0.0
+        self._last_unanswered_s = -math.inf
         self.last_deadline_ms: float | None = None
 
     @property
@@ -99,18 +102,21 @@
         :param clock_ms: the worker's clock in that answer.
         :param answered_s: when it was received.
         """
-        longest_expiry_s = self.longest_expiry_s(answered_s)
-        recent_s = longest_expiry_s - answered_s + MAX_ORDER_DELAY_S
-        if clock_ms < recent_s * MS_PER_S:
-            return longest_expiry_s
-        return answered_s + longest_s(LEASE_S)
+        max_lease_s = longest_s(self._max_lease_s)
+        is_recent = clock_ms < (MAX_ORDER_DELAY_S + max_lease_s) * MS_PER_S
+        return answered_s + (max_lease_s if is_recent else longest_s(LEASE_S))
+
+    def note_unanswered(self, now_s: float) -> None:
+        """Record that a grant got no answer; it may still be carried out."""
+        self._last_unanswered_s = now_s
 
-    def longest_expiry_s(self, latest_order_s: float) -> float:
+    def longest_expiry_s(self, now_s: float) -> float:
         """Return when a lease of unknown length has certainly expired.
 
-        :param latest_order_s: latest time at which an order may have granted it.
+        A grant without an answer may still lengthen it.
         """
-        return latest_order_s + longest_s(self._max_lease_s)
+        latest_grant_s = max(now_s, self._last_unanswered_s + MAX_ORDER_DELAY_S)
+        return latest_grant_s + longest_s(self._max_lease_s)
 
 
 def longest_s(lease_s: float) -> float:
--- a/redwingrun/jobs/workerlink.py
+++ b/redwingrun/jobs/workerlink.py
@@ -87,6 +87,8 @@
         call = Heartbeat(owner.fence, durable_end_number, deadline_ms, wait_s)
         answer = await self._port.heartbeat(self._target(worker), call)
         if answer.is_error():
+            if answer.error.failure.verdict is Verdict.MAY_HAVE_RUN:
+                self._lease.note_unanswered(owner.now())
             await self._heartbeat_failed(worker, answer.error)
             return
         report = answer.ok
@@ -288,10 +290,7 @@
         Orders that were sent before its restart was known have deadlines on the clock
         of the former one, which may be far in its future. Late ones may still arrive.
         """
-        owner = self._owner
-        sent_s = self._unanswered_start_s.values()
-        latest_s = max([owner.now(), *(at_s + MAX_ORDER_DELAY_S for at_s in sent_s)])
-        expires_s = self._lease.longest_expiry_s(latest_s)
+        expires_s = self._lease.longest_expiry_s(self._owner.now())
         worker.lease_expiry_s = max(worker.lease_expiry_s, expires_s)
 
     async def _prevent_late_start(self, worker: Worker, order: StopOrder) -> None:
@@ -389,6 +388,7 @@
         fault = answer.error
         if fault.failure.verdict is Verdict.MAY_HAVE_RUN:
             self._unanswered_start_s[order.run_id] = owner.now()
+            self._lease.note_unanswered(owner.now())
             owner.decisions.order_failed(
                 "start-unanswered", order.run_id, self._worker_id, fault
             )
