Owner: grants no leases once another member may have claimed the slice

What callers saw: not seen in the record; a trace in which tasks of one worker run twice. Cause: a new owner that does not reach a worker counts on its predecessor to grant no leases 3 s after it lost the table. Nothing made it do so: one that reached neither the table nor a peer, and of the workers only those that the new owner did not reach, renewed their leases for ever. A process that was stopped for some seconds did so when it went on.

Evidence: test_an_owner_that_can_not_renew_its_claim_renews_no_leases failed before. The owner now grants leases for 3 s after its last commit, and longer while all peers say that they have not read its row late enough to claim, so that running work still survives an outage for all (test_running_tasks_survive_an_outage_of_the_table, 9 s). The price: in such an outage beside a peer that does not answer, work ends after 9 s.

--- a/redwingrun/jobs/member.py
+++ b/redwingrun/jobs/member.py
@@ -501,7 +501,11 @@
                 owner.since_commit_s()
                 > HAND_OVER_AFTER_S + FAILURE_TIMEOUT_READS * self._watch.average_read_s
             ):
-                peer = await self._first_with_table_access(self._peers.fastest_first())
+                peers = self._peers.fastest_first()
+                probed_s = self._dependencies.clock.now()
+                ages = await self._owner_row_ages(peers)
+                owner.note_owner_row_ages(ages, probed_s)
+                peer = _first_with_table_access(peers, ages)
                 if peer and not await self._can_read_owner_row():
                     await self._hand_over_without_table(owner, peer.address)
                     return
@@ -515,7 +519,7 @@
         self._next_hand_over_at_s = (
             self._dependencies.clock.now() + HAND_OVER_RETRY_INTERVAL_S
         )
-        peer = await self._first_with_table_access(faster)
+        peer = _first_with_table_access(faster, await self._owner_row_ages(faster))
         if peer is None:
             return
         self._log.event("owner-moves", to=peer.name, speed=peer.speed)
@@ -531,21 +535,15 @@
             return False
         return True
 
-    async def _first_with_table_access(self, rows: list[MemberRow]) -> MemberRow | None:
-        """Return the first peer that reaches the table.
+    async def _owner_row_ages(self, rows: list[MemberRow]) -> list[float | None]:
+        """Return how many seconds ago peers last read the owner's row.
 
-        Such a peer has read the owner's row within ``TABLE_ACCESS_MAX_AGE_S``.
-
-        :param rows: the peers to probe, in order of preference.
+        :return: ``None`` for a peer that does not answer.
         """
         peers = self._dependencies.peers
-        ages = await asyncio.gather(
+        return await asyncio.gather(
             *(peers.probe(row.address, claim=False) for row in rows)
         )
-        for row, age_s in zip(rows, ages, strict=True):
-            if age_s is not None and age_s < TABLE_ACCESS_MAX_AGE_S:
-                return row
-        return None
 
     async def _hand_over_without_table(self, owner: SliceOwner, address: str) -> None:
         """Ask a peer that reaches the table to claim the slice, then stop owning it.
@@ -555,3 +553,18 @@
         name = self._settings.name
         await self._dependencies.peers.probe(address, claim=True, handover_from=name)
         owner.lose_ownership("a peer reaches the table and this member does not")
+
+
+def _first_with_table_access(
+    rows: list[MemberRow], ages: list[float | None]
+) -> MemberRow | None:
+    """Return the first peer that reaches the table.
+
+    Such a peer has read the owner's row within ``TABLE_ACCESS_MAX_AGE_S``.
+
+    :param rows: the peers, in order of preference.
+    """
+    for row, age_s in zip(rows, ages, strict=True):
+        if age_s is not None and age_s < TABLE_ACCESS_MAX_AGE_S:
+            return row
+    return None
--- a/redwingrun/jobs/sliceowner.py
+++ b/redwingrun/jobs/sliceowner.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -20,6 +21,7 @@
 from redwingrun.jobs.decisionlog import DecisionLog
 from redwingrun.jobs.engine import Engine, EngineSettings
 from redwingrun.jobs.looplag import watch_loop_lag
+from redwingrun.jobs.ownerwatch import SILENT_OWNER_TIMEOUT_S
 from redwingrun.jobs.partitionwriter import OwnershipLost
 from redwingrun.jobs.policycache import Ticket
 from redwingrun.jobs.policyproxies import PolicyProxies, PolicyProxy
@@ -31,6 +33,7 @@
 from redwingrun.jobs.slicereader import SliceReader
 from redwingrun.jobs.slicewriter import SliceWriter
 from redwingrun.jobs.spec import QueueSet
+from redwingrun.jobs.workerlease import STEP_DOWN_S
 from redwingrun.jobs.workerlink import WorkerLink
 from redwingrun.jobs.workerpool import PaceOrder, PolicyQuery, StartOrder, StopOrder
 from redwingrun.logs import Log
@@ -109,6 +112,9 @@
         self._successor: str | None = None
         self._last_commit_s = dependencies.clock.now()
         self._last_batch_s = 0.0
+        self._grants_leases = True
+        # Last time at which no other member can have claimed the slice.
+        self._unclaimed_s = -math.inf
         self._unsaved_jobs: set[str] = set()
         self._starts_in_flight = 0
         self.stop_slots = asyncio.Semaphore(MAX_STOPS_IN_FLIGHT)
@@ -220,6 +226,35 @@
         """
         return self.now() - self._last_commit_s
 
+    def may_grant_leases(self) -> bool:
+        """Return whether this member surely owned the slice a short while ago.
+
+        A later owner counts on it that this one grants no leases once it may have lost
+        the slice, also if it was stopped for a while and does not know yet.
+        """
+        owned_s = max(self._last_commit_s, self._unclaimed_s)
+        may_grant = self.now() - owned_s <= STEP_DOWN_S
+        if may_grant != self._grants_leases:
+            self._grants_leases = may_grant
+            self.log.event(
+                "leases-granted" if may_grant else "leases-not-granted",
+                since_commit_s=round(self.since_commit_s(), 3),
+            )
+        return may_grant
+
+    def note_owner_row_ages(self, ages: list[float | None], probed_s: float) -> None:
+        """Record when all peers last read the owner's row, as they have answered.
+
+        If none has read it late enough to claim the slice, it is still owned, although
+        the claim can't be renewed.
+
+        :param ages: seconds since each peer's last read, ``None`` without an answer.
+        :param probed_s: when the peers were asked.
+        """
+        latest_age_s = self.now() - self._last_commit_s - SILENT_OWNER_TIMEOUT_S
+        if all(age_s is not None and age_s > latest_age_s for age_s in ages):
+            self._unclaimed_s = probed_s
+
     def receive_notification(self, job_id: str, submission: str) -> None:
         """Apply a job or cancellation that the table already holds.
 
--- a/redwingrun/jobs/workerlease.py
+++ b/redwingrun/jobs/workerlease.py
@@ -17,7 +17,7 @@
 CLOCK_PRECISION_MS = 2.0
 # An order without an answer may still be carried out up to 12 s later; with a margin.
 MAX_ORDER_DELAY_S = 15.0
-# A former owner that can't reach the table stops renewing leases within this time.
+# An owner that can't renew its claim grants no leases after this time.
 STEP_DOWN_S = 3.0
 # A former owner's lease on a worker that this owner can't reach ends within this time
 # after the claim.
--- a/redwingrun/jobs/workerlink.py
+++ b/redwingrun/jobs/workerlink.py
@@ -141,6 +141,8 @@
 
         :return: time on the worker's clock; ``None`` if no lease may be granted.
         """
+        if not self._owner.may_grant_leases():
+            return None
         grant = self._lease.grant(self._owner.now())
         if grant is None:
             return None
