Worker link: a start that may have run is never withdrawn as not sent

What callers would see: a task twice. Cause: since leases are no longer granted at all times, a start that got no answer could find no deadline for its next attempt, and was then settled as never sent.

Such a start is settled by a stop now, and the evidence that a start was not carried out asks whether each attempt got an answer.

--- a/redwingrun/jobs/evidence.py
+++ b/redwingrun/jobs/evidence.py
@@ -132,7 +132,7 @@
 
 @frozen
 class NotCarriedOut(Evidence):
-    """The only attempt to start the run had no effect, or none was made.
+    """No attempt to start the run had an effect, or none was made.
 
     :param reason: why.
     """
@@ -145,8 +145,8 @@
         return f"not-carried-out-{self.reason}"
 
     def proves_end(self, run: Run, worker: Worker) -> bool:
-        """Return ``True``: the run never began and never will."""
-        return True
+        """Return whether each attempt to start the run got an answer."""
+        return run.unanswered_s is None
 
 
 @frozen
--- a/redwingrun/jobs/workerlink.py
+++ b/redwingrun/jobs/workerlink.py
@@ -330,9 +330,9 @@
     async def try_start(self, order: StartOrder, attempts: int) -> bool:
         """Send a start to the worker once.
 
-        It is withdrawn while the worker's clock is not known, because it can have no
-        deadline then. It is replaced by a stop if, after an attempt without an answer,
-        it is refused or no longer needed.
+        It is withdrawn while no lease can be granted, because it can have no deadline
+        then. It is replaced by a stop if, after an attempt without an answer, it is
+        refused, no longer needed or without a deadline.
 
         :param attempts: earlier attempts to send the same start.
         :return: whether no other attempt is needed.
@@ -345,6 +345,9 @@
             await self.stop(StopOrder(order.run_id, self._worker_id))
             return True
         deadline_ms = self._order_deadline_ms(worker)
+        if deadline_ms is None and attempts:
+            await self.stop(StopOrder(order.run_id, self._worker_id))
+            return True
         if deadline_ms is None:
             owner.engine.withdraw_start(order, owner.now())
             return True
--- a/tests/jobs/test_workerlease.py
+++ b/tests/jobs/test_workerlease.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterator
 
 import pytest
@@ -146,3 +147,28 @@
         item.cut.clear()
     cluster.run(45.0)
     check_completed_once(cluster)
+
+
+# Guards against a start that is settled as never sent although an attempt of it got no
+# answer: no lease may be granted when it is to be sent again.
+def test_a_start_without_an_answer_is_not_withdrawn_when_no_lease_may_be_granted(
+    cluster: SimulatedCluster,
+):
+    peer = next(key for key in cluster.member_by_name if key != cluster.owner_name())
+    cluster.kill(peer)
+    cluster.run(2.0)
+    cluster.order_delays_s += [6.0] * 6
+    cluster.submit(job_id(1), job(step(1, 20.0)))
+    run_until(cluster, lambda: len(cluster.order_delays_s) < 6)
+    for process in cluster.process_by_name.values():
+        process.table_mode = DOWN
+    owner = cluster.member_by_name[cluster.owner_name()]._owner
+    (worker,) = [item for item in owner.engine.worker_by_id.values() if item.run_by_id]
+    cluster.run(4.0)
+    cluster.order_delays_s.clear()
+    for process in cluster.process_by_name.values():
+        process.table_mode = OK
+    # Another run of the task starts on another worker.
+    worker.avoid_until_s = math.inf
+    cluster.run(40.0)
+    check_completed_once(cluster)
