Worker lease: a restart is noticed also when a heartbeat's answer overtakes a start's

Found by the review: all tasks of one worker ran twice when a heartbeat was answered between the sending of starts and their execution by the next incarnation, since a reading that was sent for before the last one was not looked at.

--- a/redwingrun/jobs/workerlease.py
+++ b/redwingrun/jobs/workerlease.py
@@ -77,10 +77,12 @@
         :param clock_ms: the reading, in the answer to an order.
         :param sent_s: when that order was sent.
         """
-        if self._clock_ms is None or sent_s < self._clock_read_s:
+        if self._clock_ms is None:
             return False
-        elapsed_s = (sent_s - self._clock_read_s) * MIN_CLOCK_RATE
-        return clock_ms < self._clock_ms + elapsed_s * MS_PER_S - CLOCK_PRECISION_MS
+        elapsed_s = sent_s - self._clock_read_s
+        # An order may have been answered before the reading that was received first.
+        slowest_s = elapsed_s * MIN_CLOCK_RATE if elapsed_s > 0 else elapsed_s
+        return clock_ms < self._clock_ms + slowest_s * MS_PER_S - CLOCK_PRECISION_MS
 
     def grant(self, now_s: float) -> LeaseGrant | None:
         """Return a new lease; ``None`` while the worker's clock is not known."""
--- a/tests/jobs/test_workerlease.py
+++ b/tests/jobs/test_workerlease.py
@@ -8,6 +8,7 @@
 import pytest
 
 from redwingrun.jobs.progress import JobState
+from redwingrun.jobs.workerlease import WorkerLease
 from tests.helpers import DOWN, OK
 from tests.jobs.cluster import SimulatedCluster, job, job_id, make_cluster, step
 from tests.jobs.simulatedworker import SimulatedWorker
@@ -172,3 +173,14 @@
     worker.avoid_until_s = math.inf
     cluster.run(40.0)
     check_completed_once(cluster)
+
+
+# Guards against a restart that is missed because a heartbeat's answer arrived between
+# the sending of a start and its answer.
+def test_a_clock_that_is_read_before_an_answer_shows_a_restart_all_the_same():
+    lease = WorkerLease(max_lease_s=10.0)
+    lease.record_clock(30_000.0, read_s=100.2)
+    sent_s = 100.0
+    assert lease.is_of_later_incarnation(250.0, sent_s)
+    assert not lease.is_of_later_incarnation(29_900.0, sent_s)
+    assert not lease.is_of_later_incarnation(30_300.0, sent_s)
