Owner: a peer that owns the slice, or that no owner knows of, confirms no claim

What callers would see: all tasks of one worker twice. Found by the review. Causes: a member that owns the slice stops reading the owner's row, so that it told its predecessor for ever that it had not read it lately; a probe that is refused lets a member claim after 0.55 s and not 0.95 s; and an owner without peers took that for the absence of any.

A member that joins unseen beside known peers stays open.

--- a/redwingrun/jobs/member.py
+++ b/redwingrun/jobs/member.py
@@ -152,8 +152,11 @@
         )
 
     def owner_row_age_s(self) -> float:
-        """Return the seconds since this member last read the owner's row."""
-        return self._dependencies.clock.now() - self._owner_row_read_s
+        """Return the seconds since this member last read or wrote the owner's row."""
+        read_age_s = self._dependencies.clock.now() - self._owner_row_read_s
+        if self._owner is None:
+            return read_age_s
+        return min(read_age_s, self._owner.since_commit_s())
 
     def peer_addresses(self) -> list[str]:
         """Return the addresses of the other members."""
--- a/redwingrun/jobs/ownerwatch.py
+++ b/redwingrun/jobs/ownerwatch.py
@@ -21,6 +21,9 @@
 SILENT_OWNER_TIMEOUT_S = 0.95
 # The owner's process is probed when its row has not changed for this time.
 PROBE_AFTER_S = 0.55
+# No member claims a slice from another one whose row has changed more recently, unless
+# it is asked to.
+EARLIEST_CLAIM_S = min(PROBE_AFTER_S, SILENT_OWNER_TIMEOUT_S, FAILURE_TIMEOUT_S)
 # Time during which only the named successor may claim a slice that was released.
 SUCCESSOR_TIMEOUT_S = 0.7
 # Job counts are unknown when the owner's row has not changed for longer than this.
--- a/redwingrun/jobs/sliceowner.py
+++ b/redwingrun/jobs/sliceowner.py
@@ -21,7 +21,7 @@
 from redwingrun.jobs.decisionlog import DecisionLog
 from redwingrun.jobs.engine import Engine, EngineSettings
 from redwingrun.jobs.looplag import watch_loop_lag
-from redwingrun.jobs.ownerwatch import SILENT_OWNER_TIMEOUT_S
+from redwingrun.jobs.ownerwatch import EARLIEST_CLAIM_S
 from redwingrun.jobs.partitionwriter import OwnershipLost
 from redwingrun.jobs.policycache import Ticket
 from redwingrun.jobs.policyproxies import PolicyProxies, PolicyProxy
@@ -246,13 +246,14 @@
         """Record when all peers last read the owner's row, as they have answered.
 
         If none has read it late enough to claim the slice, it is still owned, although
-        the claim can't be renewed.
+        the claim can't be renewed. An owner that knows no peers may have missed some.
 
         :param ages: seconds since each peer's last read, ``None`` without an answer.
         :param probed_s: when the peers were asked.
         """
-        latest_age_s = self.now() - self._last_commit_s - SILENT_OWNER_TIMEOUT_S
-        if all(age_s is not None and age_s > latest_age_s for age_s in ages):
+        if not ages or None in ages:
+            return
+        if min(ages) > self.since_commit_s() - EARLIEST_CLAIM_S:
             self._unclaimed_s = probed_s
 
     def receive_notification(self, job_id: str, submission: str) -> None:
--- a/tests/jobs/test_workerlease.py
+++ b/tests/jobs/test_workerlease.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 from collections.abc import Callable, Iterator
 
 import pytest
 
+from redwingrun.jobs.peerlinks import Liveness
 from redwingrun.jobs.progress import JobState
 from redwingrun.jobs.workerlease import WorkerLease
 from tests.helpers import DOWN, OK
 from tests.jobs.cluster import SimulatedCluster, job, job_id, make_cluster, step
+from tests.jobs.clusterports import SimulatedPeers
 from tests.jobs.simulatedworker import SimulatedWorker
 
 # The clock of a worker that has run for longer is far ahead of that of its next
@@ -184,3 +187,54 @@
     assert lease.is_of_later_incarnation(250.0, sent_s)
     assert not lease.is_of_later_incarnation(29_900.0, sent_s)
     assert not lease.is_of_later_incarnation(30_300.0, sent_s)
+
+
+def reach_no_table_and_one_worker(cluster: SimulatedCluster, name: str) -> None:
+    """Let a member reach no table and one worker, which no other member reaches."""
+    cluster.process_by_name[name].table_mode = DOWN
+    for item in cluster.worker_by_id.values():
+        item.cut.add(name)
+    cluster.worker_by_id["i-1"].cut = set(cluster.member_by_name) - {name}
+
+
+# Guards against leases that are renewed on the word of a peer that owns the slice: it
+# does not read the owner's row any more, and claimed as soon as a probe was refused.
+def test_a_peer_that_has_claimed_does_not_confirm_its_predecessor(
+    cluster: SimulatedCluster, monkeypatch: pytest.MonkeyPatch
+):
+    former = cluster.owner_name()
+    for name in [key for key in cluster.member_by_name if key != former][1:]:
+        cluster.leave(name)
+    cluster.run(5.0)
+    cluster.submit(job_id(1), job(step(9, 40.0)))
+    cluster.run(1.0)
+
+    async def refuse_the_former_owner(self, address):
+        await asyncio.sleep(STEP_S)
+        return Liveness.ENDED if address == former else Liveness.ANSWERS
+
+    monkeypatch.setattr(SimulatedPeers, "liveness", refuse_the_former_owner)
+    reach_no_table_and_one_worker(cluster, former)
+    cluster.isolated_members.add(former)
+    cluster.run(2.0)
+    cluster.isolated_members.clear()
+    cluster.run(15.0)
+    assert cluster.violations == []
+
+
+# Guards against an owner that knows no peer and takes that for the absence of any: a
+# member joins while it does not reach the table.
+def test_an_owner_without_peers_renews_no_leases_after_it_lost_the_table(
+    cluster: SimulatedCluster,
+):
+    owner_name = cluster.owner_name()
+    for name in [key for key in cluster.member_by_name if key != owner_name]:
+        cluster.leave(name)
+    cluster.run(5.0)
+    cluster.submit(job_id(1), job(step(9, 40.0)))
+    cluster.run(1.0)
+    reach_no_table_and_one_worker(cluster, owner_name)
+    cluster.worker_by_id["i-1"].cut.add("m9")
+    cluster.add_ready_member("m9")
+    cluster.run(18.0)
+    assert cluster.violations == []
