--- a/redwingrun/jobs/slicereader.py
+++ b/redwingrun/jobs/slicereader.py
@@ -54,15 +54,15 @@
         :raises OwnershipLost: when another member has claimed the slice.
         """
         self._engine.set_time(self._dependencies.unix_ms())
-        if self._owner.writer.has_former_owner:
-            lease_expiry_s = self._owner.now() + INHERITED_LEASE_S
-            self._engine.set_inherited_lease_expiry(lease_expiry_s)
-        # A former owner can write until all partitions are claimed, so the progress of
-        # jobs is read after that.
+        # A former owner can write, and grant leases, until all partitions are claimed,
+        # so the progress of jobs is read after that.
         workers, _ = await asyncio.gather(
             self._retry_until_done(self._dependencies.registry.load),
             self._retry_until_done(self._owner.writer.claim_standbys),
         )
+        if self._owner.writer.has_former_owner:
+            lease_expiry_s = self._owner.now() + INHERITED_LEASE_S
+            self._engine.set_inherited_lease_expiry(lease_expiry_s)
         progress_by_id, submissions = await asyncio.gather(
             self._retry_until_done(
                 lambda: self._owner.writer.load(self._dependencies.table)
--- a/tests/jobs/test_workerlease.py
+++ b/tests/jobs/test_workerlease.py
@@ -13,7 +13,7 @@
 from redwingrun.jobs.workerlease import WorkerLease
 from tests.helpers import DOWN, OK
 from tests.jobs.cluster import SimulatedCluster, job, job_id, make_cluster, step
-from tests.jobs.clusterports import SimulatedPeers
+from tests.jobs.clusterports import SimulatedPeers, SimulatedTable
 from tests.jobs.simulatedworker import SimulatedWorker
 
 # The clock of a worker that has run for longer is far ahead of that of its next
@@ -238,3 +238,46 @@
     cluster.add_ready_member("m9")
     cluster.run(18.0)
     assert cluster.violations == []
+
+
+# Guards against an inherited lease that is counted from the claim of the primary
+# partition: a former owner that reaches a standby partition only grants leases until
+# that is claimed, too.
+def test_the_inherited_lease_is_counted_from_the_claim_of_the_last_partition(
+    cluster: SimulatedCluster, monkeypatch: pytest.MonkeyPatch
+):
+    former = cluster.owner_name()
+    cluster.submit(job_id(1), job(step(9, 60.0)))
+    cluster.run(1.0)
+    original_transact = SimulatedTable.transact
+    original_scan = SimulatedTable.scan
+    is_split = True
+
+    def is_out_of_reach(table: SimulatedTable, key: str) -> bool:
+        partition = key.split("/")[1]
+        is_primary = partition == "s0"
+        if not is_split or not partition.startswith("s0"):
+            return False
+        return is_primary == (table._process.name == former)
+
+    async def transact(self, transaction):
+        if is_out_of_reach(self, transaction.writes[0].key):
+            await self._time_out()
+        return await original_transact(self, transaction)
+
+    async def scan(self, prefix):
+        if is_out_of_reach(self, prefix):
+            await self._time_out()
+        return await original_scan(self, prefix)
+
+    monkeypatch.setattr(SimulatedTable, "transact", transact)
+    monkeypatch.setattr(SimulatedTable, "scan", scan)
+    for item in cluster.worker_by_id.values():
+        item.cut.add(former)
+    cluster.worker_by_id["i-1"].cut = set(cluster.member_by_name) - {former}
+    cluster.isolated_members.add(former)
+    cluster.run(14.0)
+    is_split = False
+    cluster.isolated_members.clear()
+    cluster.run(12.0)
+    assert cluster.violations == []
