Crashes: a run that ended with an earlier incarnation does not count under the next one

What callers would see: a job shown as failed after one crash under its task (LOST). Cause: runs that wait until no late start of them can arrive any more stay with their worker, and counted again when that crashed again. The test failed before. At a second restart the time is never shortened.

--- a/redwingrun/jobs/crashes.py
+++ b/redwingrun/jobs/crashes.py
@@ -81,14 +81,15 @@
 
         A worker that shuts down ends its runs without a crash.
 
-        :param runs: the runs that ended with the worker.
+        :param runs: the runs that ended with the worker. Those that had ended with an
+            earlier incarnation do not count.
         :param is_certain: whether the worker has crashed; it may also have been cut
             off, and then no task is given up.
         :return: call :meth:`give_up` with it once the runs are lost.
         """
         if worker.info.draining:
             return CrashReport()
-        lost = list(runs)
+        lost = [run for run in runs if not run.may_start_late]
         suspects = {run.run_id for run in lost if _is_young(run, worker.last_contact_s)}
         alone = len({run_id.task.job for run_id in suspects}) == 1
         given_up: dict[str, GivenUpTask] = {}
--- a/redwingrun/jobs/workerpool.py
+++ b/redwingrun/jobs/workerpool.py
@@ -98,6 +98,11 @@
     is_filler: bool = False
     target_ms: float = 0
 
+    @property
+    def may_start_late(self) -> bool:
+        """Whether it ended with an incarnation, and another may still start it."""
+        return self.late_until_s > -math.inf
+
 
 @define
 class Worker:
--- a/redwingrun/jobs/workerreports.py
+++ b/redwingrun/jobs/workerreports.py
@@ -141,7 +141,8 @@
         }
         crash = self._crashes.record_crash(worker, former.values(), True)
         for run_id, run in list(worker.run_by_id.items()):
-            run.late_until_s = self._late_until_s(run, now_s)
+            late_until_s = self._late_until_s(run, now_s)
+            run.late_until_s = max(run.late_until_s, late_until_s)
             may_be_late = now_s < run.late_until_s and run_id not in report.listed_runs
             if run.answered_s is None or may_be_late:
                 self._state.stop(run_id, worker, "ordered-before-new-life")
--- a/tests/jobs/test_crashingtasks.py
+++ b/tests/jobs/test_crashingtasks.py
@@ -9,6 +9,7 @@
 from redwingrun.jobs.evidence import LeaseExpired, OtherWorkerAtAddress
 from redwingrun.jobs.progress import JobProgress, JobState, TaskState
 from redwingrun.jobs.spec import Submission
+from redwingrun.jobs.workerpool import WorkerReport
 from tests.helpers import DOWN, OK
 from tests.jobs.cluster import (
     CRASHES_BEFORE_LIMIT,
@@ -302,3 +303,18 @@
     assert cluster.all_violations() == []
     assert cluster.state(job_id(1)) is JobState.RUNNING
     assert cluster.state(job_id(2)) is JobState.COMPLETED
+
+
+# Guards against a job that is given up because of a crash under a run that had ended with
+# an earlier incarnation and only waited until no late start of it can arrive any more.
+def test_a_run_that_has_ended_does_not_count_under_the_next_crash():
+    harness = EngineHarness(1)
+    (order,) = harness.start_job(step(1))
+    harness.engine.start_unanswered(order, harness.now_s)
+    progress = harness.engine.job_by_id[job_id(1)].progress
+    for born_ms in (8, 9):
+        harness.now_s += 0.2
+        report = WorkerReport(100.0, (), (), born_ms=born_ms)
+        harness.engine.worker_restarted("w0", report, harness.now_s, harness.now_s)
+    assert progress.tasks_by_occurrence[0][0][0].crashes == 1
+    assert progress.state is JobState.RUNNING
