Worker lease: a heartbeat whose connection ended is not one that may still arrive

Cause: a crash breaks the heartbeat that waits at the worker, which was counted as a grant that the next incarnation may carry out 15 s later. Only a heartbeat that got no answer until its timeout is counted now. The test failed before; its bound is the longest lease of a restarted worker and a second.

--- a/redwingrun/coordination/verdict.py
+++ b/redwingrun/coordination/verdict.py
@@ -6,6 +6,9 @@
 
 from attrs import field, frozen
 
+# Reason of a failure: nothing was received until the timeout.
+TIMEOUT = "timeout"
+
 
 class Verdict(Enum):
     """What is known about a request after an attempt to run it.
--- a/redwingrun/httpclient.py
+++ b/redwingrun/httpclient.py
@@ -13,7 +13,13 @@
 from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
 from tornado.httputil import HTTPHeaders
 
-from redwingrun.coordination.verdict import Failure, Verdict, may_have_run, not_run
+from redwingrun.coordination.verdict import (
+    TIMEOUT,
+    Failure,
+    Verdict,
+    may_have_run,
+    not_run,
+)
 
 DIGEST_HEADER = "X-Digest"
 REQUEST_ID_HEADER = "X-Request-Id"
@@ -33,8 +39,7 @@
         pycurl.E_URL_MALFORMAT,
     }
 )
-# Reasons of failures: nothing was received until the timeout, or a part of the reply.
-TIMEOUT = "timeout"
+# Reason of a failure: a part of the reply was received until the timeout.
 INCOMPLETE = "incomplete"
 # What libcurl says in the first case.
 NOTHING_RECEIVED = "with 0 bytes received"
--- a/redwingrun/jobs/workerlease.py
+++ b/redwingrun/jobs/workerlease.py
@@ -109,7 +109,11 @@
         return answered_s + (max_lease_s if is_recent else longest_s(LEASE_S))
 
     def note_unanswered(self, now_s: float) -> None:
-        """Record that a grant got no answer; it may still be carried out."""
+        """Record that a grant got no answer; it may still be carried out.
+
+        A heartbeat whose connection has ended is none of these: it has reached the
+        worker, or ended with it.
+        """
         self._last_unanswered_s = now_s
 
     def longest_expiry_s(self, now_s: float) -> float:
--- a/redwingrun/jobs/workerlink.py
+++ b/redwingrun/jobs/workerlink.py
@@ -7,7 +7,7 @@
 
 from expression import Result
 
-from redwingrun.coordination.verdict import Verdict
+from redwingrun.coordination.verdict import TIMEOUT, Verdict
 from redwingrun.jobs.crashes import CrashReport
 from redwingrun.jobs.evidence import Evidence, LeaseExpired, OtherWorkerAtAddress
 from redwingrun.jobs.pacing import has_mixed_load
@@ -87,7 +87,7 @@
         call = Heartbeat(owner.fence, durable_end_number, deadline_ms, wait_s)
         answer = await self._port.heartbeat(self._target(worker), call)
         if answer.is_error():
-            if answer.error.failure.verdict is Verdict.MAY_HAVE_RUN:
+            if answer.error.failure.reason == TIMEOUT:
                 self._lease.note_unanswered(owner.now())
             await self._heartbeat_failed(worker, answer.error)
             return
--- a/tests/jobs/test_crashingtasks.py
+++ b/tests/jobs/test_crashingtasks.py
@@ -305,8 +305,8 @@
     assert cluster.state(job_id(2)) is JobState.COMPLETED
 
 
-# Guards against a job that is given up because of a crash under a run that had ended with
-# an earlier incarnation and only waited until no late start of it can arrive any more.
+# Guards against a job that is given up because of a crash under a run that had ended
+# with an earlier incarnation and waited until no late start of it can arrive any more.
 def test_a_run_that_has_ended_does_not_count_under_the_next_crash():
     harness = EngineHarness(1)
     (order,) = harness.start_job(step(1))
--- a/tests/jobs/test_workerlease.py
+++ b/tests/jobs/test_workerlease.py
@@ -7,19 +7,23 @@
 from collections.abc import Callable, Iterator
 
 import pytest
+from expression import Error
 
+from redwingrun.coordination.verdict import may_have_run
 from redwingrun.jobs.peerlinks import Liveness
+from redwingrun.jobs.ports import WorkerFault
 from redwingrun.jobs.progress import JobState
-from redwingrun.jobs.workerlease import WorkerLease
+from redwingrun.jobs.workerlease import WorkerLease, longest_s
 from tests.helpers import DOWN, OK
 from tests.jobs.cluster import SimulatedCluster, job, job_id, make_cluster, step
-from tests.jobs.clusterports import SimulatedPeers, SimulatedTable
+from tests.jobs.clusterports import SimulatedPeers, SimulatedTable, SimulatedWorkers
 from tests.jobs.simulatedworker import SimulatedWorker
 
 # The clock of a worker that has run for longer is far ahead of that of its next
 # incarnation.
 LONG_UPTIME_S = 30.0
 STEP_S = 0.01
+MAX_LEASE_S = 10.0
 MAX_WAIT_S = 10.0
 
 
@@ -281,3 +285,37 @@
     cluster.isolated_members.clear()
     cluster.run(12.0)
     assert cluster.violations == []
+
+
+# Guards against a task that is away for 24 s after two crashes of its worker: the
+# heartbeat that each crash breaks was taken for one that may still be carried out.
+def test_a_heartbeat_whose_connection_ended_does_not_lengthen_the_lease(
+    cluster: SimulatedCluster, monkeypatch: pytest.MonkeyPatch
+):
+    worker = cluster.worker_by_id["i-1"]
+    original_no_answer = SimulatedWorkers._no_answer
+    broken: list[str] = []
+
+    async def break_connection(self, target):
+        if target.worker_id == "i-1" and not broken:
+            broken.append(target.worker_id)
+            return Error(WorkerFault(may_have_run("connection-lost")))
+        return await original_no_answer(self, target)
+
+    monkeypatch.setattr(SimulatedWorkers, "_no_answer", break_connection)
+    worker.crash()
+    cluster.run(0.2)
+    worker.restart()
+    cluster.run(1.5)
+    assert broken
+    owner = cluster.member_by_name[cluster.owner_name()]._owner
+    for worker_id in ("i-2", "i-3"):
+        owner.engine.worker_by_id[worker_id].avoid_until_s = cluster.loop.time() + 1.0
+    cluster.submit(job_id(1), job(step(1, 20.0, lasting=True)))
+    run_until(cluster, lambda: bool(worker.runs))
+    cluster.run(0.3)
+    worker.crash()
+    crashed_s = cluster.loop.time()
+    cluster.run(30.0)
+    # The longest lease of a worker that has restarted, and a second for the next plan.
+    assert cluster.starts[-1][0] - crashed_s <= longest_s(MAX_LEASE_S) + 1.0
