Worker link: a start that a report has confirmed is not stopped when it would be repeated

What callers saw: a task that starts again for no reason. Cause: a start whose answer was lost is repeated while its run is pending, and else settled by a stop; a run that a report had listed meanwhile is not pending, so that the run itself was stopped. The test failed before.

--- a/redwingrun/jobs/engine.py
+++ b/redwingrun/jobs/engine.py
@@ -349,9 +349,13 @@
             return False
         return not self.state.worker_by_id[order.worker_id].is_over_capacity
 
-    def has_run(self, order: StartOrder) -> bool:
-        """Return whether the run still has resources reserved on its worker."""
-        return self.state.run(order.worker_id, order.run_id) is not None
+    def is_start_settled(self, order: StartOrder) -> bool:
+        """Return whether a start needs no other attempt.
+
+        A report may have listed the run, although the answer to its start was lost.
+        """
+        run = self.state.run(order.worker_id, order.run_id)
+        return run is None or run.phase is RunPhase.ALIVE
 
     def withdraw_start(self, order: StartOrder, now_s: float) -> None:
         """Treat a run as lost whose start was never sent."""
--- a/redwingrun/jobs/workerlink.py
+++ b/redwingrun/jobs/workerlink.py
@@ -339,7 +339,7 @@
         """
         owner = self._owner
         worker = owner.engine.worker_by_id.get(self._worker_id)
-        if worker is None or not owner.engine.has_run(order):
+        if worker is None or owner.engine.is_start_settled(order):
             return True
         if attempts and not owner.engine.should_send_start(order):
             await self.stop(StopOrder(order.run_id, self._worker_id))
--- a/tests/jobs/test_starts_in_flight.py
+++ b/tests/jobs/test_starts_in_flight.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from redwingrun.jobs.progress import JobState
 from redwingrun.jobs.sliceowner import MAX_STARTS_IN_FLIGHT
 from redwingrun.jobs.spec import StepSpec, Submission, TaskSize
 from tests.jobs.cluster import QUEUE, job, job_id, make_cluster, step
@@ -71,3 +72,21 @@
     assert len(harness.engine.plan(harness.now_s, 3).starts) == 3
     assert harness.engine.plan(harness.now_s, 0).starts == ()
     assert len(harness.engine.plan(harness.now_s, 9).starts) == 5
+
+
+# Guards against a run that is stopped because the answer to its start was lost,
+# although a report has listed it before the start was repeated.
+def test_a_start_that_a_report_has_confirmed_is_settled():
+    cluster = make_cluster()
+    try:
+        cluster.lost_answers = 1
+        cluster.submit(job_id(1), job(step(1, 5.0)))
+        cluster.submit(job_id(2), job(step(20, 0.2)))
+        cluster.run(12.0)
+        assert cluster.state(job_id(1)) is JobState.COMPLETED
+        stops = [fields for _, _, kind, fields in cluster.log_lines if kind == "stop"]
+        assert stops == []
+        first = [run for _, run, _ in cluster.starts if run.task.job == job_id(1)]
+        assert len(first) == 1
+    finally:
+        cluster.close()
