Worker lease: a restart is noticed by the registration of a worker that can't be reached

Cause: no answer shows the restart, so that 6.3 s were counted of 10. The registration names the incarnation, and was not looked at.

A worker that restarts, gets starts without an answer and reaches neither the store nor its owner before 6.3 s are over stays open.

--- a/redwingrun/jobs/engine.py
+++ b/redwingrun/jobs/engine.py
@@ -243,6 +243,7 @@
             worker = Worker(info, lease_expiry_s=self.state.inherited_lease_expiry_s)
             self.state.worker_by_id[info.worker_id] = worker
             return
+        worker.registered_born_ms = info.born_ms
         if worker.info.born_ms:
             # Only the worker's own report announces a restart, not its registration.
             info = evolve(info, born_ms=worker.info.born_ms)
--- a/redwingrun/jobs/workerlink.py
+++ b/redwingrun/jobs/workerlink.py
@@ -64,6 +64,7 @@
         self._has_answered = False
         self._unanswered_start_s: dict[RunId, float] = {}
         self._failed_heartbeats = 0
+        self._checked_born_ms = 0
 
     async def run(self) -> None:
         """Send heartbeats until the engine drops the worker."""
@@ -203,10 +204,25 @@
         now_s = self._owner.now()
         if fault.refusal is Refusal.OTHER_INCARNATION:
             return OtherWorkerAtAddress(now_s)
+        self._check_registration(worker)
         if now_s > worker.lease_expiry_s:
             return LeaseExpired(now_s)
         return None
 
+    def _check_registration(self, worker: Worker) -> None:
+        """Notice by its registration that a worker has restarted.
+
+        It may have got starts since, as in :meth:`_check_clock`.
+        """
+        born_ms = worker.registered_born_ms
+        if born_ms in (0, worker.info.born_ms, self._checked_born_ms):
+            return
+        self._checked_born_ms = born_ms
+        self._owner.log.event(
+            "worker-registered-anew", worker=self._worker_id, born_ms=born_ms
+        )
+        self._assume_longest_lease(worker)
+
     def _log_unreachable(self, worker: Worker, fault: WorkerFault) -> None:
         """Log the first failed heartbeat after an answer."""
         owner = self._owner
--- a/redwingrun/jobs/workerpool.py
+++ b/redwingrun/jobs/workerpool.py
@@ -116,6 +116,8 @@
         expired.
     :param avoid_until_s: monotonic time until which no new run is placed there.
     :param last_contact_s: monotonic time of its last report or confirmed start.
+    :param registered_born_ms: start of the incarnation that its registration names; 0
+        if unknown.
     :param held_by_job: job for whose suspected task it is held; see watchedstarts.py.
     :param held_until_s: monotonic time until which it is held.
     :param room_held_by_job: job for whose large task its room is held; see
@@ -136,6 +138,7 @@
     lease_expiry_s: float = 0
     avoid_until_s: float = 0
     last_contact_s: float = 0
+    registered_born_ms: int = 0
     held_by_job: str = ""
     held_until_s: float = 0
     room_held_by_job: str = ""
--- a/tests/jobs/test_workerlease.py
+++ b/tests/jobs/test_workerlease.py
@@ -319,3 +319,25 @@
     cluster.run(30.0)
     # The longest lease of a worker that has restarted, and a second for the next plan.
     assert cluster.starts[-1][0] - crashed_s <= longest_s(MAX_LEASE_S) + 1.0
+
+
+# Guards against a restart that no answer shows, because the cut took the answers to the
+# starts with it; the worker's registration shows it.
+def test_a_worker_whose_registration_shows_a_restart_keeps_its_tasks(
+    cluster: SimulatedCluster, monkeypatch: pytest.MonkeyPatch
+):
+    worker = cluster.worker_by_id["i-1"]
+    original_send_order = SimulatedWorkers._send_order
+
+    async def lose_the_answer(self, target, act):
+        if target.worker_id != "i-1" or worker.cut:
+            return await original_send_order(self, target, act)
+        act(worker)
+        return await self._no_answer(target)
+
+    monkeypatch.setattr(SimulatedWorkers, "_send_order", lose_the_answer)
+    worker = restart_and_start_long_tasks(cluster)
+    cut_off(cluster, worker)
+    # Starts without an answer may arrive for 15 s more, and lease it for 10 s.
+    cluster.run(50.0)
+    check_completed_once(cluster)
