Worker link: ends are acknowledged only to the incarnation that listed them

Cause: each heartbeat carried the number of the last stored end. A worker that restarted under its id got the number of its former incarnation and forgot the first ends of the new one unread; their runs were then in no report.

Why it works: a number is sent only if the last report lists an end up to it, so an idle worker is sent 0. After a failed heartbeat, or an answer to a start whose clock doesn't fit, nothing is sent before another report. A heartbeat with a number waits for starts in flight, up to 0.1 s, and then sends 0. For 15 s after a start without an answer the report must be requested within 0.1 s before, except from a worker whose list is full. The clock in the answer to a start that was sent before the last report is compared, too.

--- a/redwingrun/jobs/workerlease.py
+++ b/redwingrun/jobs/workerlease.py
@@ -75,11 +75,12 @@
         The clock of an incarnation starts at zero.
 
         :param clock_ms: the reading, in the answer to an order.
-        :param sent_s: when that order was sent.
+        :param sent_s: when that order was sent, maybe before the last reading.
         """
-        if self._clock_ms is None or sent_s < self._clock_read_s:
+        if self._clock_ms is None:
             return False
-        elapsed_s = (sent_s - self._clock_read_s) * MIN_CLOCK_RATE
+        elapsed_s = sent_s - self._clock_read_s
+        elapsed_s *= MIN_CLOCK_RATE if elapsed_s > 0 else 1 / MIN_CLOCK_RATE
         return clock_ms < self._clock_ms + elapsed_s * MS_PER_S - CLOCK_PRECISION_MS
 
     def grant(self, now_s: float) -> LeaseGrant | None:
--- a/redwingrun/jobs/workerlink.py
+++ b/redwingrun/jobs/workerlink.py
@@ -9,6 +9,7 @@
 
 from redwingrun.coordination.verdict import Verdict
 from redwingrun.jobs.crashes import CrashReport
+from redwingrun.jobs.endacks import EndAcks
 from redwingrun.jobs.evidence import Evidence, LeaseExpired, OtherWorkerAtAddress
 from redwingrun.jobs.pacing import has_mixed_load
 from redwingrun.jobs.ports import Heartbeat, WorkerAddress, WorkerFault, WorkerPort
@@ -39,6 +40,8 @@
 # Time from a report with an end to the next heartbeat: ends often follow each other
 # closely, and one heartbeat then reports several.
 END_BATCH_DELAY_S = 0.06
+# Longest wait for the answers to starts before a heartbeat with an acknowledgement.
+START_ANSWER_WAIT_S = 0.1
 # The delay before a retry grows by this step with each attempt.
 RETRY_STEP_S = 0.1
 MAX_RETRY_DELAY_S = 0.6
@@ -61,6 +64,7 @@
         self._port = port
         self._worker_id = worker_id
         self._lease = WorkerLease(owner.dependencies.settings.max_lease_s)
+        self._acks = EndAcks()
         self._has_answered = False
         self._unanswered_start_s: dict[RunId, float] = {}
         self._failed_heartbeats = 0
@@ -76,24 +80,28 @@
     async def _send_heartbeat(self, worker: Worker) -> None:
         """Send one heartbeat, and pass the report to the engine."""
         owner = self._owner
+        await self._acks.wait_for_starts(START_ANSWER_WAIT_S)
         sent_s = owner.now()
         durable_end_number = min(
             owner.durable_end_number(self._worker_id), worker.last_end_number
         )
+        acked_end_number = self._acks.number(durable_end_number, sent_s)
         wait_s = self._wait_s(worker, durable_end_number)
         # After a failed heartbeat the lease is not renewed, so that it expires if the
         # worker stays unreachable.
         deadline_ms = None if self._failed_heartbeats else self._deadline_ms(worker)
-        call = Heartbeat(owner.fence, durable_end_number, deadline_ms, wait_s)
+        call = Heartbeat(owner.fence, acked_end_number, deadline_ms, wait_s)
         answer = await self._port.heartbeat(self._target(worker), call)
         if answer.is_error():
             if answer.error.failure.verdict is Verdict.MAY_HAVE_RUN:
                 self._lease.note_unanswered(owner.now())
+            self._acks.doubt_incarnation(owner.now())
             await self._heartbeat_failed(worker, answer.error)
             return
         report = answer.ok
         received_s = owner.now()
         self._note_answer(worker, report, received_s)
+        self._acks.record_report(report, sent_s)
         self._lease.record_clock(report.clock_ms, owner.now())
         if self._has_restarted(worker, report):
             await self._handle_restart(worker, report, sent_s)
@@ -103,8 +111,9 @@
         owner.wake()
         if report.ends:
             await owner.wait_until_durable(self._worker_id, STORE_WAIT_S)
-            elapsed_s = owner.now() - received_s
-            await asyncio.sleep(max(0.0, END_BATCH_DELAY_S - elapsed_s))
+            if not self._acks.must_hurry(owner.now()):
+                elapsed_s = owner.now() - received_s
+                await asyncio.sleep(max(0.0, END_BATCH_DELAY_S - elapsed_s))
 
     def _log_abnormal_ends(self, worker: Worker, report: WorkerReport) -> None:
         """Log the new ends of runs that were not successful."""
@@ -349,9 +358,10 @@
             owner.engine.withdraw_start(order, owner.now())
             return True
         sent_s = owner.now()
-        answer = await self._port.start(
-            self._target(worker), order, owner.fence, deadline_ms
-        )
+        with self._acks.start_in_flight():
+            answer = await self._port.start(
+                self._target(worker), order, owner.fence, deadline_ms
+            )
         if answer.is_ok():
             self._check_clock(worker, answer.ok, sent_s)
         return self._process_start_answer(order, answer, attempts)
@@ -373,6 +383,7 @@
         )
         self._assume_longest_lease(worker)
         self._lease.forget_clock()
+        self._acks.doubt_incarnation(owner.now())
         owner.engine.worker_unreachable(self._worker_id)
 
     def _process_start_answer(
@@ -392,6 +403,7 @@
             self._unanswered_start_s[order.run_id] = owner.now()
             owner.engine.start_unanswered(order, owner.now())
             self._lease.note_unanswered(owner.now())
+            self._acks.note_unanswered_start(owner.now())
             owner.decisions.order_failed(
                 "start-unanswered", order.run_id, self._worker_id, fault
             )
