Owner: the number of a stored end is kept with its incarnation

What callers saw: nothing measured; an end of a restarted worker counted as stored, and could be acknowledged, before it was. If the owner then died, its task started again (TWICE).

Cause: SliceOwner._store read the end numbers before a commit and wrote them back after it, also for a worker whose restart had been noticed meanwhile or whose link had ended and begun again.

Evidence: test_a_commit_under_way_does_not_bring_a_former_number_back failed without the change: 9 instead of 0.

Why it works: the number is kept with the worker's born, and counts only for a worker that has the same one.

--- a/redwingrun/jobs/engine.py
+++ b/redwingrun/jobs/engine.py
@@ -34,6 +34,7 @@
 from redwingrun.jobs.stepscheduler import StepScheduler
 from redwingrun.jobs.watchedstarts import start_answered
 from redwingrun.jobs.workerpool import (
+    LastEnd,
     PaceOrder,
     PolicyQuery,
     Refusal,
@@ -409,10 +410,10 @@
         changed, self.state.changed = frozenset(self.state.changed), set()
         return Plan(tuple(starts), tuple(stops), paces, tuple(policy_queries), changed)
 
-    def last_end_number_by_worker(self) -> dict[str, int]:
-        """Return the number of the last processed run end, by worker."""
+    def last_end_by_worker(self) -> dict[str, LastEnd]:
+        """Return the last processed run end, by worker."""
         return {
-            key: worker.last_end_number
+            key: LastEnd(worker.info.born_ms, worker.last_end_number)
             for key, worker in self.state.worker_by_id.items()
         }
 
--- a/redwingrun/jobs/sliceowner.py
+++ b/redwingrun/jobs/sliceowner.py
@@ -35,7 +35,13 @@
 from redwingrun.jobs.spec import QueueSet
 from redwingrun.jobs.workerlease import STEP_DOWN_S
 from redwingrun.jobs.workerlink import WorkerLink
-from redwingrun.jobs.workerpool import PaceOrder, PolicyQuery, StartOrder, StopOrder
+from redwingrun.jobs.workerpool import (
+    LastEnd,
+    PaceOrder,
+    PolicyQuery,
+    StartOrder,
+    StopOrder,
+)
 from redwingrun.logs import Log
 from redwingrun.metrics import Metrics
 
@@ -106,7 +112,7 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self._wake_event = asyncio.Event()
         self._stored_event = asyncio.Event()
-        self._durable_end_number_by_worker: dict[str, int] = {}
+        self._durable_end_by_worker: dict[str, LastEnd] = {}
         self.loss_reason = ""
         # Set when the slice is to be released; empty if any member may claim it.
         self._successor: str | None = None
@@ -150,11 +156,15 @@
 
     def durable_end_number(self, worker_id: str) -> int:
         """Return the number of the last end of a run on a worker that is stored."""
-        return self._durable_end_number_by_worker.get(worker_id, 0)
+        worker = self.engine.worker_by_id.get(worker_id)
+        durable = self._durable_end_by_worker.get(worker_id)
+        if worker is None or durable is None:
+            return 0
+        return durable.number if durable.born_ms == worker.info.born_ms else 0
 
     def reset_durable_end_number(self, worker_id: str) -> None:
         """Forget which ends are stored, for a worker that counts them from 1 again."""
-        self._durable_end_number_by_worker.pop(worker_id, None)
+        self._durable_end_by_worker.pop(worker_id, None)
 
     async def wait_until_durable(self, worker_id: str, timeout_s: float) -> None:
         """Wait until the ends that a worker has reported are stored, or the timeout."""
@@ -329,10 +339,10 @@
         Afterwards the ends that were reported before the call count as durable. Ends
         that changed no job need no write for that.
         """
-        end_number_by_worker = self.engine.last_end_number_by_worker()
+        end_by_worker = self.engine.last_end_by_worker()
         has_new_ends = any(
-            number > self._durable_end_number_by_worker.get(key, 0)
-            for key, number in end_number_by_worker.items()
+            end.number > self.durable_end_number(key)
+            for key, end in end_by_worker.items()
         )
         changed, self._unsaved_jobs = frozenset(self._unsaved_jobs), set()
         recently_committed = self.now() - self._last_commit_s < RENEW_INTERVAL_S
@@ -352,7 +362,7 @@
             self._give_up_rejected(rejected)
             self.decisions.finished_jobs(changed - rejected)
             self.dependencies.metrics.seconds("commit_s", self.now() - started_s)
-        self._durable_end_number_by_worker.update(end_number_by_worker)
+        self._durable_end_by_worker.update(end_by_worker)
         # Wakes the coroutines that wait now; later ones wait for the new event.
         self._stored_event.set()
         self._stored_event = asyncio.Event()
--- a/redwingrun/jobs/workerpool.py
+++ b/redwingrun/jobs/workerpool.py
@@ -99,6 +99,17 @@
     target_ms: float = 0
 
 
+@frozen
+class LastEnd:
+    """The last end of a run that was processed for a worker.
+
+    :param born_ms: the worker's incarnation; each one counts its ends from 1.
+    """
+
+    born_ms: int = 0
+    number: int = 0
+
+
 @define
 class Worker:
     """A worker with its runs, its reserved resources and the lease of its runs.
--- a/tests/jobs/test_endnumbers.py
+++ b/tests/jobs/test_endnumbers.py
@@ -7,6 +7,7 @@
 import pytest
 
 from redwingrun.jobs.progress import JobState
+from tests.helpers import DOWN, OK
 from tests.jobs.cluster import SimulatedCluster, job, job_id, make_cluster, step
 from tests.jobs.simulatedworker import SimulatedWorker
 
@@ -45,6 +46,12 @@
         cluster.run(0.002)
 
 
+def set_table_mode(cluster: SimulatedCluster, mode: str) -> None:
+    """Have the table answer all members, or none."""
+    for process in cluster.process_by_name.values():
+        process.table_mode = mode
+
+
 def check_completed_once(cluster: SimulatedCluster, number: int) -> None:
     """Check that a job is done and that no task ran twice."""
     assert cluster.all_violations() == []
@@ -131,3 +138,25 @@
         longest = max(longest, len(worker.ends))
     assert longest <= 16
     check_completed_once(cluster, 2)
+
+
+# Guards against a former incarnation's number that comes back because the restart is
+# noticed while a commit is under way: the first ends then count as stored too early.
+def test_a_commit_under_way_does_not_bring_a_former_number_back(
+    cluster: SimulatedCluster,
+):
+    worker = only_worker(cluster)
+    owner = cluster.member_by_name[cluster.owner_name()]._owner
+    set_table_mode(cluster, DOWN)
+    cluster.run(1.0)
+    worker.crash()
+    cluster.run(0.3)
+    worker.restart()
+    cluster.run(1.0)
+    assert any(kind == "worker-reborn" for _, _, kind, _ in cluster.log_lines)
+    assert owner.durable_end_number("i-1") == 0
+    set_table_mode(cluster, OK)
+    for _ in range(200):
+        cluster.run(0.01)
+        assert owner.durable_end_number("i-1") == 0
+    assert not owner.loss_reason
