Log: a restart names the end numbers that were acknowledged

What callers saw: the record of an incident could not tell whether ends of a new incarnation had been acknowledged with a number of the former one.

Cause: worker-reborn had only the new born.

Evidence: test_a_restart_is_logged_with_the_acknowledged_numbers, which needs the new fields acked, former_born_ms and former_acked.

Why it works: the heartbeat whose report shows the restart knows the number that it has sent, and the link keeps the last one before.

--- a/redwingrun/jobs/endacks.py
+++ b/redwingrun/jobs/endacks.py
@@ -21,9 +21,13 @@
     a number that was meant for the former incarnation. So a number is acknowledged
     only if the last report lists an end up to it, and while no start can have had an
     end on a later incarnation since that report.
+
+    :ivar last_sent: the last number that was sent to this incarnation, as far as it was
+        known then; 0 for none.
     """
 
     def __init__(self) -> None:
+        self.last_sent = 0
         self._listed_numbers: tuple[int, ...] = ()
         self._lists_all_ends = True
         self._report_sent_s = -math.inf
@@ -84,6 +88,11 @@
 
         :param durable_number: the number of the last end that is stored.
         """
+        number = self._number(durable_number, now_s)
+        self.last_sent = number or self.last_sent
+        return number
+
+    def _number(self, durable_number: int, now_s: float) -> int:
         if self._starts_in_flight:
             return 0
         if (
--- a/redwingrun/jobs/workerlink.py
+++ b/redwingrun/jobs/workerlink.py
@@ -104,6 +104,7 @@
         self._acks.record_report(report, sent_s)
         self._lease.record_clock(report.clock_ms, owner.now())
         if self._has_restarted(worker, report):
+            self._log_restart(worker, report, acked_end_number)
             await self._handle_restart(worker, report, sent_s)
         self._log_abnormal_ends(worker, report)
         crash = owner.engine.process_report(self._worker_id, report, sent_s, received_s)
@@ -271,6 +272,23 @@
             report.born_ms and known_born_ms and report.born_ms != known_born_ms
         )
 
+    def _log_restart(
+        self, worker: Worker, report: WorkerReport, acked_end_number: int
+    ) -> None:
+        """Log a restart, and what was acknowledged to which incarnation.
+
+        :param acked_end_number: what the heartbeat for the report acknowledged.
+        """
+        self._owner.log.event(
+            "worker-reborn",
+            worker=self._worker_id,
+            born_ms=report.born_ms,
+            acked=acked_end_number,
+            former_born_ms=worker.info.born_ms,
+            former_acked=self._acks.last_sent,
+        )
+        self._acks.last_sent = 0
+
     async def _handle_restart(
         self, worker: Worker, report: WorkerReport, sent_s: float
     ) -> None:
@@ -281,7 +299,6 @@
         holds; the others are stopped here.
         """
         owner = self._owner
-        owner.log.event("worker-reborn", worker=self._worker_id, born_ms=report.born_ms)
         owner.reset_durable_end_number(self._worker_id)
         crash = owner.engine.worker_restarted(
             self._worker_id, report, sent_s, owner.now()
--- a/tests/jobs/test_endnumbers.py
+++ b/tests/jobs/test_endnumbers.py
@@ -128,6 +128,22 @@
     check_completed_once(cluster, 2)
 
 
+# Guards against a record that doesn't say what was acknowledged to which incarnation.
+def test_a_restart_is_logged_with_the_acknowledged_numbers(cluster: SimulatedCluster):
+    worker = only_worker(cluster)
+    former_born_ms = worker.info.born_ms
+    worker.crash()
+    cluster.run(0.3)
+    worker.restart()
+    cluster.run(2.0)
+    (fields,) = [
+        fields for _, _, kind, fields in cluster.log_lines if kind == "worker-reborn"
+    ]
+    assert fields["acked"] == 0
+    assert fields["former_acked"] == 9
+    assert fields["former_born_ms"] == former_born_ms
+
+
 # Guards against ends that stay unacknowledged because starts go on all the time.
 def test_ends_are_acknowledged_soon_while_starts_go_on(cluster: SimulatedCluster):
     worker = only_worker(cluster)
