--- a/redwingrun/jobs/workerlink.py
+++ b/redwingrun/jobs/workerlink.py
@@ -9,6 +9,7 @@
 
 from redwingrun.coordination.verdict import TIMEOUT, Verdict
 from redwingrun.jobs.crashes import CrashReport
+from redwingrun.jobs.endacks import EndAcks
 from redwingrun.jobs.evidence import Evidence, LeaseExpired, OtherWorkerAtAddress
 from redwingrun.jobs.pacing import has_mixed_load
 from redwingrun.jobs.ports import Heartbeat, WorkerAddress, WorkerFault, WorkerPort
@@ -39,6 +40,8 @@
 # Time from a report with an end to the next heartbeat: ends often follow each other
 # closely, and one heartbeat then reports several.
 END_BATCH_DELAY_S = 0.06
+# Longest wait for the answers to starts before a heartbeat with an acknowledgement.
+START_ANSWER_WAIT_S = 0.1
 # The delay before a retry grows by this step with each attempt.
 RETRY_STEP_S = 0.1
 MAX_RETRY_DELAY_S = 0.6
@@ -61,6 +64,7 @@
         self._port = port
         self._worker_id = worker_id
         self._lease = WorkerLease(owner.dependencies.settings.max_lease_s)
+        self._acks = EndAcks()
         self._has_answered = False
         self._unanswered_start_s: dict[RunId, float] = {}
         self._failed_heartbeats = 0
@@ -77,26 +81,31 @@
     async def _send_heartbeat(self, worker: Worker) -> None:
         """Send one heartbeat, and pass the report to the engine."""
         owner = self._owner
+        await self._acks.wait_for_starts(START_ANSWER_WAIT_S)
         sent_s = owner.now()
         durable_end_number = min(
             owner.durable_end_number(self._worker_id), worker.last_end_number
         )
+        acked_end_number = self._acks.number(durable_end_number, sent_s)
         wait_s = self._wait_s(worker, durable_end_number)
         # After a failed heartbeat the lease is not renewed, so that it expires if the
         # worker stays unreachable.
         deadline_ms = None if self._failed_heartbeats else self._deadline_ms(worker)
-        call = Heartbeat(owner.fence, durable_end_number, deadline_ms, wait_s)
+        call = Heartbeat(owner.fence, acked_end_number, deadline_ms, wait_s)
         answer = await self._port.heartbeat(self._target(worker), call)
         if answer.is_error():
             if answer.error.failure.reason == TIMEOUT:
                 self._lease.note_unanswered(owner.now())
+            self._acks.doubt_incarnation(owner.now())
             await self._heartbeat_failed(worker, answer.error)
             return
         report = answer.ok
         received_s = owner.now()
         self._note_answer(worker, report, received_s)
+        self._acks.record_report(report, sent_s)
         self._lease.record_clock(report.clock_ms, owner.now())
         if self._has_restarted(worker, report):
+            self._log_restart(worker, report, acked_end_number)
             await self._handle_restart(worker, report, sent_s)
         self._log_abnormal_ends(worker, report)
         crash = owner.engine.process_report(self._worker_id, report, sent_s, received_s)
@@ -104,8 +113,9 @@
         owner.wake()
         if report.ends:
             await owner.wait_until_durable(self._worker_id, STORE_WAIT_S)
-            elapsed_s = owner.now() - received_s
-            await asyncio.sleep(max(0.0, END_BATCH_DELAY_S - elapsed_s))
+            if not self._acks.must_hurry(owner.now()):
+                elapsed_s = owner.now() - received_s
+                await asyncio.sleep(max(0.0, END_BATCH_DELAY_S - elapsed_s))
 
     def _log_abnormal_ends(self, worker: Worker, report: WorkerReport) -> None:
         """Log the new ends of runs that were not successful."""
@@ -278,6 +288,23 @@
             report.born_ms and known_born_ms and report.born_ms != known_born_ms
         )
 
+    def _log_restart(
+        self, worker: Worker, report: WorkerReport, acked_end_number: int
+    ) -> None:
+        """Log a restart, and what was acknowledged to which incarnation.
+
+        :param acked_end_number: what the heartbeat for the report acknowledged.
+        """
+        self._owner.log.event(
+            "worker-reborn",
+            worker=self._worker_id,
+            born_ms=report.born_ms,
+            acked=acked_end_number,
+            former_born_ms=worker.info.born_ms,
+            former_acked=self._acks.last_sent,
+        )
+        self._acks.last_sent = 0
+
     async def _handle_restart(
         self, worker: Worker, report: WorkerReport, sent_s: float
     ) -> None:
@@ -288,7 +315,6 @@
         holds; the others are stopped here.
         """
         owner = self._owner
-        owner.log.event("worker-reborn", worker=self._worker_id, born_ms=report.born_ms)
         owner.reset_durable_end_number(self._worker_id)
         crash = owner.engine.worker_restarted(
             self._worker_id, report, sent_s, owner.now()
@@ -368,9 +394,10 @@
             owner.engine.withdraw_start(order, owner.now())
             return True
         sent_s = owner.now()
-        answer = await self._port.start(
-            self._target(worker), order, owner.fence, deadline_ms
-        )
+        with self._acks.start_in_flight():
+            answer = await self._port.start(
+                self._target(worker), order, owner.fence, deadline_ms
+            )
         if answer.is_ok():
             self._check_clock(worker, answer.ok, sent_s)
         return self._process_start_answer(order, answer, attempts)
@@ -392,6 +419,7 @@
         )
         self._assume_longest_lease(worker)
         self._lease.forget_clock()
+        self._acks.doubt_incarnation(owner.now())
         owner.engine.worker_unreachable(self._worker_id)
 
     def _process_start_answer(
@@ -411,6 +439,7 @@
             self._unanswered_start_s[order.run_id] = owner.now()
             owner.engine.start_unanswered(order, owner.now())
             self._lease.note_unanswered(owner.now())
+            self._acks.note_unanswered_start(owner.now())
             owner.decisions.order_failed(
                 "start-unanswered", order.run_id, self._worker_id, fault
             )
