Pool owner: a late answer of a former incarnation does not set a worker's clock

Callers could see two runs of one member at the same time. A worker answers a start and restarts; its answer arrives after the first report of the next incarnation. The owner recorded the clock of the former incarnation in the lease of the next one. That clock is far ahead of the new one, so that the grants which followed ended long after the owner counted them as expired, and later readings were passed over as older ones. When the worker was cut off, its members counted as lost and started elsewhere while they ran on.

The clock is recorded only from an answer of the lease's own incarnation, for answers to starts as for reports.

--- a/redwingrun/poolowner.py
+++ b/redwingrun/poolowner.py
@@ -305,7 +305,7 @@
             return
         task.starting.discard(index)
         if result.is_ok():
-            link.lease.record_clock(result.ok.clock_s, self._node.clock.now())
+            link.record_clock(result.ok, self._node.clock.now())
             task.confirm(index)
             return
         self._start_failed(task, index, result.error)
@@ -379,7 +379,7 @@
             # incarnation ran has ended with it.
             worker.incarnation = report.incarnation
             link.lease = WorkerLease(self._lease_settings, report.incarnation)
-        link.lease.record_clock(report.clock_s, now_s)
+        link.record_clock(report, now_s)
         link.forget = [key for key in link.forget if key not in call.forget]
         link.stray = []
         was_reachable = worker.reachable
--- a/redwingrun/workerlink.py
+++ b/redwingrun/workerlink.py
@@ -8,7 +8,7 @@
 
 from redwingrun.coordination.tasklease import WorkerLease
 from redwingrun.tasks import CHECKPOINTING, STOPPING, MemberKey, Task
-from redwingrun.workers import Grant, SyncCall
+from redwingrun.workers import Grant, SyncCall, WorkerReport
 
 # A member is throttled when a report shows it over its size, and stopped after this
 # many such reports in a row, with a checkpoint if its task can be restarted.
@@ -29,6 +29,17 @@
     forget: list[MemberKey] = field(factory=list)
     stray: list[MemberKey] = field(factory=list)
 
+    def record_clock(self, report: WorkerReport, received_s: float) -> None:
+        """Record the worker's clock from an answer of the lease's incarnation.
+
+        The answer of a former incarnation may arrive after the first one of the next,
+        whose clock has started again.
+
+        :param received_s: time of receipt, on the sender's clock.
+        """
+        if report.incarnation == self.lease.incarnation:
+            self.lease.record_clock(report.clock_s, received_s)
+
     def grant(self, epoch: int, incarnation: str) -> Grant:
         """Return a grant, and record it as issued.
 
--- a/tests/test_poolowner.py
+++ b/tests/test_poolowner.py
@@ -6,7 +6,7 @@
 
 from redwingrun.coordination.codec import decode
 from redwingrun.coordination.verdict import Failure
-from redwingrun.tasks import TASKS_PREFIX, TaskRow
+from redwingrun.tasks import TASKS_PREFIX, Task, TaskRow
 from tests.helpers import DOWN, LATE, LOST_ANSWER, OK
 from tests.test_tasklease_model import POOL, TaskLeaseMachine, submission
 
@@ -95,3 +95,49 @@
 def test_a_task_that_runs_at_most_once_is_stopped_when_it_stays_over_its_size():
     task, starts = _run_over_size("guide", stubborn=True)
     assert (task.state, starts) == ("failed", 1)
+
+
+def _slow_answers_of_starts(machine: TaskLeaseMachine, answered: asyncio.Event) -> None:
+    """Let the answer to each start arrive only when the event is set."""
+    start = machine.owner._workers.start
+
+    async def start_with_slow_answer(call, timeout_s):
+        result = await start(call, timeout_s)
+        await answered.wait()
+        return result
+
+    machine.owner._workers.start = start_with_slow_answer
+
+
+def _submit(machine: TaskLeaseMachine, key: str, work_s: float) -> Task:
+    message = submission("plan", key, work_s)
+    machine.submitted[message.task_id] = "plan"
+    work = machine.owner.submit(message, machine.objects.workloads["plan"])
+    return machine.loop.run_until_complete(work)
+
+
+# Guards against a lease on the clock of a former incarnation: the answer to a start
+# came after the report of the next one, whose tasks ran on after they counted as lost.
+def test_an_answer_of_a_former_incarnation_does_not_set_the_clock_of_the_next():
+    """A worker that has run for long answers a start, restarts and is cut off."""
+    machine = TaskLeaseMachine()
+    machine._advance(30.0)
+    answered = asyncio.Event()
+    _slow_answers_of_starts(machine, answered)
+    task = _submit(machine, "0", work_s=12.0)
+    machine._advance(0.3)
+    name = task.row.workers[0]
+    worker = machine.group.workers[name]
+    worker.restart()
+    machine._advance(3.0)
+    answered.set()
+    machine._advance(0.5)
+    later = [_submit(machine, str(number), work_s=40.0) for number in range(1, 4)]
+    machine._advance(3.0)
+    assert name in [task.row.workers[0] for task in later]
+    term_s = machine.owner._lease_settings.term_s
+    grant_s = machine.owner._link_by_worker[name].lease.issue_grant()
+    assert grant_s <= worker.clock_s() + term_s
+    machine.link_mode_by_worker[name] = "cut"
+    machine._advance(30.0)
+    machine.teardown()
