Pool owner: a cancellation is not taken back after it has stopped its task

Callers could be told that a cancellation had failed, while the task was stopped, and a task that runs at most once started a second time. A cancellation is passed on to the worker with the next report, also before the table has stored it. If the members were stopped by then and the table refused the write, the state was set back to running. The write of the end, which waited for the same lock, then stored a running task without a run. The worker was told to forget the end, so that the next owner found nothing at the worker, took the task as not run, and started it.

A cancellation whose task has ended as cancelled meanwhile stays. The caller is told that it may be stored; the write of the end is repeated until it is.

--- a/redwingrun/poolowner.py
+++ b/redwingrun/poolowner.py
@@ -224,6 +224,11 @@
                 f"this host no longer owns pool {self._pool};"
                 " the cancellation may be stored",
             )
+        if task.state == CANCELLED and not ends_now:
+            # The members were stopped meanwhile. The end is written until it is stored.
+            return may_have_run(
+                "table-unavailable", "the task was stopped; that may be stored later"
+            )
         self._revert_cancel(task, previous_row)
         return not_run("table-unavailable", "the cancellation could not be stored")
 
--- a/tests/test_poolowner.py
+++ b/tests/test_poolowner.py
@@ -5,7 +5,8 @@
 import asyncio
 
 from redwingrun.coordination.codec import decode
-from redwingrun.coordination.verdict import Failure
+from redwingrun.coordination.verdict import Failure, Verdict
+from redwingrun.taskrows import Commit
 from redwingrun.tasks import TASKS_PREFIX, Task, TaskRow
 from tests.helpers import DOWN, LATE, LOST_ANSWER, OK
 from tests.test_tasklease_model import POOL, TaskLeaseMachine, submission
@@ -141,3 +142,45 @@
     machine.link_mode_by_worker[name] = "cut"
     machine._advance(30.0)
     machine.teardown()
+
+
+def _refuse_next_write(machine: TaskLeaseMachine, after_s: float) -> None:
+    """Let the next write of a task be refused after some time."""
+    commit = machine.owner._rows.commit
+
+    async def refuse(task: Task) -> Commit:
+        machine.owner._rows.commit = commit
+        async with task.write_lock:
+            await asyncio.sleep(after_s)
+        return Commit.REFUSED
+
+    machine.owner._rows.commit = refuse
+
+
+def _run_at_most_once(machine: TaskLeaseMachine, work_s: float) -> Task:
+    """Submit a task that is not restartable; return it when it runs."""
+    message = submission("guide", "once", work_s)
+    machine.submitted[message.task_id] = "guide"
+    work = machine.owner.submit(message, machine.objects.workloads["guide"])
+    task = machine.loop.run_until_complete(work)
+    machine._advance(3.0)
+    assert task.state == "running"
+    return task
+
+
+# Guards against a cancellation that is taken back after its task was stopped: the task
+# was stored as running without a run, and the next owner started it again.
+def test_a_cancellation_that_has_stopped_the_task_is_not_taken_back():
+    """The worker stops the task before the table refuses to store the cancellation."""
+    machine = TaskLeaseMachine()
+    task = _run_at_most_once(machine, work_s=60.0)
+    _refuse_next_write(machine, after_s=3.0)
+    outcome = machine.loop.run_until_complete(machine.owner.cancel(task))
+    assert outcome.verdict is Verdict.MAY_HAVE_RUN
+    machine._advance(3.0)
+    stored = machine.rows.by_key[task.row.key]
+    assert decode(TaskRow, stored.value).state == "cancelled"
+    machine._take_over()
+    machine._advance(10.0)
+    assert machine.group.starts_by_task[task.task_id] == 1
+    machine.teardown()
