Task rows: a refusal says nothing of an earlier attempt without an answer

Callers could be told "not run; submit it again" for a task that was started later. A write without an answer was repeated; if the table refused the next attempt, that counted as the outcome of the whole write, although the first attempt could still be applied. A new owner then found the row and started the task. After a refused placement or cancellation the same left the task's version behind the stored one.

After an attempt of unknown outcome the write is repeated until it is stored or ownership ends, as was done for its reading back already. Each attempt has the condition of the same version, so that only one can take effect. The price: such a submission waits while the table is down and is not refused at once.

--- a/redwingrun/taskrows.py
+++ b/redwingrun/taskrows.py
@@ -26,9 +26,8 @@
 class Commit(Enum):
     """The outcome of a fenced write.
 
-    ``DONE``: the row is stored. ``REFUSED``: the last attempt had no effect, but an
-    earlier one of unknown outcome may still take effect. ``NOT_OWNER``: ownership
-    ended; the row may be stored or not.
+    ``DONE``: the row is stored. ``REFUSED``: no attempt had an effect, or will have
+    one. ``NOT_OWNER``: ownership ended; the row may be stored or not.
     """
 
     DONE = "done"
@@ -70,9 +69,11 @@
         """Write a task's row; repeat until it is stored or refused, or ownership ends.
 
         There is one write of a task at a time, because each one is conditional on
-        the version that the last one wrote.
+        the version that the last one wrote. After an attempt of unknown outcome, which
+        may take effect late, a refusal says nothing, and the write is repeated.
         """
         async with task.write_lock:
+            may_be_stored = False
             row = task.row
             write = Write(row.key, encode(row))
             while self._owns():
@@ -82,8 +83,12 @@
                 try:
                     result = await self._writer.transact(transaction)
                 except TableUnavailable:
-                    return Commit.REFUSED
+                    if not may_be_stored:
+                        return Commit.REFUSED
+                    await asyncio.sleep(RETRY_INTERVAL_S)
+                    continue
                 except TableUnknown:
+                    may_be_stored = True
                     result = await self._find_commit(row)
                     if result is None:
                         continue
--- a/tests/test_poolowner.py
+++ b/tests/test_poolowner.py
@@ -184,3 +184,29 @@
     machine._advance(10.0)
     assert machine.group.starts_by_task[task.task_id] == 1
     machine.teardown()
+
+
+# Guards against a refusal that is taken as the answer for the attempts before it: a
+# task was refused as not run, and an attempt that took effect late was started.
+def test_a_task_is_not_refused_while_an_earlier_write_may_take_effect():
+    """The first write gets no answer and is applied late; the table refuses the next.
+
+    Another owner takes over and finds the row.
+    """
+    machine = TaskLeaseMachine()
+    message = submission("guide", "late", work_s=0.2)
+    machine.submitted[message.task_id] = "guide"
+    machine.process.late_s = 3.0
+    machine.process.table_mode = LATE
+    work = machine.owner.submit(message, machine.objects.workloads["guide"])
+    outcome = machine.loop.create_task(work)
+    machine.loop.run_until_complete(asyncio.sleep(0.525))
+    machine.process.table_mode = DOWN
+    machine._advance(1.0)
+    if outcome.done() and isinstance(outcome.result(), Failure):
+        machine.refused.add(message.task_id)
+    machine._advance(4.0)
+    machine._take_over()
+    machine._advance(5.0)
+    assert machine.group.starts_by_task[message.task_id] == 1
+    machine.teardown()
