Member: a peer that has claimed the slice does not look like one that has not

Callers could see the whole load of a worker run twice. An owner without the table asks its peers when they last read its row. If all reads are old, it takes the slice for unclaimed and goes on granting leases. A peer that has claimed the slice does not read the row any more, so its read is old as well. A claim after a wait comes late enough to be told apart by its read; one after a refused probe does not, and a cut with resets refuses probes while the owner lives. The new owner counted on the end of the former one's leases, while that one renewed them as soon as it reached its peers again.

A member that owns the slice, or whose claim may still take effect, answers with an age of zero. After its ownership the age counts from its end.

Evidence: the new test fails without the change with the record's shape, nine tasks of one worker at work twice at the same time.

--- a/redwingrun/jobs/member.py
+++ b/redwingrun/jobs/member.py
@@ -113,6 +113,10 @@
         self._owner_liveness = Liveness.ANSWERS
         self._is_probing = False
         self._owner_row_read_s = -math.inf
+        # The owner's row that this member last tried to replace by its claim, and the
+        # last time at which it owned the slice.
+        self._claimed_row: Row | None = None
+        self._owned_s = -math.inf
         self._tasks: list[asyncio.Task[Any]] = []
         self._background_tasks: set[asyncio.Task[Any]] = set()
         self._claim_order = ClaimOrder(settings.name, self._peers)
@@ -152,8 +156,20 @@
         )
 
     def owner_row_age_s(self) -> float:
-        """Return the seconds since this member last read the owner's row."""
-        return self._dependencies.clock.now() - self._owner_row_read_s
+        """Return the seconds since this member last read the owner's row.
+
+        It is zero while the member owns the slice or may have claimed it, although it
+        does not read the row then. A former owner counts on it that no peer with an old
+        read has claimed the slice.
+        """
+        if self._owner is not None or self._may_have_claimed():
+            return 0.0
+        read_s = max(self._owner_row_read_s, self._owned_s)
+        return self._dependencies.clock.now() - read_s
+
+    def _may_have_claimed(self) -> bool:
+        """Return whether a claim was sent that may still take effect."""
+        return self._claimed_row is not None and self._claimed_row == self._watch.row
 
     def peer_addresses(self) -> list[str]:
         """Return the addresses of the other members."""
@@ -420,6 +436,7 @@
 
     async def _claim(self) -> None:
         settings = self._settings
+        self._claimed_row = self._watch.row
         try:
             writer = await SliceWriter.claim(
                 self._dependencies.table,
@@ -475,6 +492,7 @@
         finally:
             monitor.cancel()
             self._owner = None
+            self._owned_s = dependencies.clock.now()
             self._watch.reset()
             self._ownership_over.set()
 
--- a/redwingrun/jobs/peerlinks.py
+++ b/redwingrun/jobs/peerlinks.py
@@ -32,7 +32,8 @@
     """What a probe says about the process at a peer's address."""
 
     ANSWERS = "answers"
-    ENDED = "ended"  # certain: no process listens there
+    # No process listens there, or the network refuses connections for it.
+    ENDED = "ended"
     SILENT = "silent"  # its host may be frozen, cut off or without power
 
 
@@ -100,6 +101,8 @@
     ) -> float | None:
         """Return the seconds since a peer last read the owner's row.
 
+        It is zero for a peer that owns the slice or may have claimed it.
+
         :param claim: whether the peer should read the owner's row now, and claim the
             slice if its owner has released it, has failed or is ``handover_from``.
         :param handover_from: name of an owner that hands the slice over; empty if
--- a/tests/jobs/test_workerlease.py
+++ b/tests/jobs/test_workerlease.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from redwingrun.jobs.peerlinks import Liveness
 from redwingrun.jobs.progress import JobState
 from tests.helpers import DOWN, OK
 from tests.jobs.cluster import SimulatedCluster, job, job_id, make_cluster, step
@@ -146,3 +147,40 @@
         item.cut.clear()
     cluster.run(45.0)
     check_completed_once(cluster)
+
+
+async def refuse_probe(address: str) -> Liveness:
+    """Answer a probe of an owner's process as a refused connection does."""
+    return Liveness.ENDED
+
+
+# Guards against an owner that takes a peer which has claimed the slice for one that can
+# not have claimed it: a claim after a refused probe comes earlier than any other, and
+# the peer does not read the owner's row any more.
+def test_an_owner_does_not_renew_leases_after_a_claim_by_a_refused_probe(
+    cluster: SimulatedCluster,
+):
+    cluster.submit(job_id(1), job(step(9, 30.0)))
+    cluster.run(1.0)
+    worker = cluster.worker_by_id["i-1"]
+    assert worker.runs
+    owner_name = cluster.owner_name()
+    claiming_name, third_name = sorted(set(cluster.member_by_name) - {owner_name})
+    peers = cluster.member_by_name[claiming_name]._dependencies.peers
+    peers.liveness = refuse_probe
+    cluster.isolated_members.add(owner_name)
+    for name in (owner_name, third_name):
+        cluster.process_by_name[name].table_mode = DOWN
+    for item in cluster.worker_by_id.values():
+        item.cut.add(owner_name)
+    worker.cut = {claiming_name, third_name}
+    cluster.run(2.0)
+    assert cluster.claim_count() == 2
+    cluster.isolated_members.clear()
+    cluster.run(25.0)
+    for name in (owner_name, third_name):
+        cluster.process_by_name[name].table_mode = OK
+    for item in cluster.worker_by_id.values():
+        item.cut.clear()
+    cluster.run(45.0)
+    check_completed_once(cluster)
