Pool owner: a task whose cancellation is refused is queued once

Callers could see a pool that starts no more tasks. A queue drops a cancelled task only when it comes to it, so that the entry of a task whose cancellation was taken back could still be there; the task was queued a second time, both entries were placed in one round, and the second placement raised an exception that ended the owner's placements. The task is queued again only if it is not in a queue.

Evidence: the new test fails without the change (two entries; the trial of the same course ended with "no event 'place' in state 'placed'").

--- a/redwingrun/poolowner.py
+++ b/redwingrun/poolowner.py
@@ -239,7 +239,9 @@
         task.row = evolve(
             task.row, state=previous_row.state, detail=previous_row.detail
         )
-        if task.state == QUEUED:
+        # A queue drops a cancelled task only when it comes to it.
+        is_queued = any(item is task for item in self.scheduler.queued_tasks())
+        if task.state == QUEUED and not is_queued:
             self.scheduler.enqueue(task, self._node.clock.now())
 
     # Placement
--- a/tests/test_poolowner.py
+++ b/tests/test_poolowner.py
@@ -210,3 +210,20 @@
     machine._advance(5.0)
     assert machine.group.starts_by_task[message.task_id] == 1
     machine.teardown()
+
+
+# Guards against a task that is queued twice after its cancellation was not stored: both
+# entries were placed at once, which ended the owner's placements by an exception.
+def test_a_queued_task_whose_cancellation_is_refused_is_placed_once():
+    """Six tasks fill the workers; the cancellation of the seventh is refused."""
+    machine = TaskLeaseMachine()
+    for number in range(6):
+        _submit(machine, str(number), work_s=8.0)
+    task = _submit(machine, "6", work_s=8.0)
+    _refuse_next_write(machine, after_s=0.0)
+    outcome = machine.loop.run_until_complete(machine.owner.cancel(task))
+    assert outcome.verdict is Verdict.NOT_RUN
+    assert machine.owner.scheduler.queued_tasks() == [task]
+    machine._advance(40.0)
+    assert (task.state, task.row.attempt) == ("succeeded", 1)
+    machine.teardown()
