Pool owner: a cancellation is not acknowledged by one that is not stored yet

Callers could be told that a task is cancelled, and it ran on or was started. A second cancellation found the state that the first one had set before its write, and returned as if that were stored. If the table refused the write, the first caller was told so, the state was taken back, and the second caller kept its acknowledgement. A cancellation now waits for the write under way and then looks at the state.

--- a/redwingrun/poolowner.py
+++ b/redwingrun/poolowner.py
@@ -208,6 +208,9 @@
         For a task that has ended or is being cancelled nothing is done, and ``None``
         is returned.
         """
+        async with task.write_lock:
+            # The write under way may be that of another cancellation, which may fail.
+            pass
         if task.ended or task.state == STOPPING:
             return None
         previous_row = task.row
--- a/tests/test_poolowner.py
+++ b/tests/test_poolowner.py
@@ -227,3 +227,39 @@
     machine._advance(40.0)
     assert (task.state, task.row.attempt) == ("succeeded", 1)
     machine.teardown()
+
+
+# Guards against a cancellation that is acknowledged by what another one has only begun:
+# the first was refused and taken back, and the task ran on for the second caller.
+def test_a_second_cancellation_is_not_acknowledged_before_the_first_is_stored():
+    """Two callers cancel a running task; the table refuses the only write."""
+    machine = TaskLeaseMachine()
+    task = _run_at_most_once(machine, work_s=20.0)
+    _refuse_next_write(machine, after_s=0.3)
+    first = machine.loop.create_task(machine.owner.cancel(task))
+    machine.loop.run_until_complete(asyncio.sleep(0.1))
+    machine.process.table_mode = DOWN
+    second = machine.loop.run_until_complete(machine.owner.cancel(task))
+    assert machine.loop.run_until_complete(first).verdict is Verdict.NOT_RUN
+    assert second is not None
+    assert task.state == "running"
+    machine.process.table_mode = OK
+    machine.teardown()
+
+
+# Guards against the same for a task that was queued, which ends at once.
+def test_a_second_cancellation_of_a_queued_task_waits_for_the_first():
+    """Two callers cancel a queued task; the table refuses the only write."""
+    machine = TaskLeaseMachine()
+    for number in range(6):
+        _submit(machine, str(number), work_s=8.0)
+    task = _submit(machine, "6", work_s=8.0)
+    _refuse_next_write(machine, after_s=0.3)
+    first = machine.loop.create_task(machine.owner.cancel(task))
+    machine.loop.run_until_complete(asyncio.sleep(0.1))
+    second = machine.loop.run_until_complete(machine.owner.cancel(task))
+    assert machine.loop.run_until_complete(first).verdict is Verdict.NOT_RUN
+    assert second is None
+    stored = machine.rows.by_key[task.row.key]
+    assert decode(TaskRow, stored.value).state == "cancelled"
+    machine.teardown()
