Placement policy: an answer without its list is no refusal of all workers

Callers could see a step that is never started. An answer without the field "good" was read as one that allows none of the workers of the query, and a refusal is never asked again. It is a failed query now, which is sent again; an empty list is a refusal as before.

Evidence: the two new cases fail without the change.

--- a/redwingrun/platform/policy.py
+++ b/redwingrun/platform/policy.py
@@ -54,8 +54,12 @@
 def decode_answer(data: dict[str, Any]) -> PolicyAnswer:
     """Decode the policy's answer, without the rows that can't be used.
 
-    :raises BadFieldError: if the list of workers or the time is not usable.
+    :raises BadFieldError: if the list of workers is missing, or it or the time is not
+        usable.
     """
+    if "good" not in data:
+        # Else all workers of the query would count as refused, which doesn't change.
+        raise BadFieldError("good is missing")
     ticket_by_worker = {}
     for row in get_list(data, "good"):
         if _is_ticket_row(row):
--- a/tests/platform/test_policy.py
+++ b/tests/platform/test_policy.py
@@ -57,8 +57,13 @@
         b"[" * 100_000,
         b"no JSON",
         orjson.dumps([GOOD_ROW]),
+        orjson.dumps({"validMs": 2500}),
+        b"{}",
     ],
 )
 def test_an_answer_that_can_not_be_used_is_a_failure(body):
-    """The query is sent again later."""
+    """The query is sent again later.
+
+    Without its list it would refuse all workers of the query for ever.
+    """
     assert query(body).is_error()
