Table client: a damaged answer leaves the outcome unknown

Callers could wait for ever, or be told that a row does not exist. An answer to a transaction that could not be decoded raised an exception that ended the group commit, and nobody told the callers of its group. An answer to a read with the body "{}" was read as a list without rows. Both raise TableUnknown now, which every caller reads back or reports.

--- a/redwingrun/serviceclients.py
+++ b/redwingrun/serviceclients.py
@@ -29,6 +29,8 @@
 NOT_FOUND_STATUS = 404
 # A large object may take as long as the link needs, but not pause for longer than this.
 STALL_TIMEOUT_S = 0.5
+# Raised when a value is read from JSON that does not have the expected form.
+DAMAGED_JSON_ERRORS = (KeyError, TypeError, ValueError)
 
 
 def _condition_json(condition: Condition) -> dict[str, object]:
@@ -65,10 +67,13 @@
         )
         self._metrics.count("table_writes_total")
         reply = await self._send("POST", "/transact", body)
-        reply_json = orjson.loads(reply.body)
-        if reply.status == CONFLICT_STATUS:
-            return Conflict(tuple(reply_json["keys"]))
-        return Committed(reply_json["version"])
+        try:
+            reply_json = orjson.loads(reply.body)
+            if reply.status == CONFLICT_STATUS:
+                return Conflict(tuple(reply_json["keys"]))
+            return Committed(reply_json["version"])
+        except DAMAGED_JSON_ERRORS as error:
+            raise TableUnknown(f"the table's answer is damaged: {error!r}") from error
 
     async def read(self, key: str) -> Row | None:
         """Return a row, or ``None`` if it does not exist."""
@@ -82,10 +87,15 @@
     async def _rows(self, field: str, value: str) -> tuple[Row, ...]:
         self._metrics.count("table_reads_total")
         reply = await self._send("POST", "/read", orjson.dumps({field: value}))
-        return tuple(
-            Row(item["key"], item["value"], item["version"])
-            for item in orjson.loads(reply.body)
-        )
+        try:
+            rows = orjson.loads(reply.body)
+            if not isinstance(rows, list):
+                raise TypeError("no list")
+            return tuple(
+                Row(item["key"], item["value"], item["version"]) for item in rows
+            )
+        except DAMAGED_JSON_ERRORS as error:
+            raise TableUnknown(f"the table's answer is damaged: {error!r}") from error
 
     async def _send(self, method: str, path: str, body: bytes) -> HttpReply:
         call = HttpCall(method, self._url + path, self._timeout_s, body)
--- a/tests/test_serviceclients.py
+++ b/tests/test_serviceclients.py
@@ -12,6 +12,8 @@
 from tornado.web import Application, RequestHandler
 
 from lab.cell import free_ports
+from redwingrun.coordination.groupcommit import GroupCommit, GroupCommitSettings
+from redwingrun.coordination.table import TableUnknown, Transaction, Write
 from redwingrun.httpclient import HttpClient, HttpReply
 from redwingrun.logs import Log
 from redwingrun.metrics import Metrics
@@ -19,6 +21,7 @@
     HostListUnavailable,
     HttpHostList,
     HttpObjectStore,
+    HttpTable,
     ListedHost,
 )
 
@@ -73,11 +76,12 @@
 class _Answer:
     """Takes the place of ``HttpClient``: gives the same answer to each call."""
 
-    def __init__(self, body: bytes):
+    def __init__(self, body: bytes, status: int = 200):
         self._body = body
+        self._status = status
 
     async def send(self, call: object) -> Ok:
-        return Ok(HttpReply(200, self._body, HTTPHeaders()))
+        return Ok(HttpReply(self._status, self._body, HTTPHeaders()))
 
 
 def read_hosts(body: bytes) -> dict[str, ListedHost]:
@@ -102,3 +106,27 @@
     """The last known states stay in use."""
     with pytest.raises(HostListUnavailable):
         read_hosts(body)
+
+
+# Guards against a damaged answer that ends the group commit: the callers of its group
+# waited for ever for an outcome.
+@pytest.mark.parametrize("status", [200, 409])
+@pytest.mark.parametrize("body", [b"", b"no JSON", b"[]", b"{}", b'{"keys": 3}'])
+def test_a_damaged_answer_of_the_table_leaves_the_outcome_unknown(status, body):
+    table = HttpTable(_Answer(body, status), "http://127.0.0.1:1", TIMEOUT_S, Metrics())
+
+    async def commit() -> None:
+        group = GroupCommit(table, GroupCommitSettings())
+        async with asyncio.timeout(TIMEOUT_S):
+            await group.transact(Transaction((), (Write("a", "v"),)))
+
+    with pytest.raises(TableUnknown):
+        asyncio.run(commit())
+
+
+# Guards against a damaged answer that is read as "there is no such row".
+@pytest.mark.parametrize("body", [b"", b"no JSON", b"{}", b"[3]", b'[{"key": "a"}]'])
+def test_a_damaged_answer_to_a_read_is_no_row(body):
+    table = HttpTable(_Answer(body), "http://127.0.0.1:1", TIMEOUT_S, Metrics())
+    with pytest.raises(TableUnknown):
+        asyncio.run(table.read("a"))
