Member: a list of peers that was never read does not show the slice unclaimed

Callers could see the whole load of a worker run twice. A member may claim the slice before it has read the members' rows. Without the table it asked nobody then, took "no peer has claimed" from the empty list, and renewed leases for ever, while another member claimed the slice. The answers of the peers count only after the rows have been read once.

Evidence: the new test fails without the change (nine tasks of one worker at work twice at the same time).

--- a/redwingrun/jobs/member.py
+++ b/redwingrun/jobs/member.py
@@ -87,6 +87,7 @@
             dependencies.table, settings.slice_name, dependencies.log
         )
         self._has_joined = False
+        self._has_read_members = False
         self.job_store = JobStore(
             dependencies.table,
             settings.slice_name,
@@ -279,6 +280,7 @@
         if after is None:
             snapshot = await self._member_registry.members()
             self._peers.update(snapshot.rows)
+            self._has_read_members = True
             version = snapshot.version
         else:
             changes = await self._member_registry.changes(after, MEMBERS_WAIT_S)
@@ -522,7 +524,8 @@
                 peers = self._peers.fastest_first()
                 probed_s = self._dependencies.clock.now()
                 ages = await self._owner_row_ages(peers)
-                owner.note_owner_row_ages(ages, probed_s)
+                if self._has_read_members:
+                    owner.note_owner_row_ages(ages, probed_s)
                 peer = _first_with_table_access(peers, ages)
                 if peer and not await self._can_read_owner_row():
                     await self._hand_over_without_table(owner, peer.address)
--- a/tests/jobs/test_workerlease.py
+++ b/tests/jobs/test_workerlease.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from redwingrun.coordination.table import TableUnavailable
 from redwingrun.jobs.peerlinks import Liveness
 from redwingrun.jobs.progress import JobState
 from tests.helpers import DOWN, OK
@@ -184,3 +185,41 @@
         item.cut.clear()
     cluster.run(45.0)
     check_completed_once(cluster)
+
+
+async def members_unread() -> None:
+    """Fail as a read of the members' rows does while the table is unavailable."""
+    raise TableUnavailable("members")
+
+
+# Guards against a list of peers that was never read and is taken for "no other member
+# can have claimed the slice".
+def test_an_owner_that_does_not_know_its_peers_renews_no_leases_without_the_table(
+    cluster: SimulatedCluster,
+):
+    for name in list(cluster.member_by_name):
+        cluster.kill(name)
+    owner_name, later_name = "m8", "m9"
+
+    async def start() -> None:
+        member = cluster.add_member(owner_name)
+        member._member_registry.members = members_unread
+
+    cluster.loop.run_until_complete(start())
+    run_until(cluster, lambda: cluster.claim_count() == 2)
+    cluster.add_ready_member(later_name)
+    cluster.submit(job_id(1), job(step(9, 30.0)))
+    cluster.run(1.0)
+    assert cluster.owner_name() == owner_name
+    worker = cluster.worker_by_id["i-1"]
+    assert worker.runs
+    cluster.process_by_name[owner_name].table_mode = DOWN
+    for item in cluster.worker_by_id.values():
+        item.cut.add(owner_name)
+    worker.cut = {later_name}
+    cluster.run(25.0)
+    cluster.process_by_name[owner_name].table_mode = OK
+    for item in cluster.worker_by_id.values():
+        item.cut.clear()
+    cluster.run(45.0)
+    check_completed_once(cluster)
