Pool owner: a cancellation goes on when its caller goes away

Callers could see a task that stays "stopping" for ever. If the caller's connection ended while the cancellation was written, the write was applied and the owner did not learn its version, so that all later writes of the task conflicted and were repeated without an end. The cancellation runs in a task of the owner now, as a submission does.

Evidence: the new test fails without the change ("stopping" instead of "cancelled" after 5 s).

--- a/redwingrun/poolowner.py
+++ b/redwingrun/poolowner.py
@@ -208,6 +208,11 @@
         For a task that has ended or is being cancelled nothing is done, and ``None``
         is returned.
         """
+        # The write continues when the caller no longer waits for it: this process has
+        # to learn the version that it stores.
+        return await asyncio.shield(self._node.spawn(self._cancel(task), "cancel"))
+
+    async def _cancel(self, task: Task) -> Failure | None:
         async with task.write_lock:
             # The write under way may be that of another cancellation, which may fail.
             pass
--- a/tests/test_poolowner.py
+++ b/tests/test_poolowner.py
@@ -263,3 +263,18 @@
     stored = machine.rows.by_key[task.row.key]
     assert decode(TaskRow, stored.value).state == "cancelled"
     machine.teardown()
+
+
+# Guards against a caller that goes away during the write of its cancellation: the owner
+# did not learn the stored version, and no later write of the task took effect.
+def test_a_cancellation_whose_caller_goes_away_is_still_stored():
+    machine = TaskLeaseMachine()
+    task = _run_at_most_once(machine, work_s=20.0)
+    caller = machine.loop.create_task(machine.owner.cancel(task))
+    machine.loop.run_until_complete(asyncio.sleep(0.015))
+    caller.cancel()
+    machine._advance(5.0)
+    stored = machine.rows.by_key[task.row.key]
+    assert decode(TaskRow, stored.value).state == "cancelled"
+    assert task.end_is_stored
+    machine.teardown()
