--- a/redwingrun/jobs/member.py
+++ b/redwingrun/jobs/member.py
@@ -87,6 +87,7 @@
             dependencies.table, settings.slice_name, dependencies.log
         )
         self._has_joined = False
+        self._has_read_members = False
         self.job_store = JobStore(
             dependencies.table,
             settings.slice_name,
@@ -113,6 +114,10 @@
         self._owner_liveness = Liveness.ANSWERS
         self._is_probing = False
         self._owner_row_read_s = -math.inf
+        # The owner's row that this member last tried to replace by its claim, and the
+        # last time at which it owned the slice.
+        self._claimed_row: Row | None = None
+        self._owned_s = -math.inf
         self._tasks: list[asyncio.Task[Any]] = []
         self._background_tasks: set[asyncio.Task[Any]] = set()
         self._claim_order = ClaimOrder(settings.name, self._peers)
@@ -152,11 +157,20 @@
         )
 
     def owner_row_age_s(self) -> float:
-        """Return the seconds since this member last read or wrote the owner's row."""
-        read_age_s = self._dependencies.clock.now() - self._owner_row_read_s
-        if self._owner is None:
-            return read_age_s
-        return min(read_age_s, self._owner.since_commit_s())
+        """Return the seconds since this member last read the owner's row.
+
+        It is zero while the member owns the slice or may have claimed it, although it
+        does not read the row then. A former owner counts on it that no peer with an old
+        read has claimed the slice.
+        """
+        if self._owner is not None or self._may_have_claimed():
+            return 0.0
+        read_s = max(self._owner_row_read_s, self._owned_s)
+        return self._dependencies.clock.now() - read_s
+
+    def _may_have_claimed(self) -> bool:
+        """Return whether a claim was sent that may still take effect."""
+        return self._claimed_row is not None and self._claimed_row == self._watch.row
 
     def peer_addresses(self) -> list[str]:
         """Return the addresses of the other members."""
@@ -266,6 +280,7 @@
         if after is None:
             snapshot = await self._member_registry.members()
             self._peers.update(snapshot.rows)
+            self._has_read_members = True
             version = snapshot.version
         else:
             changes = await self._member_registry.changes(after, MEMBERS_WAIT_S)
@@ -423,6 +438,7 @@
 
     async def _claim(self) -> None:
         settings = self._settings
+        self._claimed_row = self._watch.row
         try:
             writer = await SliceWriter.claim(
                 self._dependencies.table,
@@ -478,6 +494,7 @@
         finally:
             monitor.cancel()
             self._owner = None
+            self._owned_s = dependencies.clock.now()
             self._watch.reset()
             self._ownership_over.set()
 
@@ -507,7 +524,8 @@
                 peers = self._peers.fastest_first()
                 probed_s = self._dependencies.clock.now()
                 ages = await self._owner_row_ages(peers)
-                owner.note_owner_row_ages(ages, probed_s)
+                if self._has_read_members:
+                    owner.note_owner_row_ages(ages, probed_s)
                 peer = _first_with_table_access(peers, ages)
                 if peer and not await self._can_read_owner_row():
                     await self._hand_over_without_table(owner, peer.address)
--- a/redwingrun/poolowner.py
+++ b/redwingrun/poolowner.py
@@ -208,6 +208,14 @@
         For a task that has ended or is being cancelled nothing is done, and ``None``
         is returned.
         """
+        # The write continues when the caller no longer waits for it: this process has
+        # to learn the version that it stores.
+        return await asyncio.shield(self._node.spawn(self._cancel(task), "cancel"))
+
+    async def _cancel(self, task: Task) -> Failure | None:
+        async with task.write_lock:
+            # The write under way may be that of another cancellation, which may fail.
+            pass
         if task.ended or task.state == STOPPING:
             return None
         previous_row = task.row
@@ -224,6 +232,11 @@
                 f"this host no longer owns pool {self._pool};"
                 " the cancellation may be stored",
             )
+        if task.state == CANCELLED and not ends_now:
+            # The members were stopped meanwhile. The end is written until it is stored.
+            return may_have_run(
+                "table-unavailable", "the task was stopped; that may be stored later"
+            )
         self._revert_cancel(task, previous_row)
         return not_run("table-unavailable", "the cancellation could not be stored")
 
@@ -234,7 +247,9 @@
         task.row = evolve(
             task.row, state=previous_row.state, detail=previous_row.detail
         )
-        if task.state == QUEUED:
+        # A queue drops a cancelled task only when it comes to it.
+        is_queued = any(item is task for item in self.scheduler.queued_tasks())
+        if task.state == QUEUED and not is_queued:
             self.scheduler.enqueue(task, self._node.clock.now())
 
     # Placement
@@ -305,7 +320,7 @@
             return
         task.starting.discard(index)
         if result.is_ok():
-            link.lease.record_clock(result.ok.clock_s, self._node.clock.now())
+            link.record_clock(result.ok, self._node.clock.now())
             task.confirm(index)
             return
         self._start_failed(task, index, result.error)
@@ -379,7 +394,7 @@
             # incarnation ran has ended with it.
             worker.incarnation = report.incarnation
             link.lease = WorkerLease(self._lease_settings, report.incarnation)
-        link.lease.record_clock(report.clock_s, now_s)
+        link.record_clock(report, now_s)
         link.forget = [key for key in link.forget if key not in call.forget]
         link.stray = []
         was_reachable = worker.reachable
