Known red: an acknowledgement that is carried out late by the next incarnation

What callers see: tasks that ended done start again (TWICE). A heartbeat that acknowledges ends gets no answer, its worker restarts under its id, runs tasks that start before the heartbeat has timed out, and then carries it out.

Cause: starts are sent to a worker while an acknowledgement to it is in flight, and the order can't be bound to an incarnation.

Not mended: starts would have to wait for each acknowledgement's answer.

--- a/tests/jobs/test_endnumbers.py
+++ b/tests/jobs/test_endnumbers.py
@@ -176,3 +176,27 @@
         cluster.run(0.01)
         assert owner.durable_end_number("i-1") == 0
     assert not owner.loss_reason
+
+
+# Guards against an end that is forgotten unread because a heartbeat without an answer
+# is carried out late by the next incarnation, which has ended runs by then.
+@pytest.mark.parametrize("delay_s", [0.4, 0.6])
+def test_a_late_acknowledgement_does_not_reach_the_next_incarnation(
+    cluster: SimulatedCluster, delay_s: float
+):
+    worker = only_worker(cluster)
+    cluster.submit(job_id(2), job(step(1, TASK_S)))
+    wait_for_end(cluster)
+    cluster.run(0.01)
+    cluster.heartbeat_delays_s.append(delay_s)
+    for _ in range(100):
+        if cluster.heartbeat_delays_s:
+            cluster.run(0.002)
+    assert not cluster.heartbeat_delays_s
+    worker.crash()
+    cluster.run(0.1)
+    worker.restart()
+    steps = [step(4, 0.1, after=(n - 1,) if n else ()) for n in range(6)]
+    cluster.submit(job_id(3), job(*steps))
+    cluster.run(SETTLE_S)
+    check_completed_once(cluster, 3)
