--- a/tests/jobs/clusterports.py
+++ b/tests/jobs/clusterports.py
@@ -194,10 +194,10 @@
         delay_s = self._cluster.next_order_delay_s()
         if delay_s:
             self._cluster.loop.call_later(delay_s, self._carry_out_late, worker, act)
-            return await self._no_answer(target)
+            return await self._lose_answer()
         refusal = act(worker)
         if self._cluster.take_lost_answer():
-            return await self._no_answer(target)
+            return await self._lose_answer()
         await asyncio.sleep(HOP_DELAY_S)
         await self._process.wait_until_resumed()
         if refusal is not None:
@@ -216,6 +216,10 @@
             return Error(WorkerFault(not_run("not-connected")))
         if not worker.up or worker.cut_refuses:
             return Error(WorkerFault(not_run("connection-refused")))
+        return await self._lose_answer()
+
+    async def _lose_answer(self) -> Result[Any, WorkerFault]:
+        """Time out: the worker may carry out the call, or has done so."""
         await asyncio.sleep(ORDER_TIMEOUT_S)
         await self._process.wait_until_resumed()
         return Error(WorkerFault(may_have_run("timeout")))
@@ -252,7 +256,7 @@
             self._cluster.loop.call_later(
                 delay_s, self._carry_out_late, worker, lambda m: m.heartbeat(call)
             )
-            return await self._no_answer(target)
+            return await self._lose_answer()
         refusal = worker.heartbeat(call)
         until_s = self._cluster.loop.time() + call.wait_s
         while refusal is None and self._cluster.loop.time() < until_s:
