--- a/redwingrun/jobs/decisionlog.py
+++ b/redwingrun/jobs/decisionlog.py
@@ -5,24 +5,35 @@
 from collections.abc import Iterable
 
 from redwingrun.coordination.clock import Clock
+from redwingrun.jobs.crashes import CrashReport
 from redwingrun.jobs.engine import Engine
 from redwingrun.jobs.evidence import EndedRun
 from redwingrun.jobs.ports import WorkerFault
 from redwingrun.jobs.spec import RunId, StepId, TaskId
-from redwingrun.jobs.workerpool import StartOrder, StopOrder
+from redwingrun.jobs.workerpool import (
+    EndKind,
+    StartOrder,
+    StopOrder,
+    Worker,
+    WorkerReport,
+)
 from redwingrun.logs import Log
+from redwingrun.metrics import Metrics
 
 # The number of the first run of a task.
 FIRST_RUN = 1
+# A line names at most so many tasks, so that its length is bounded.
+MAX_LOGGED_SUSPECTS = 20
 
 
 class DecisionLog:
     """Writes the lines about starts, stops and ends of runs, and about ends of jobs."""
 
-    def __init__(self, log: Log, engine: Engine, clock: Clock):
+    def __init__(self, log: Log, engine: Engine, clock: Clock, metrics: Metrics):
         self._log = log
         self._engine = engine
         self._clock = clock
+        self._metrics = metrics
 
     def starts(self, orders: tuple[StartOrder, ...], fence: int) -> None:
         """Log which tasks start on which workers, one line for each step.
@@ -105,6 +116,42 @@
                     before_due_s=round(job.due_s - self._clock.now(), 3),
                 )
 
+    def abnormal_ends(self, worker: Worker, report: WorkerReport) -> None:
+        """Log the new ends of runs that were not successful."""
+        for end in report.ends:
+            if end.number > worker.last_end_number and end.kind is not EndKind.DONE:
+                self._log.event(
+                    "run-ended",
+                    **_run_fields(end.run_id),
+                    worker=worker.worker_id,
+                    how=end.kind.value,
+                    number=end.number,
+                )
+
+    def crash(self, worker_id: str, crash: CrashReport) -> None:
+        """Log the tasks that are suspected of a crash, or given up because of it."""
+        if crash.suspects:
+            self._log.event(
+                "crash-suspected",
+                worker=worker_id,
+                tasks=[
+                    f"{task.job}.{task_name(task)}"
+                    for task in crash.suspects[:MAX_LOGGED_SUSPECTS]
+                ],
+                count=len(crash.suspects),
+            )
+        for given_up in crash.given_up:
+            self._metrics.count("tasks_given_up_total")
+            self._log.event(
+                "task-given-up",
+                job=given_up.task_id.job,
+                task=task_name(given_up.task_id),
+                worker=worker_id,
+                crashes=given_up.crashes,
+                suspected=given_up.suspected,
+                alone=given_up.alone,
+            )
+
 
 def task_name(task: TaskId) -> str:
     """Return the name of a task within its job, as log lines have it."""
--- a/redwingrun/jobs/sliceowner.py
+++ b/redwingrun/jobs/sliceowner.py
@@ -106,7 +106,9 @@
         self.engine = Engine(dependencies.settings)
         self.engine.set_queues(queues)
         self.log = dependencies.log
-        self.decisions = DecisionLog(self.log, self.engine, dependencies.clock)
+        self.decisions = DecisionLog(
+            self.log, self.engine, dependencies.clock, dependencies.metrics
+        )
         self.policy_proxies = PolicyProxies()
         self._link_by_worker: dict[str, WorkerLink] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
--- a/redwingrun/jobs/workerlink.py
+++ b/redwingrun/jobs/workerlink.py
@@ -8,7 +8,6 @@
 from expression import Result
 
 from redwingrun.coordination.verdict import TIMEOUT, Verdict
-from redwingrun.jobs.crashes import CrashReport
 from redwingrun.jobs.endacks import EndAcks
 from redwingrun.jobs.evidence import Evidence, LeaseExpired, OtherWorkerAtAddress
 from redwingrun.jobs.pacing import has_mixed_load
@@ -16,7 +15,6 @@
 from redwingrun.jobs.spec import RunId
 from redwingrun.jobs.workerlease import MAX_ORDER_DELAY_S, WorkerLease
 from redwingrun.jobs.workerpool import (
-    EndKind,
     PaceOrder,
     Refusal,
     StartOrder,
@@ -49,8 +47,6 @@
 FINAL_STOP_REFUSALS = frozenset(
     {Refusal.STALE_FENCE, Refusal.OTHER_INCARNATION, Refusal.BAD_ORDER}
 )
-# A line names at most so many tasks, so that its length is bounded.
-MAX_LOGGED_SUSPECTS = 20
 
 
 class WorkerLink:
@@ -107,9 +103,9 @@
         if self._has_restarted(worker, report):
             self._log_restart(worker, report, acked_end_number)
             await self._handle_restart(worker, report, sent_s)
-        self._log_abnormal_ends(worker, report)
+        owner.decisions.abnormal_ends(worker, report)
         crash = owner.engine.process_report(self._worker_id, report, sent_s, received_s)
-        self._log_crash(crash)
+        owner.decisions.crash(self._worker_id, crash)
         owner.wake()
         if report.ends:
             await owner.wait_until_durable(self._worker_id, STORE_WAIT_S)
@@ -117,21 +113,6 @@
                 elapsed_s = owner.now() - received_s
                 await asyncio.sleep(max(0.0, END_BATCH_DELAY_S - elapsed_s))
 
-    def _log_abnormal_ends(self, worker: Worker, report: WorkerReport) -> None:
-        """Log the new ends of runs that were not successful."""
-        for end in report.ends:
-            if end.number > worker.last_end_number and end.kind is not EndKind.DONE:
-                task = end.run_id.task
-                self._owner.log.event(
-                    "run-ended",
-                    job=task.job,
-                    task=f"{task.occurrence}.{task.step}.{task.index}",
-                    run=end.run_id.run,
-                    worker=self._worker_id,
-                    how=end.kind.value,
-                    number=end.number,
-                )
-
     def _wait_s(self, worker: Worker, durable_end_number: int) -> float:
         """Return how long the worker may wait for an end before it answers."""
         if not worker.is_reachable or self._failed_heartbeats:
@@ -254,34 +235,9 @@
             runs=len(worker.run_by_id),
         )
         crash = owner.engine.worker_lost(self._worker_id, evidence)
-        self._log_crash(crash)
+        owner.decisions.crash(self._worker_id, crash)
         owner.wake()
 
-    def _log_crash(self, crash: CrashReport) -> None:
-        """Log the tasks that are suspected of a crash, or given up because of it."""
-        if crash.suspects:
-            self._owner.log.event(
-                "crash-suspected",
-                worker=self._worker_id,
-                tasks=[
-                    f"{task.job}.{task.occurrence}.{task.step}.{task.index}"
-                    for task in crash.suspects[:MAX_LOGGED_SUSPECTS]
-                ],
-                count=len(crash.suspects),
-            )
-        for given_up in crash.given_up:
-            task = given_up.task_id
-            self._owner.dependencies.metrics.count("tasks_given_up_total")
-            self._owner.log.event(
-                "task-given-up",
-                job=task.job,
-                task=f"{task.occurrence}.{task.step}.{task.index}",
-                worker=self._worker_id,
-                crashes=given_up.crashes,
-                suspected=given_up.suspected,
-                alone=given_up.alone,
-            )
-
     def _has_restarted(self, worker: Worker, report: WorkerReport) -> bool:
         known_born_ms = worker.info.born_ms
         return bool(
@@ -319,7 +275,7 @@
         crash = owner.engine.worker_restarted(
             self._worker_id, report, sent_s, owner.now()
         )
-        self._log_crash(crash)
+        owner.decisions.crash(self._worker_id, crash)
         owner.wake()
         late_starts = self._possibly_late_starts()
         self._assume_longest_lease(worker)
