--- a/lab/twice/__main__.py
+++ b/lab/twice/__main__.py
@@ -32,11 +32,11 @@
         f"seed {seed}, {mutation or 'no mutation'}:"
         f" {len(result.violations)} violations;"
         f" events {dict(result.count_by_kind)};"
-        f" jobs not completed {result.unfinished_jobs}, refused {result.refused_jobs}"
+        f" jobs not completed {result.state_by_job}, refused {result.refused_jobs}"
     )
     if result.violations:
         raise typer.Exit(EXIT_VIOLATIONS)
-    if result.unfinished_jobs:
+    if result.state_by_job:
         raise typer.Exit(EXIT_UNFINISHED)
 
 
--- a/lab/twice/plan.py
+++ b/lab/twice/plan.py
@@ -146,7 +146,7 @@
     rng = random.Random(f"plan {seed}")
     makers: list[tuple[float, Callable[[float], Fault]]] = [
         (5.0, lambda at_s: _cut(rng, at_s, workers)),
-        (5.0, lambda at_s: _restart(rng, at_s, workers)),
+        (3.0, lambda at_s: _restart(rng, at_s, workers)),
         (6.0, lambda at_s: _lost_answers(rng, at_s, workers)),
         (14.0, lambda at_s: OwnerStop(at_s, rng.choice((1.0, 4.0, 8.0)))),
         (20.0, lambda at_s: OwnerKill(at_s, rng.uniform(1.0, 4.0))),
@@ -182,7 +182,7 @@
     if rng.random() < 0.5:
         return WorkerRestart(at_s, worker, down_s, cut_after_s, False)
     # Cut off after it got starts, and before the call in progress times out.
-    return WorkerRestart(at_s, worker, 0.0, rng.uniform(0.2, 1.5), True)
+    return WorkerRestart(at_s, worker, 0.0, rng.uniform(0.3, 1.0), True)
 
 
 def _lost_answers(rng: random.Random, at_s: float, workers: int) -> Fault:
--- a/lab/twice/scenario.py
+++ b/lab/twice/scenario.py
@@ -25,17 +25,19 @@
 
 WORKERS = 9
 MEMBERS = 3
-JOB_GAP_S = 1.0
+JOB_GAP_S = 0.6
 MIN_TASKS = 4
 MAX_TASKS = 11
-# Five tasks fit on a worker.
-TASK_CPU = 5500
+# Ten tasks fit on a worker, and about half of the room is used.
+TASK_CPU = 3200
 TASK_MEMORY_MB = 256
-TASK_LENGTHS_S = (1.0, 2.0, 5.0, 8.0)
+TASK_LENGTHS_S = (1.0, 2.0, 5.0, 7.5, 7.5)
 MAX_EXTRA_LENGTH_S = 0.5
 ESTIMATE_MS = 4000
 # Give up waiting for the last job after this time.
 FINISH_TIMEOUT_S = 60.0
+COMPLETED = "completed"
+FAILED = "failed"
 ROUTE = {
     "name": "plans",
     "hostname": QUEUE_HOST,
@@ -54,13 +56,14 @@
 
     :param violations: the starts that break TWICE.
     :param count_by_kind: how many events of each kind the workers saw.
-    :param unfinished_jobs: accepted jobs that were not completed before the time-out.
+    :param state_by_job: the accepted jobs that were not completed before the time-out,
+        with their last states.
     :param refused_jobs: jobs that no member accepted.
     """
 
     violations: list[str]
     count_by_kind: Counter[str]
-    unfinished_jobs: list[str]
+    state_by_job: dict[str, str]
     refused_jobs: list[str]
 
 
@@ -139,10 +142,10 @@
         faults = [asyncio.create_task(play_fault(fault, cell)) for fault in plan]
         accepted, refused = await _submit_jobs(cell, seed, seconds)
         await asyncio.gather(*faults)
-        unfinished = await _wait_until_completed(cell, accepted)
+        states = await _wait_until_ended(cell, accepted)
         kinds = Counter(event.kind for event in cell.events)
         violations = violations_of_twice(cell.events, cell.minions)
-        return SoakResult(violations, kinds, unfinished, refused)
+        return SoakResult(violations, kinds, states, refused)
     finally:
         if folder is not None:
             folder.mkdir(parents=True, exist_ok=True)
@@ -177,18 +180,28 @@
     return job_id, status == 200
 
 
-async def _wait_until_completed(cell: SoakCell, job_ids: list[str]) -> list[str]:
-    """Return the jobs that are not completed when the wait ends."""
+async def _wait_until_ended(cell: SoakCell, job_ids: list[str]) -> dict[str, str]:
+    """Return the jobs that are not completed when the wait ends, with their states."""
     loop = asyncio.get_running_loop()
     deadline_s = loop.time() + FINISH_TIMEOUT_S
-    left = list(job_ids)
-    while left and loop.time() < deadline_s:
-        _, body = await cell.call("GET", f"/plans/{left[0]}")
-        if body.get("state") == "completed":
-            left.pop(0)
-        else:
-            await asyncio.sleep(0.5)
-    return left
+    state_by_job = dict.fromkeys(job_ids, "")
+    while loop.time() < deadline_s:
+        for job_id in state_by_job:
+            state_by_job[job_id] = await _job_state(cell, job_id)
+        state_by_job = {
+            job_id: state
+            for job_id, state in state_by_job.items()
+            if state != COMPLETED
+        }
+        if all(state == FAILED for state in state_by_job.values()):
+            break
+        await asyncio.sleep(0.5)
+    return state_by_job
+
+
+async def _job_state(cell: SoakCell, job_id: str) -> str:
+    status, body = await cell.call("GET", f"/plans/{job_id}")
+    return body.get("state") or f"answer {status}"
 
 
 def _length_s(seed: int, task_id: str) -> float:
