Soak: a worker's machine that starts again silently, and is cut off once it has a long run

Three things were missing: calls in progress that get no reset, a long run before the cut, and tasks that outlast a lease counted from the last start (9.2 s). --no-owner-faults leaves the faults of the workers alone.

--- a/lab/twice/__main__.py
+++ b/lab/twice/__main__.py
@@ -20,12 +20,13 @@
     seed: Annotated[int, typer.Option(help="Selects the faults and the jobs.")],
     seconds: Annotated[float, typer.Option(help="How long faults begin.")] = 30.0,
     mutation: Annotated[str, typer.Option(help="The mend to take out.")] = "",
+    owner_faults: Annotated[bool, typer.Option(help="Stop and kill the owner.")] = True,
     keep: Annotated[Path | None, typer.Option(help="Folder for the logs.")] = None,
 ) -> None:
     """Play a scenario; exit with 1 if TWICE is broken, 2 if a job is not completed."""
     if mutation and mutation not in MUTATIONS:
         raise typer.BadParameter(f"not one of {', '.join(MUTATIONS)}")
-    result = asyncio.run(run_scenario(seed, seconds, mutation, keep))
+    result = asyncio.run(run_scenario(seed, seconds, mutation, keep, owner_faults))
     for line in result.violations[:MAX_PRINTED]:
         print(f"TWICE: {line}")
     print(
--- a/lab/twice/plan.py
+++ b/lab/twice/plan.py
@@ -15,6 +15,7 @@
 
 if TYPE_CHECKING:
     from lab.twice.scenario import SoakCell
+    from lab.twice.worker import FaultyWorker
 
 # Faults begin after the first tasks do.
 FIRST_FAULT_S = 4.0
@@ -23,6 +24,11 @@
 MAX_CUT_WORKERS = 3
 REBIRTH_CUT_S = 12.0
 MAX_REBIRTH_DELAY_S = 3.0
+# Shorter than the time-out of a call in progress.
+MAX_START_WAIT_S = 1.0
+# Longer than the usual lease, counted from the last start before the cut.
+LONG_RUN_S = 9.0
+POLL_S = 0.02
 ANSWER_LOSS_SHARE = 0.3
 
 
@@ -66,13 +72,11 @@
 
     :param cut_after_s: from the crash to the cut, negative if the cut is first;
         ``None`` for no cut.
-    :param is_silent: whether calls in progress get no reset.
     """
 
     worker: int
     down_s: float
     cut_after_s: float | None
-    is_silent: bool
 
     async def play(self, cell: SoakCell) -> None:
         worker = cell.minions[self.worker]
@@ -86,10 +90,9 @@
     async def _restart(self, cell: SoakCell, after_s: float) -> None:
         await asyncio.sleep(after_s)
         cell.note(
-            f"worker {self.worker}: crashes {'silently ' if self.is_silent else ''}"
-            f"and starts again after {self.down_s:.2f} s"
+            f"worker {self.worker}: crashes and starts again after {self.down_s:.2f} s"
         )
-        await cell.minions[self.worker].start_again(self.down_s, self.is_silent)
+        await cell.minions[self.worker].start_again(self.down_s, is_silent=False)
 
     async def _cut(self, cell: SoakCell, after_s: float) -> None:
         await asyncio.sleep(after_s)
@@ -97,6 +100,33 @@
         await cell.minions[self.worker].cut_off(REBIRTH_CUT_S, has_store=True)
 
 
+@define
+class SilentRestart(Fault):
+    """A worker's machine starts again at once, and is cut off once it has a long run.
+
+    Calls in progress get no reset, so that the owner knows of no restart before they
+    time out.
+    """
+
+    worker: int
+
+    async def play(self, cell: SoakCell) -> None:
+        worker = cell.minions[self.worker]
+        cell.note(f"worker {self.worker}: its machine crashes and starts again")
+        await worker.start_again(0.0, is_silent=True)
+        await self._wait_for_long_run(worker)
+        cell.note(f"worker {self.worker}: cut off for {REBIRTH_CUT_S} s")
+        await worker.cut_off(REBIRTH_CUT_S, has_store=True)
+        cell.note(f"worker {self.worker}: a cut ends")
+
+    async def _wait_for_long_run(self, worker: FaultyWorker) -> None:
+        for _ in range(int(MAX_START_WAIT_S / POLL_S)):
+            if any(run.length_s > LONG_RUN_S for run in worker.runs.values()):
+                break
+            await asyncio.sleep(POLL_S)
+        await asyncio.sleep(POLL_S)
+
+
 @define
 class LostAnswers(Fault):
     """Connections to a worker are reset after the request was carried out."""
@@ -141,16 +171,25 @@
         cell.start_process(name)
 
 
-def make_plan(seed: int, seconds: float, workers: int) -> list[Fault]:
-    """Return the faults of a scenario, by time."""
+def make_plan(
+    seed: int, seconds: float, workers: int, has_owner_faults: bool = True
+) -> list[Fault]:
+    """Return the faults of a scenario, by time.
+
+    :param has_owner_faults: whether the owner is stopped and killed, too; those of the
+        workers are the same without.
+    """
     rng = random.Random(f"plan {seed}")
     makers: list[tuple[float, Callable[[float], Fault]]] = [
         (5.0, lambda at_s: _cut(rng, at_s, workers)),
         (3.0, lambda at_s: _restart(rng, at_s, workers)),
         (6.0, lambda at_s: _lost_answers(rng, at_s, workers)),
-        (14.0, lambda at_s: OwnerStop(at_s, rng.choice((1.0, 4.0, 8.0)))),
-        (20.0, lambda at_s: OwnerKill(at_s, rng.uniform(1.0, 4.0))),
     ]
+    if has_owner_faults:
+        makers += [
+            (14.0, lambda at_s: OwnerStop(at_s, rng.choice((1.0, 4.0, 8.0)))),
+            (20.0, lambda at_s: OwnerKill(at_s, rng.uniform(1.0, 4.0))),
+        ]
     faults: list[Fault] = []
     for mean_gap_s, make in makers:
         at_s = FIRST_FAULT_S + rng.uniform(0.0, mean_gap_s)
@@ -180,9 +219,8 @@
     cut_after_s = rng.choice((None, rng.uniform(-MAX_REBIRTH_DELAY_S, 0.0)))
     down_s = rng.choice((0.0, 0.0, rng.uniform(0.0, 2.0)))
     if rng.random() < 0.5:
-        return WorkerRestart(at_s, worker, down_s, cut_after_s, False)
-    # Cut off after it got starts, and before the call in progress times out.
-    return WorkerRestart(at_s, worker, 0.0, rng.uniform(0.3, 1.0), True)
+        return WorkerRestart(at_s, worker, down_s, cut_after_s)
+    return SilentRestart(at_s, worker)
 
 
 def _lost_answers(rng: random.Random, at_s: float, workers: int) -> Fault:
--- a/lab/twice/scenario.py
+++ b/lab/twice/scenario.py
@@ -31,7 +31,9 @@
 # Ten tasks fit on a worker, and about half of the room is used.
 TASK_CPU = 3200
 TASK_MEMORY_MB = 256
-TASK_LENGTHS_S = (1.0, 2.0, 5.0, 7.5, 7.5)
+# The longest ones outlast a lease of 6 s that is counted from the last start, but not
+# the longest lease of 10 s.
+TASK_LENGTHS_S = (1.0, 2.0, 5.0, 7.5, 9.2)
 MAX_EXTRA_LENGTH_S = 0.5
 ESTIMATE_MS = 4000
 # Give up waiting for the last job after this time.
@@ -128,7 +130,11 @@
 
 
 async def run_scenario(
-    seed: int, seconds: float, mutation: str = "", folder: Path | None = None
+    seed: int,
+    seconds: float,
+    mutation: str = "",
+    folder: Path | None = None,
+    has_owner_faults: bool = True,
 ) -> SoakResult:
     """Play a scenario and judge what the workers saw.
 
@@ -138,7 +144,7 @@
     cell = SoakCell(seed, mutation)
     try:
         await cell.open_on_own_ports()
-        plan = make_plan(seed, seconds, WORKERS)
+        plan = make_plan(seed, seconds, WORKERS, has_owner_faults)
         faults = [asyncio.create_task(play_fault(fault, cell)) for fault in plan]
         accepted, refused = await _submit_jobs(cell, seed, seconds)
         await asyncio.gather(*faults)
