Search of restarted workers: the first mutant takes out both ways of noticing a restart

The registration shows a restart, too, since, so that a mutant which ignored the clock alone was found by neither its trace nor, within five minutes, the search. With both taken out the search finds it as before.

--- a/tests/jobs/test_rebirth_model.py
+++ b/tests/jobs/test_rebirth_model.py
@@ -362,6 +362,10 @@
     """Do not notice a restart by the clock in the answer to a start."""
 
 
+def _ignore_registration(self, worker):
+    """Do not notice a restart by the worker's registration."""
+
+
 def _count_usual_lease(self, clock_ms, answered_s):
     """Count the usual lease for a worker that has restarted lately, too."""
     return answered_s + longest_s(LEASE_S)
@@ -381,31 +385,23 @@
     return self.report.lists_all_ends and self.is_missing(run)
 
 
+# What each mutant replaces: class, name and value.
 MUTANTS = {
-    "a restart is not noticed by the clock": (
-        WorkerLink,
-        "_check_clock",
-        _ignore_clock,
+    "a restart is noticed by a report only": (
+        (WorkerLink, "_check_clock", _ignore_clock),
+        (WorkerLink, "_check_registration", _ignore_registration),
     ),
     "a new owner counts the usual lease": (
-        WorkerLease,
-        "inherited_expiry_s",
-        _count_usual_lease,
+        (WorkerLease, "inherited_expiry_s", _count_usual_lease),
     ),
     "grants without an answer are not counted": (
-        WorkerLease,
-        "note_unanswered",
-        _forget_unanswered,
+        (WorkerLease, "note_unanswered", _forget_unanswered),
     ),
     "an owner grants leases for ever": (
-        SliceOwner,
-        "may_grant_leases",
-        _always_grant,
+        (SliceOwner, "may_grant_leases", _always_grant),
     ),
     "late starts after a restart are ignored": (
-        AbsentFromReport,
-        "proves_end",
-        _ignore_late_starts,
+        (AbsentFromReport, "proves_end", _ignore_late_starts),
     ),
 }
 
@@ -416,7 +412,8 @@
 @pytest.mark.parametrize("name", SEARCHED_MUTANTS)
 def test_the_search_finds_a_mutant(name: str, monkeypatch: pytest.MonkeyPatch):
     """Guards against a search that finds nothing: each mutant must run a task twice."""
-    monkeypatch.setattr(*MUTANTS[name])
+    for patch in MUTANTS[name]:
+        monkeypatch.setattr(*patch)
     with pytest.raises((AssertionError, ExceptionGroup)):
         run_state_machine(RestartMachine, MORE_EXAMPLES)
     assert any(text.startswith("TWICE") for text in RestartMachine.last_violations)
@@ -424,7 +421,7 @@
 
 # The test of one sequence of faults for each mutant.
 TRACES = {
-    "a restart is not noticed by the clock": (
+    "a restart is noticed by a report only": (
         test_workerlease.test_a_worker_cut_off_before_its_restart_is_known_keeps_its_tasks
     ),
     "a new owner counts the usual lease": (
@@ -449,7 +446,8 @@
     try:
         if TRACES[name].__module__ == test_workerlease.__name__:
             cluster.run(LONG_UPTIME_S)
-        monkeypatch.setattr(*MUTANTS[name])
+        for patch in MUTANTS[name]:
+            monkeypatch.setattr(*patch)
         with pytest.raises(AssertionError):
             TRACES[name](cluster)
         assert any(text.startswith("TWICE") for text in cluster.all_violations())
