Pool owner: a start whose worker has no link any more counts as not run

The link to a worker is dropped when the pool has another owner or the worker has left; a start that waits for its write, longer since, found none, and its task was never settled. No start call was made, so that the member is not run. Also where a start's answer is unknown. The new test failed before.

--- a/redwingrun/poolowner.py
+++ b/redwingrun/poolowner.py
@@ -293,10 +293,10 @@
     async def _start_member(self, task: Task, index: int) -> None:
         row = task.row
         name = row.workers[index]
-        link = self._link_by_worker[name]
+        link = self._link_by_worker.get(name)
         worker = self.scheduler.worker_by_name.get(name)
         stale = worker is None or worker.incarnation != row.incarnations[index]
-        if stale or not self.owns():
+        if link is None or stale or not self.owns():
             self._member_ended(task, index, EndReason.NOT_RUN)
             return
         call = StartCall(
@@ -336,7 +336,9 @@
             self._member_ended(task, index, EndReason.NOT_RUN)
             return
         # Unknown whether it runs: the worker's next report shows it.
-        self._link_by_worker[name].wake.set()
+        link = self._link_by_worker.get(name)
+        if link is not None:
+            link.wake.set()
 
     # Workers
 
--- a/tests/test_poolowner.py
+++ b/tests/test_poolowner.py
@@ -278,3 +278,15 @@
     assert decode(TaskRow, stored.value).state == "cancelled"
     assert task.end_is_stored
     machine.teardown()
+
+
+# Guards against a start that ends with an error, because the link to its worker is gone
+# once the pool has another owner or the worker has left: the task was never settled.
+def test_a_start_whose_worker_has_no_link_any_more_is_not_run():
+    machine = TaskLeaseMachine()
+    task = _submit(machine, "unlinked", 1.0)
+    machine.owner._link_by_worker.clear()
+    machine.owner.owns = lambda: False
+    starts = machine.group.starts_by_task[task.task_id]
+    machine.loop.run_until_complete(machine.owner._start_member(task, 0))
+    assert machine.group.starts_by_task[task.task_id] == starts
