--- a/review/standins2/store.py
+++ b/review/standins2/store.py
@@ -6,6 +6,7 @@
 import base64
 import json
 import time
+from bisect import bisect_left
 from typing import Any
 
 from standins2.httpwire import Request, Server
@@ -25,6 +26,9 @@
         self.version = 0
         self._log: list[tuple[int, Key]] = []
         self._changed = asyncio.Event()
+        # The rows of each table's part, and their sorted names until one comes or goes.
+        self._keys_by_place: dict[tuple[str, str], set[str]] = {}
+        self._names_by_place: dict[tuple[str, str], list[str]] = {}
 
     def put(self, table: str, key: str, data: Any, part: str = "") -> int:
         """Write a row as the operator or a minion does; return its version."""
@@ -45,12 +49,24 @@
         row = self.rows.get((table, part, key))
         return None if row is None else base64.b64decode(row[0]).decode()
 
+    def put_old_rows(self, value_by_key: dict[Key, str]) -> None:
+        """Add rows that have been there for long: no feed returns them any more."""
+        for key, value in value_by_key.items():
+            self._keys_by_place.setdefault(key[:2], set()).add(key[2])
+            self.rows[key] = (value, 1)
+        self._names_by_place.clear()
+
     def _set(self, key: Key, value: str) -> None:
+        if key not in self.rows:
+            self._keys_by_place.setdefault(key[:2], set()).add(key[2])
+            self._names_by_place.pop(key[:2], None)
         self.rows[key] = (value, self.version)
         self._log.append((self.version, key))
 
     def _remove(self, key: Key) -> None:
         if self.rows.pop(key, None) is not None:
+            self._keys_by_place[key[:2]].discard(key[2])
+            self._names_by_place.pop(key[:2], None)
             self._log.append((self.version, key))
 
     def _notify(self) -> None:
@@ -97,17 +113,22 @@
 
     def _get(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         place = (query["table"], query.get("part", ""))
-        first, end = query.get("from", ""), query.get("target")
         limit = min(MAX_ROWS, int(query.get("maxItems", MAX_ROWS)))
-        names = sorted(
-            key[2]
-            for key in self.rows
-            if key[:2] == place and key[2] >= first and (end is None or key[2] < end)
-        )
-        rows = [self._row((*place, name)) for name in names[:limit]]
-        more = len(names) > limit
+        names = self._names(place)
+        start = bisect_left(names, query.get("from", ""))
+        end = bisect_left(names, query["target"]) if "target" in query else len(names)
+        rows = [
+            self._row((*place, name)) for name in names[start : min(end, start + limit)]
+        ]
+        more = end - start > limit
         return 200, {**self._head(), "rows": rows, "hasMore": more}
 
+    def _names(self, place: tuple[str, str]) -> list[str]:
+        if place not in self._names_by_place:
+            names = self._keys_by_place.get(place, ())
+            self._names_by_place[place] = sorted(names)
+        return self._names_by_place[place]
+
     def _parts(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         parts = {key[1] for key in self.rows if key[0] == query["table"]}
         later = sorted(part for part in parts if part > query.get("after", ""))
