review: case 8, jobs that need advice never start after a loss of machines

Claim (LOST): once four of eight machines are lost for good, accepted jobs of a queue with advice are never started in a quiet cell; the owner asks through the lost machines by turns.

--- a/review/standins2/cell.py
+++ b/review/standins2/cell.py
@@ -164,7 +164,7 @@
             "heartbeatMs": 1500,
             "bounds": BOUNDS,
             "commands": "rpc",
-            "advice": "",
+            "advice": self.cell.advice_address,
             "platform": {
                 "address": self.cell.store_address(self),
                 "form": "table",
@@ -207,6 +207,7 @@
         self.store = Store()
         self.nodes = [Node(self, f"edge-{number}") for number in range(1, nodes + 1)]
         self.minions: list[Minion] = []
+        self.advice_address = ""
         self.version = 0
 
     def store_address(self, node: Node) -> str:
