review: case 9, a lasting task runs twice when a third life carries its start out

Claim (TWICE): the start of a task that lasts gets no answer, its minion crashes twice, and the third life carries the start out beside the second run.

--- a/review/standins2/minion.py
+++ b/review/standins2/minion.py
@@ -66,8 +66,9 @@
         self.state = "ready"
         # Orders and heartbeats that a former life got and did not answer.
         self.unanswered: list[tuple[str, dict[str, Any]]] = []
-        # Set by a case to leave the next acknowledgement of ends unanswered.
-        self.skips_acknowledgement = False
+        # Set by a case to leave the next call of this path unanswered; of heartbeats
+        # it is the next one that acknowledges ends.
+        self.skips = ""
         self._tasks: list[asyncio.Task[None]] = []
         self._reset()
 
@@ -186,10 +187,9 @@
         return status, {"clockMs": self.clock_ms, "born": self.born_ms, **fields}
 
     async def _handle(self, request: Request) -> tuple[int, dict[str, Any]]:
-        is_skipped = self.skips_acknowledgement and request.json().get("lastSeen")
-        if self.is_dark or is_skipped:
+        if self.is_dark or self._is_skipped(request):
             self.unanswered.append((request.path, request.json()))
-            self.skips_acknowledgement = False
+            self.skips = ""
             raise NoAnswer
         if request.headers.get("x-expect-instance", self.worker_id) != self.worker_id:
             return self._answer(421)
@@ -200,6 +200,11 @@
         self.fence = fence
         return await self._carry_out(request.path, data)
 
+    def _is_skipped(self, request: Request) -> bool:
+        if not self.skips or request.path != self.skips:
+            return False
+        return request.path != "/-/hold" or bool(request.json().get("lastSeen"))
+
     async def carry_out_late(self, path: str, data: dict[str, Any]) -> None:
         """Carry out a call that a former life got and did not answer."""
         data = {name: value for name, value in data.items() if name != "waitMs"}
