--- a/review/8/case.py
+++ b/review/8/case.py
@@ -9,7 +9,7 @@
 import sys
 
 from standins2.advice import Advice
-from standins2.cell import FINISH_S, Cell, job_body, route, run_case
+from standins2.cell import FINISH_S, CantRun, Cell, job_body, route, run_case
 
 JOB = "00000000000000a1"
 NODES = 8
@@ -74,7 +74,7 @@
     body = job_body([step], work_s=WORK_S)
     status, _ = await cell.client(node, "POST", f"/a/{JOB}", body)
     if status != 200:
-        return [f"POST was answered {status}"]
+        raise CantRun(f"POST was answered {status}")
     accepted_s = cell.record.now()
     while cell.record.now() - accepted_s < WATCH_S:
         await asyncio.sleep(1)
--- a/review/standins2/cell.py
+++ b/review/standins2/cell.py
@@ -343,6 +343,8 @@
     :param case: coroutine function of the cell and of whether to disrupt it; it returns
         what is wrong, empty if nothing is.
     """
+    # A case that is ended by SIGTERM ends its processes, too.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     folder = Path(sys.argv[1])
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
@@ -351,9 +353,10 @@
         cell = Cell(record, Path(temporary), nodes)
         try:
             wrong = asyncio.run(_run(case, cell, trouble))
-        except (CantRun, OSError) as error:
-            record("cannot-run", why=str(error))
-            print(f"can't run: {error}")
+        except (Exception, KeyboardInterrupt) as error:
+            # Whatever goes wrong in the case itself says nothing of the rule.
+            record("cannot-run", why=repr(error))
+            print(f"can't run: {error!r}")
             return 2
         finally:
             if logs:
