--- a/redwingrun/jobs/member.py
+++ b/redwingrun/jobs/member.py
@@ -26,12 +26,13 @@
 from redwingrun.jobs.memberregistry import MemberRegistry
 from redwingrun.jobs.ownerwatch import FAILURE_TIMEOUT_READS, PROBE_AFTER_S, OwnerWatch
 from redwingrun.jobs.partitionwriter import owner_key
+from redwingrun.jobs.peercalls import PeerCalls
+from redwingrun.jobs.peerhealth import PeerHealth
 from redwingrun.jobs.peerlinks import Liveness
 from redwingrun.jobs.peerlist import MemberRow, PeerList
-from redwingrun.jobs.policyproxies import PolicyProxy
-from redwingrun.jobs.ports import (
-    PolicyAnswer,
-)
+from redwingrun.jobs.policyproxies import PolicyProxies, PolicyProxy
+from redwingrun.jobs.policysender import PolicySender
+from redwingrun.jobs.ports import PolicyAnswer
 from redwingrun.jobs.queuefollower import QueueFollower
 from redwingrun.jobs.sliceowner import OwnerDependencies, SliceOwner
 from redwingrun.jobs.slicewriter import SliceWriter
@@ -94,6 +95,11 @@
             dependencies.clock,
             self.table_is_unavailable,
         )
+        self._peer_health = PeerHealth(settings.name, dependencies.clock)
+        self._peer_calls = PeerCalls(
+            dependencies.peers, self._peer_health, dependencies.log, self._spawn
+        )
+        self._policy_proxies = PolicyProxies(self._peer_health)
         self.jobs = JobService(
             self.job_store,
             dependencies.peers,
@@ -286,14 +292,11 @@
             changes = await self._member_registry.changes(after, MEMBERS_WAIT_S)
             self._peers.apply_changes(changes.rows, changes.deleted)
             version = changes.version
-        if self._owner is not None:
-            self._update_policy_proxies(self._owner)
+        addresses = self._peers.addresses()
+        self._peer_health.set_peers(addresses)
+        self._policy_proxies.set_peers(addresses)
         return version
 
-    def _update_policy_proxies(self, owner: SliceOwner) -> None:
-        owner.policy_proxies.set_peers(self._peers.addresses())
-        owner.engine.set_policy_proxy_count(len(owner.policy_proxies.proxies))
-
     def notify_owner(self, job_id: str, submission: str) -> None:
         """Notify the owner of a stored job or cancellation, without waiting for it.
 
@@ -308,7 +311,7 @@
         owner = self._watch.owner
         if owner is None or not owner.address:
             return
-        work = self._dependencies.peers.notify(owner.address, job_id, submission)
+        work = self._peer_calls.notify(owner.address, job_id, submission)
         self._spawn(work)
 
     def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
@@ -350,9 +353,7 @@
             return await self._dependencies.policy.query_policy(
                 step, query.worker_ids, timeout_s
             )
-        return await self._dependencies.peers.query_policy(
-            proxy.address, query, timeout_s
-        )
+        return await self._peer_calls.query_policy(proxy.address, query, timeout_s)
 
     async def query_policy_locally(self, query: PolicyQuery, timeout_s: float) -> Any:
         """Send a peer's query to the placement policy."""
@@ -429,7 +430,7 @@
 
     async def _probe_owner(self, address: str, row: Row | None) -> None:
         try:
-            self._owner_liveness = await self._dependencies.peers.liveness(address)
+            self._owner_liveness = await self._peer_calls.liveness(address)
             self._probed_row = row
             if self._owner_liveness is not Liveness.ANSWERS:
                 self._poll_now.set()
@@ -472,7 +473,13 @@
                 dependencies.table,
                 dependencies.workers,
                 dependencies.registry,
-                self.query_policy,
+                self._policy_proxies,
+                PolicySender(
+                    self._policy_proxies,
+                    self.query_policy,
+                    dependencies.clock,
+                    dependencies.log,
+                ),
                 dependencies.clock,
                 dependencies.unix_ms,
                 dependencies.log,
@@ -484,7 +491,6 @@
         self._owner = owner
         self._handover_from = ""
         self._ownership_over.clear()
-        self._update_policy_proxies(owner)
         monitor = asyncio.get_running_loop().create_task(
             self._monitor_ownership(owner, writer)
         )
--- a/redwingrun/jobs/peerlinks.py
+++ b/redwingrun/jobs/peerlinks.py
@@ -37,6 +37,16 @@
     SILENT = "silent"  # its host may be frozen, cut off or without power
 
 
+@frozen
+class PeerFailure(Failure):
+    """The failure of a call that the peer itself did not answer."""
+
+    @classmethod
+    def of(cls, failure: Failure) -> PeerFailure:
+        """Return a failure as one of the peer."""
+        return cls(failure.verdict, failure.reason, failure.detail)
+
+
 class RelayVerb(Enum):
     """The kind of a client's request."""
 
@@ -87,13 +97,19 @@
     async def query_policy(
         self, address: str, query: PolicyQuery, timeout_s: float
     ) -> Result[PolicyAnswer, Failure]:
-        """Have a peer send a query to the placement policy."""
+        """Have a peer send a query to the placement policy.
+
+        :return: a ``PeerFailure`` if the peer has not answered.
+        """
 
     @abstractmethod
     async def relay(
         self, address: str, call: RelayCall, timeout_s: float
     ) -> Result[RelayAnswer, Failure]:
-        """Have a peer serve a client's request."""
+        """Have a peer serve a client's request.
+
+        :return: a ``PeerFailure`` if the peer has not answered.
+        """
 
     @abstractmethod
     async def probe(
@@ -163,7 +179,7 @@
         )
         reply = await self._client.call(address, "Ask", request, timeout_s)
         if reply.is_error():
-            return reply
+            return Error(PeerFailure.of(reply.error))
         if reply.ok.failure:
             return Error(not_run(reply.ok.failure))
         return Ok(PolicyAnswer(dict(reply.ok.ticket_by_worker), reply.ok.valid_s))
@@ -182,7 +198,7 @@
         )
         reply = await self._client.call(address, "Relay", request, timeout_s)
         if reply.is_error():
-            return reply
+            return Error(PeerFailure.of(reply.error))
         answer = reply.ok
         if answer.verdict != Verdict.ANSWERED.value:
             return Error(Failure(Verdict(answer.verdict), answer.reason))
--- a/redwingrun/jobs/policyqueries.py
+++ b/redwingrun/jobs/policyqueries.py
@@ -24,6 +24,8 @@
 # The policy handles the queries of one proxy one after the other: a query that takes
 # longer than this would delay short queries behind it.
 LONG_QUERY_S = 0.2
+# Number of proxies that send only short queries, if there are more.
+SHORT_QUERY_PROXIES = 2
 # Room is sought for this many times the waiting tasks: the policy may allow fewer
 # workers than expected, and other steps may take the room first.
 ROOM_FACTOR = 1.5
@@ -116,8 +118,8 @@
         share.record(allowed / named)
 
     def _may_send_long_query(self) -> bool:
-        # Two proxies stay free for short queries; see policyproxies.py.
-        return self._long_queries < max(1, self.proxy_count - 2)
+        # The other proxies stay free for short queries; see policyproxies.py.
+        return self._long_queries < max(1, self.proxy_count - SHORT_QUERY_PROXIES)
 
     def _workers_to_name(
         self,
--- a/redwingrun/jobs/sliceowner.py
+++ b/redwingrun/jobs/sliceowner.py
@@ -12,11 +12,9 @@
 from typing import Any
 
 from attrs import frozen
-from expression import Result
 
 from redwingrun.coordination.clock import Clock
 from redwingrun.coordination.table import WatchableTable
-from redwingrun.coordination.verdict import Failure
 from redwingrun.jobs.cancellation import cancel_all
 from redwingrun.jobs.decisionlog import DecisionLog
 from redwingrun.jobs.engine import Engine, EngineSettings
@@ -24,12 +22,9 @@
 from redwingrun.jobs.ownerwatch import EARLIEST_CLAIM_S
 from redwingrun.jobs.partitionwriter import OwnershipLost
 from redwingrun.jobs.policycache import Ticket
-from redwingrun.jobs.policyproxies import PolicyProxies, PolicyProxy
-from redwingrun.jobs.ports import (
-    PolicyAnswer,
-    WorkerPort,
-    WorkerRegistry,
-)
+from redwingrun.jobs.policyproxies import PolicyProxies
+from redwingrun.jobs.policysender import PolicySender
+from redwingrun.jobs.ports import PolicyAnswer, WorkerPort, WorkerRegistry
 from redwingrun.jobs.slicereader import SliceReader
 from redwingrun.jobs.slicewriter import SliceWriter
 from redwingrun.jobs.spec import QueueSet
@@ -59,7 +54,6 @@
 MAX_STARTS_IN_FLIGHT = 200
 MAX_STOPS_IN_FLIGHT = 200
 POLICY_RETRY_INTERVAL_S = 0.1
-POLICY_TIMEOUT_MARGIN_S = 1.0
 # If the release of the slice is not stored within this time the ownership ends without
 # it, so that a planned stop or a hand-over does not wait longer.
 RELEASE_TIMEOUT_S = 1.0
@@ -70,18 +64,16 @@
     """What an owner calls: services outside the process, the policy, clock and log.
 
     :param registry: the registrations of workers.
-    :param query_policy: sends a query to the placement policy through a member, with
-        a timeout in seconds.
+    :param policy_proxies: the members that can send queries to the placement policy.
+    :param policy: sends the queries.
     :param unix_ms: returns the time of day in Unix milliseconds.
     """
 
     table: WatchableTable
     workers: WorkerPort
     registry: WorkerRegistry
-    query_policy: Callable[
-        [PolicyProxy, PolicyQuery, float],
-        Coroutine[Any, Any, Result[PolicyAnswer, Failure]],
-    ]
+    policy_proxies: PolicyProxies
+    policy: PolicySender
     clock: Clock
     unix_ms: Callable[[], int]
     log: Log
@@ -109,7 +101,6 @@
         self.decisions = DecisionLog(
             self.log, self.engine, dependencies.clock, dependencies.metrics
         )
-        self.policy_proxies = PolicyProxies()
         self._link_by_worker: dict[str, WorkerLink] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
         self._wake_event = asyncio.Event()
@@ -312,6 +303,8 @@
         self._wake_event.clear()
         self.engine.set_time(self.dependencies.unix_ms())
         max_starts = MAX_STARTS_IN_FLIGHT - self._starts_in_flight
+        usable_proxies = self.dependencies.policy_proxies.usable_count()
+        self.engine.set_policy_proxy_count(usable_proxies)
         plan = self.engine.plan(self.now(), max_starts)
         for stop in plan.stops:
             self._send_stop(stop)
@@ -429,35 +422,13 @@
     async def _query_policy(self, query: PolicyQuery) -> None:
         """Send a query to the placement policy, and pass the answer to the engine."""
         started_s = self.now()
-        proxy = self.policy_proxies.choose(query.expected_answer_s, started_s)
-        expected_wait_s = max(0.0, proxy.busy_until_s - started_s)
-        answer = await self.dependencies.query_policy(
-            proxy, query, expected_wait_s + POLICY_TIMEOUT_MARGIN_S
-        )
+        answer = await self.dependencies.policy.send(query)
         self.engine.policy_query_ended(query)
         self.dependencies.metrics.seconds("policy_s", self.now() - started_s)
         if answer.is_error():
-            self.policy_proxies.mark_failed(proxy, self.now())
-            self.log.event(
-                "policy-failed",
-                job=query.step_id.job,
-                step=query.step_id.step,
-                via=proxy.address,
-                reason=answer.error.reason,
-            )
             self.engine.policy_failed(query, self.now() + POLICY_RETRY_INTERVAL_S)
         else:
-            tickets = self._tickets(answer.ok)
-            self.log.event(
-                "policy",
-                job=query.step_id.job,
-                step=f"{query.step_id.occurrence}.{query.step_id.step}",
-                named=len(query.worker_ids),
-                good=len(tickets),
-                took_s=round(self.now() - started_s, 3),
-                via=proxy.address,
-            )
-            self.engine.policy_answered(query, tickets)
+            self.engine.policy_answered(query, self._tickets(answer.ok))
         self.wake()
 
     def _tickets(self, answer: PolicyAnswer) -> dict[str, Ticket]:
--- a/tests/jobs/cluster.py
+++ b/tests/jobs/cluster.py
@@ -79,6 +79,9 @@
     :ivar notifications_are_lost: notifications between members are lost.
     :ivar feed_is_silent: the table's feed reports no changes.
     :ivar isolated_members: names of members that reach no peer, nor are reached.
+    :ivar lost_hosts: names of former members whose hosts are lost: calls to them hang.
+    :ivar calls_to_lost_hosts: caller and host of each such call.
+    :ivar policy_answer_s: how long the placement policy takes for a query.
     :ivar open_member_by_name: the members that accept calls from peers.
     :ivar accepted: ids of the jobs whose submission was confirmed.
     :ivar gang_ready_s: time at which all tasks of a gang step were running, by step
@@ -111,6 +114,9 @@
     process_by_name: dict[str, FakeProcess] = field(factory=dict)
     member_by_name: dict[str, Member] = field(factory=dict)
     isolated_members: set[str] = field(factory=set)
+    lost_hosts: set[str] = field(factory=set)
+    calls_to_lost_hosts: list[tuple[str, str]] = field(factory=list)
+    policy_answer_s: float = 0.03
     open_member_by_name: dict[str, Member] = field(factory=dict)
     submission_by_job: dict[str, Submission] = field(factory=dict)
     accepted: set[str] = field(factory=set)
@@ -160,7 +166,7 @@
             SimulatedQueues(self, process),
             SimulatedWorkers(self, process),
             SimulatedRegistry(self, process),
-            SimulatedPolicy(),
+            SimulatedPolicy(self),
             SimulatedPeers(self, process),
             LoopClock(self.loop),
             lambda: int(self.loop.time() * 1000),
@@ -180,6 +186,11 @@
         member = self.member_by_name.pop(name)
         self.loop.run_until_complete(member.close())
 
+    def lose_host(self, name: str) -> None:
+        """End a member, and let calls to it hang as to a host without power."""
+        self.lost_hosts.add(name)
+        self.kill(name)
+
     def leave(self, name: str) -> None:
         """Let a member release the slice and end, as in a planned stop."""
         self.loop.run_until_complete(self.member_by_name[name].leave())
--- a/tests/jobs/clusterports.py
+++ b/tests/jobs/clusterports.py
@@ -25,7 +25,10 @@
 from redwingrun.jobs.member import Member
 from redwingrun.jobs.peerlinks import (
     LIVENESS_TIMEOUT_S,
+    NOTIFY_TIMEOUT_S,
+    PROBE_TIMEOUT_S,
     Liveness,
+    PeerFailure,
     PeerLinks,
     RelayAnswer,
     RelayCall,
@@ -324,13 +327,23 @@
 
 
 class SimulatedPolicy(PolicyPort):
-    """A policy that allows every worker."""
+    """A policy that allows every worker, and handles a member's queries in turn."""
+
+    def __init__(self, cluster: SimulatedCluster):
+        self._cluster = cluster
+        self._free_s = 0.0
 
     async def query_policy(
         self, step_id: StepId, worker_ids: tuple[str, ...], timeout_s: float
     ) -> Result[PolicyAnswer, Failure]:
-        """Answer after 30 ms with tickets that are valid for 2 s."""
-        await asyncio.sleep(0.03)
+        """Answer with tickets that are valid for 2 s, unless that takes too long."""
+        now_s = self._cluster.loop.time()
+        answer_s = max(self._free_s, now_s) + self._cluster.policy_answer_s
+        self._free_s = answer_s
+        if answer_s > now_s + timeout_s:
+            await asyncio.sleep(timeout_s)
+            return Error(may_have_run("timeout"))
+        await asyncio.sleep(answer_s - now_s)
         return Ok(PolicyAnswer(dict.fromkeys(worker_ids, "t"), 2.0))
 
 
@@ -349,8 +362,16 @@
         """Stop accepting calls."""
         self._cluster.open_member_by_name.pop(self._process.name, None)
 
-    async def _reach(self, address: str) -> Member | None:
+    async def _reach(self, address: str, timeout_s: float) -> Member | None:
+        """Return the member at an address, ``None`` if the call is not answered.
+
+        A call to a host that is lost hangs until its timeout.
+        """
         await self._process.wait_until_resumed()
+        if address in self._cluster.lost_hosts:
+            self._cluster.calls_to_lost_hosts.append((self._process.name, address))
+            await asyncio.sleep(timeout_s)
+            return None
         await asyncio.sleep(HOP_DELAY_S)
         process = self._cluster.process_by_name.get(address)
         if process is None or not process.resumed.is_set():
@@ -363,19 +384,19 @@
         self, address: str, query: PolicyQuery, timeout_s: float
     ) -> Result[PolicyAnswer, Failure]:
         """Have a peer send a query to the policy."""
-        member = await self._reach(address)
+        member = await self._reach(address, timeout_s)
         if member is None:
-            return Error(not_run("peer-lost"))
+            return Error(PeerFailure.of(not_run("peer-lost")))
         return await member.query_policy_locally(query, timeout_s)
 
     async def relay(
         self, address: str, call: RelayCall, timeout_s: float
     ) -> Result[RelayAnswer, Failure]:
         """Have a peer serve a client's request."""
-        member = await self._reach(address)
+        member = await self._reach(address, 0.0)
         if member is None:
             await asyncio.sleep(timeout_s)
-            return Error(not_run("peer-lost"))
+            return Error(PeerFailure.of(not_run("peer-lost")))
         if member.table_is_unavailable():
             return Error(not_run(TABLE_UNAVAILABLE))
         if call.verb is RelayVerb.SUBMIT:
@@ -393,7 +414,7 @@
 
     async def notify(self, address: str, job_id: str, submission: str) -> bool:
         """Notify the owner, unless notifications are lost."""
-        member = await self._reach(address)
+        member = await self._reach(address, NOTIFY_TIMEOUT_S)
         if member is None or self._cluster.notifications_are_lost:
             return False
         member.receive_notification(job_id, submission)
@@ -402,7 +423,10 @@
     async def liveness(self, address: str) -> Liveness:
         """Return whether a member answers; the call to a paused one times out."""
         await self._process.wait_until_resumed()
-        await asyncio.sleep(HOP_DELAY_S)
+        if await self._reach(address, LIVENESS_TIMEOUT_S) is not None:
+            return Liveness.ANSWERS
+        if address in self._cluster.lost_hosts:
+            return Liveness.SILENT
         process = self._cluster.process_by_name.get(address)
         if process is None:
             return Liveness.ENDED
@@ -417,7 +441,7 @@
         self, address: str, claim: bool, handover_from: str = ""
     ) -> float | None:
         """Return the seconds since a peer last read the owner's row."""
-        member = await self._reach(address)
+        member = await self._reach(address, PROBE_TIMEOUT_S)
         if member is None:
             return None
         if claim:
--- /dev/null
+++ b/tests/jobs/test_lost_members.py
@@ -0,0 +1,89 @@
+"""Tests of what goes on when members are lost for good with their hosts.
+
+Nobody removes the row of such a member at once, and calls to it hang until they time
+out. The bounds are those of the users: from 5 s after a loss a job starts within 3 s.
+"""
+
+from __future__ import annotations
+
+from contextlib import closing
+
+import pytest
+from attrs import evolve
+
+from redwingrun.jobs.progress import JobState
+from redwingrun.jobs.spec import QueueSet
+from tests.jobs.cluster import (
+    QUEUE,
+    SimulatedCluster,
+    job,
+    job_id,
+    make_cluster,
+    make_queues,
+    step,
+)
+
+MEMBERS = 8
+WORKERS = 24
+# As of a queue of large batch jobs: queries are long and go to other members.
+POLICY_CALL_MS = 420.0
+POLICY_PER_WORKER_MS = 6.1
+BATCH_PRIORITY = 2
+SETTLED_S = 5.0
+FIRST_START_WITHIN_S = 3.0
+ALL = [f"m{number}" for number in range(MEMBERS)]
+
+
+def policy_queues() -> QueueSet:
+    """Return a configuration with a queue of batch jobs that use the policy."""
+    queue = make_queues(uses_policy=True).queue_by_name[QUEUE]
+    queue = evolve(
+        queue,
+        priority=BATCH_PRIORITY,
+        policy_call_ms=POLICY_CALL_MS,
+        policy_per_worker_ms=POLICY_PER_WORKER_MS,
+    )
+    return QueueSet(2, {QUEUE: queue})
+
+
+@pytest.fixture
+def cluster():
+    """Return a quiet cluster in which no query was sent to the policy yet."""
+    with closing(make_cluster(members=MEMBERS, workers=WORKERS)) as made:
+        made.queues = policy_queues()
+        made.policy_answer_s = (POLICY_CALL_MS + POLICY_PER_WORKER_MS * WORKERS) / 1000
+        made.run(13.0)
+        yield made
+
+
+def lose(cluster: SimulatedCluster, names: list[str]) -> None:
+    """Lose members with their hosts, all in the same moment."""
+    for name in names:
+        cluster.lose_host(name)
+
+
+def first_start_s(cluster: SimulatedCluster, number: int) -> float:
+    """Submit a job, and return how long its first start took."""
+    submitted_s = cluster.loop.time()
+    cluster.submit(job_id(number), job(step(4, 4.0)))
+    cluster.run(15.0)
+    started = [s for s, run, _ in cluster.starts if run.task.job == job_id(number)]
+    assert started, f"{job_id(number)} has not started"
+    return started[0] - submitted_s
+
+
+@pytest.mark.parametrize(
+    "lost",
+    [ALL[:4], ALL[4:], ALL[::2], ALL[1:], ALL[:-1], ALL[:3] + ALL[4:]],
+    ids=lambda names: ",".join(names),
+)
+def test_jobs_start_after_members_that_send_policy_queries_are_lost(
+    cluster: SimulatedCluster, lost: list[str]
+):
+    """Queries went round among the lost members, and the job never started."""
+    lose(cluster, lost)
+    cluster.run(SETTLED_S)
+    assert first_start_s(cluster, 1) < FIRST_START_WITHIN_S
+    assert first_start_s(cluster, 2) < FIRST_START_WITHIN_S
+    assert cluster.state(job_id(1)) is JobState.COMPLETED
+    assert cluster.all_violations() == []
