Relayed requests: at most one lost member is waited for

Callers saw: at a member that the store turned away, with lost members in its list, a request waited 0.8 s for each of two lost ones and was turned away, although others could have served it.

Evidence: test_a_request_is_relayed_past_lost_members failed before (six of seven peers lost: the first request was not accepted).

Change: the peers' health is asked, and the list of its own is gone. The first peer is one that was heard lately; if it fails, or none was, all that may be chosen are probed at the same time and the first to answer gets the request. Whichever member is left, a request waits for one lost member at most (test_a_request_waits_for_one_lost_peer_at_most). If none answers it fails at once.

--- a/redwingrun/jobs/jobservice.py
+++ b/redwingrun/jobs/jobservice.py
@@ -7,14 +7,15 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from expression import Error, Ok, Result
+from expression import Error, Result
 
 from redwingrun.coordination.clock import Clock
 from redwingrun.coordination.verdict import Failure, Verdict, may_have_run
 from redwingrun.jobs.cancellation import cancel_all
 from redwingrun.jobs.jobstore import TABLE_REJECTS, TABLE_UNAVAILABLE, JobStore
 from redwingrun.jobs.memberport import MemberPort
-from redwingrun.jobs.peerlinks import PeerLinks, RelayAnswer, RelayCall, RelayVerb
+from redwingrun.jobs.peercalls import PeerCalls
+from redwingrun.jobs.peerlinks import PeerFailure, RelayAnswer, RelayCall, RelayVerb
 from redwingrun.jobs.progress import JobState
 from redwingrun.logs import Log
 
@@ -24,8 +25,6 @@
 RELAY_CHECK_INTERVAL_S = 0.1
 RELAY_TIMEOUT_S = 0.8
 MAX_RELAY_PEERS = 2
-# Time during which no request is relayed to a peer that failed to serve one.
-AVOID_PEER_S = 3.0
 
 
 class JobService:
@@ -38,7 +37,7 @@
     def __init__(
         self,
         job_store: JobStore,
-        peers: PeerLinks,
+        peers: PeerCalls,
         member: MemberPort,
         clock: Clock,
         log: Log,
@@ -48,7 +47,6 @@
         self._member = member
         self._clock = clock
         self._log = log
-        self._avoid_until_s_by_peer: dict[str, float] = {}
 
     async def submit(
         self, job_id: str, submission: str, timeout_s: float
@@ -103,30 +101,59 @@
             have taken effect.
         """
         deadline_s = self._clock.now() + timeout_s
-        peers = self._available_peers()
+        has_peers = bool(self._peers.health.available())
         uncertain: Failure | None = None
-        if not (self._member.table_is_unavailable() and peers):
-            result = await self._serve_locally(local, timeout_s, bool(peers))
+        if not (self._member.table_is_unavailable() and has_peers):
+            result = await self._serve_locally(local, timeout_s, has_peers)
             if result.is_ok() or result.error.reason == TABLE_REJECTS:
                 return result
             uncertain = _as_may_have_run(result.error)
+        result = await self._relay(call, deadline_s, uncertain)
+        if result.is_error():
+            self._log.detail("not-relayed", job=call.job_id, why=result.error.reason)
+        return result
+
+    async def _relay(
+        self, call: RelayCall, deadline_s: float, uncertain: Failure | None
+    ) -> Result[RelayAnswer, Failure]:
+        """Have a peer serve a request, a second one if the first can't.
+
+        :param uncertain: the failure of an attempt that may have taken effect.
+        """
         failure = uncertain or Failure(Verdict.NOT_RUN, "table-away")
-        for address in random.sample(peers, min(MAX_RELAY_PEERS, len(peers))):
+        tried: list[str] = []
+        while len(tried) < MAX_RELAY_PEERS:
+            address = await self._choose_peer(tried)
             left_s = min(RELAY_TIMEOUT_S, deadline_s - self._clock.now())
-            if left_s <= 0:
+            if address is None or left_s <= 0:
                 break
+            tried.append(address)
             result = await self._peers.relay(address, call, left_s)
             if result.is_ok():
-                return Ok(result.ok)
+                return result
             uncertain = uncertain or _as_may_have_run(result.error)
             failure = result.error
             if failure.reason in (TABLE_UNAVAILABLE, TABLE_REJECTS):
                 # The table does not answer the peer either, or rejects the request.
                 break
-            self._avoid_until_s_by_peer[address] = self._clock.now() + AVOID_PEER_S
-        self._log.detail("not-relayed", job=call.job_id, why=failure.reason)
+            if not isinstance(failure, PeerFailure):
+                self._peers.health.refused(address)
         return Error(uncertain or failure)
 
+    async def _choose_peer(self, tried: list[str]) -> str | None:
+        """Return a peer to relay a request to, ``None`` if none is there.
+
+        A peer that was heard lately may be lost since. So that a request waits for one
+        lost peer at most, the second one is chosen among those that answer now.
+        """
+        health = self._peers.health
+        peers = [address for address in health.available() if address not in tried]
+        if not tried:
+            heard = [address for address in peers if health.was_heard_lately(address)]
+            if heard:
+                return random.choice(heard)
+        return await self._peers.first_to_answer(peers)
+
     async def _serve_locally(
         self,
         local: Callable[[float], Coroutine[Any, Any, Result[Any, Failure]]],
@@ -154,15 +181,6 @@
         finally:
             await cancel_all({work})
 
-    def _available_peers(self) -> list[str]:
-        """Return the addresses of the peers without a recent failure."""
-        now_s = self._clock.now()
-        return [
-            address
-            for address in self._member.peer_addresses()
-            if now_s >= self._avoid_until_s_by_peer.get(address, 0.0)
-        ]
-
 
 def _as_may_have_run(failure: Failure) -> Failure | None:
     """Return the failure if the request may have run, else ``None``.
--- a/redwingrun/jobs/member.py
+++ b/redwingrun/jobs/member.py
@@ -102,7 +102,7 @@
         self._policy_proxies = PolicyProxies(self._peer_health)
         self.jobs = JobService(
             self.job_store,
-            dependencies.peers,
+            self._peer_calls,
             self,
             dependencies.clock,
             dependencies.log,
--- a/redwingrun/jobs/memberport.py
+++ b/redwingrun/jobs/memberport.py
@@ -28,10 +28,6 @@
     def owner_row_age_s(self) -> float:
         """Return the seconds since this member last read the owner's row."""
 
-    @abstractmethod
-    def peer_addresses(self) -> list[str]:
-        """Return the addresses of the other members."""
-
     @abstractmethod
     def notify_owner(self, job_id: str, submission: str) -> None:
         """Notify the owner of a stored job or cancellation, without waiting for it.
--- a/tests/jobs/test_jobservice.py
+++ b/tests/jobs/test_jobservice.py
@@ -8,17 +8,27 @@
 from expression import Error, Ok
 
 from redwingrun.coordination.verdict import Verdict, may_have_run
-from redwingrun.jobs.jobservice import JobService
-from redwingrun.jobs.peerlinks import RelayAnswer
+from redwingrun.jobs.jobservice import RELAY_TIMEOUT_S, JobService
+from redwingrun.jobs.peercalls import PeerCalls
+from redwingrun.jobs.peerhealth import PeerHealth
+from redwingrun.jobs.peerlinks import (
+    LIVENESS_TIMEOUT_S,
+    Liveness,
+    PeerFailure,
+    RelayAnswer,
+)
 from redwingrun.jobs.progress import JobState
 from redwingrun.logs import Log
 from tests.helpers import LoopClock, VirtualLoop, close_loop
 
 TIMEOUT_S = 2.85
+PEERS = [f"p{number}" for number in range(1, 8)]
+# The longest that a request may wait for one peer that is lost.
+ONE_LOST_PEER_S = RELAY_TIMEOUT_S
 
 
 class StubMember:
-    """A member with two peers, whose table is unavailable or not."""
+    """A member whose table is unavailable or not."""
 
     def __init__(self) -> None:
         self.is_unavailable = False
@@ -27,10 +37,6 @@
         """Return what the test has set."""
         return self.is_unavailable
 
-    def peer_addresses(self) -> list[str]:
-        """Return the addresses of two peers."""
-        return ["p1", "p2"]
-
     def notify_owner(self, job_id: str, submission: str) -> None:
         """Do nothing."""
 
@@ -51,16 +57,27 @@
 
 
 class StubPeers:
-    """Peers that serve every request, and count them."""
+    """Peers that serve every request, but for those that are lost, and count them."""
 
     def __init__(self) -> None:
         self.relayed = 0
+        self.lost: set[str] = set()
 
     async def relay(self, address: str, call, timeout_s: float):
         """Serve a relayed request."""
         self.relayed += 1
+        if address in self.lost:
+            await asyncio.sleep(timeout_s)
+            return Error(PeerFailure.of(may_have_run("timeout")))
         return Ok(RelayAnswer(True, JobState.QUEUED))
 
+    async def liveness(self, address: str) -> Liveness:
+        """Answer a probe."""
+        if address in self.lost:
+            await asyncio.sleep(LIVENESS_TIMEOUT_S)
+            return Liveness.SILENT
+        return Liveness.ANSWERS
+
 
 class Setup:
     """A job service between stubs, in virtual time."""
@@ -73,7 +90,10 @@
         self.store = StubStore(clock)
         self.peers = StubPeers()
         log = Log("test", "quiet")
-        self.service = JobService(self.store, self.peers, self.member, clock, log)
+        self.health = PeerHealth("m0", clock)
+        self.health.set_peers(PEERS)
+        calls = PeerCalls(self.peers, self.health, log, self.loop.create_task)
+        self.service = JobService(self.store, calls, self.member, clock, log)
 
     def submit(self):
         """Submit a job; return the result and how long it took."""
@@ -127,3 +147,39 @@
     setup.store.needed_s = 60.0
     result, _ = setup.submit()
     assert result.error.verdict is Verdict.MAY_HAVE_RUN
+
+
+@pytest.mark.parametrize("living", PEERS)
+@pytest.mark.parametrize("heard", [True, False])
+def test_a_request_waits_for_one_lost_peer_at_most(
+    setup: Setup, heard: bool, living: str
+):
+    """It went to two peers at random, and failed if both were lost."""
+    setup.member.is_unavailable = True
+    setup.peers.lost = set(PEERS) - {living}
+    for peer in PEERS if heard else []:
+        setup.health.answered(peer)
+    result, took_s = setup.submit()
+    assert result.is_ok()
+    assert took_s < ONE_LOST_PEER_S + 0.1
+
+
+def test_lost_peers_are_not_tried_again(setup: Setup):
+    """The failure of one request is known to the next one."""
+    setup.member.is_unavailable = True
+    setup.peers.lost = set(PEERS[:6])
+    setup.submit()
+    setup.loop.run_until_complete(asyncio.sleep(1.0))
+    for _ in range(20):
+        result, took_s = setup.submit()
+        assert result.is_ok()
+        assert took_s < 0.1
+
+
+def test_a_request_fails_soon_if_all_peers_are_lost(setup: Setup):
+    """Nobody can serve it, so that the client should come again later."""
+    setup.member.is_unavailable = True
+    setup.peers.lost = set(PEERS)
+    result, took_s = setup.submit()
+    assert result.error.verdict is Verdict.NOT_RUN
+    assert took_s < ONE_LOST_PEER_S
--- a/tests/jobs/test_lost_members.py
+++ b/tests/jobs/test_lost_members.py
@@ -13,6 +13,7 @@
 
 from redwingrun.jobs.progress import JobState
 from redwingrun.jobs.spec import QueueSet
+from tests.helpers import DOWN
 from tests.jobs.cluster import (
     QUEUE,
     SimulatedCluster,
@@ -31,6 +32,8 @@
 BATCH_PRIORITY = 2
 SETTLED_S = 5.0
 FIRST_START_WITHIN_S = 3.0
+# The longest that a request may wait for one peer that is lost.
+ONE_LOST_PEER_S = 0.9
 ALL = [f"m{number}" for number in range(MEMBERS)]
 
 
@@ -87,3 +90,17 @@
     assert first_start_s(cluster, 2) < FIRST_START_WITHIN_S
     assert cluster.state(job_id(1)) is JobState.COMPLETED
     assert cluster.all_violations() == []
+
+
+def test_a_request_is_relayed_past_lost_members(cluster: SimulatedCluster):
+    """A client waited for two lost members in turn, and was turned away."""
+    lose(cluster, ALL[1:7])
+    cluster.run(SETTLED_S)
+    cluster.process_by_name["m0"].table_mode = DOWN
+    cluster.run(2.0)
+    for number in range(1, 6):
+        began_s = cluster.loop.time()
+        cluster.submit(job_id(number), job(step(1, 1.0)), at="m0")
+        assert job_id(number) in cluster.accepted
+        assert cluster.loop.time() - began_s < ONE_LOST_PEER_S
+        cluster.run(1.0)
