Members' rows: lost members leave the list, those that live renew their rows

Cause: a row was removed only by a member that stops as planned.

Change: a member stores its row again every five minutes. The owner removes a row that was not renewed for 15 minutes, if its member does not answer either, under a condition on the version that it saw. Ages count only while the rows can be read: a silent table removes nobody. A member that finds its row gone registers again; no run, lease or claim depends on the row. Damaged rows are left. With a host replaced every five minutes there are at most four rows more than members. Cost: one write a member in five minutes.

What follows the rows moved from member.py to peerdirectory.py.

--- a/redwingrun/jobs/member.py
+++ b/redwingrun/jobs/member.py
@@ -10,12 +10,7 @@
 
 from expression import Result
 
-from redwingrun.coordination.table import (
-    HistoryTruncated,
-    Row,
-    TableUnavailable,
-    TableUnknown,
-)
+from redwingrun.coordination.table import Row, TableUnavailable, TableUnknown
 from redwingrun.coordination.verdict import Failure
 from redwingrun.jobs.cancellation import cancel_all
 from redwingrun.jobs.claimorder import ClaimOrder
@@ -27,6 +22,7 @@
 from redwingrun.jobs.ownerwatch import FAILURE_TIMEOUT_READS, PROBE_AFTER_S, OwnerWatch
 from redwingrun.jobs.partitionwriter import owner_key
 from redwingrun.jobs.peercalls import PeerCalls
+from redwingrun.jobs.peerdirectory import PeerDirectory
 from redwingrun.jobs.peerhealth import PeerHealth
 from redwingrun.jobs.peerlinks import Liveness
 from redwingrun.jobs.peerlist import MemberRow, PeerList
@@ -54,10 +50,6 @@
 # this after its claim; HAND_OVER_RETRY_INTERVAL_S is the time between two attempts.
 MIN_OWNERSHIP_S = 3.0
 HAND_OVER_RETRY_INTERVAL_S = 60.0
-# Pause between two reads of changes of the members' rows, so that one read returns the
-# changes of many members that start together, and how long a read waits for a change.
-MEMBERS_READ_INTERVAL_S = 3.0
-MEMBERS_WAIT_S = 10.0
 # Longest time that a leaving member spends on removing its row.
 UNREGISTER_TIMEOUT_S = 0.5
 TASK_RESTART_INTERVAL_S = 1.0
@@ -88,7 +80,6 @@
             dependencies.table, settings.slice_name, dependencies.log
         )
         self._has_joined = False
-        self._has_read_members = False
         self.job_store = JobStore(
             dependencies.table,
             settings.slice_name,
@@ -126,6 +117,15 @@
         self._owned_s = -math.inf
         self._tasks: list[asyncio.Task[Any]] = []
         self._background_tasks: set[asyncio.Task[Any]] = set()
+        self._directory = PeerDirectory(
+            self._member_registry,
+            settings.row(),
+            self._peers,
+            self._peer_calls,
+            dependencies.clock,
+            dependencies.log,
+            self._peers_changed,
+        )
         self._claim_order = ClaimOrder(settings.name, self._peers, self._peer_health)
 
     @property
@@ -189,7 +189,13 @@
     def start(self) -> None:
         """Start the tasks that follow the configuration, the peers and the owner."""
         loop = asyncio.get_running_loop()
-        for work in (self._queue_follower.run, self._join, self._watch_owner):
+        for work in (
+            self._queue_follower.run,
+            self._join,
+            self._directory.renew,
+            self._remove_lost_members,
+            self._watch_owner,
+        ):
             self._tasks.append(loop.create_task(self._run_until_done(work)))
 
     async def _run_until_done(
@@ -222,7 +228,7 @@
             await self._release_to(owner, await self._first_with_table_access(peers))
         try:
             async with asyncio.timeout(UNREGISTER_TIMEOUT_S):
-                await self._member_registry.unregister(self._settings.row())
+                await self._directory.unregister()
         except (TableUnavailable, TableUnknown, TimeoutError) as error:
             self._log.event("member-row-kept", why=str(error))
 
@@ -255,48 +261,20 @@
     # Peers.
 
     async def _join(self) -> None:
-        """Register this member, then keep the list of its peers up to date.
-
-        The whole list is read once, and again after a failure: if each member read it
-        at intervals, the cost would grow with the square of their number.
-        """
-        dependencies = self._dependencies
+        """Register this member, then keep the list of its peers up to date."""
         if not self._has_joined:
             secret = await self._member_registry.shared_secret()
-            await dependencies.peers.open(self, secret)
-            await self._member_registry.register(self._settings.row())
+            await self._dependencies.peers.open(self, secret)
+            await self._directory.register()
             self._has_joined = True
-        version: int | None = None
-        while True:
-            try:
-                version = await self._read_members(version)
-            except HistoryTruncated:
-                version = None
-                continue
-            except (TableUnavailable, TableUnknown) as error:
-                self._log.detail("members-unread", why=str(error))
-                version = None
-            await asyncio.sleep(MEMBERS_READ_INTERVAL_S)
+        await self._directory.follow()
 
-    async def _read_members(self, after: int | None) -> int:
-        """Apply the changes of the members' rows; return the version to go on from.
+    async def _remove_lost_members(self) -> None:
+        await self._directory.remove_lost(lambda: self.is_owner)
 
-        :param after: version of the table after which to read changes; ``None`` to read
-            all rows.
-        """
-        if after is None:
-            snapshot = await self._member_registry.members()
-            self._peers.update(snapshot.rows)
-            self._has_read_members = True
-            version = snapshot.version
-        else:
-            changes = await self._member_registry.changes(after, MEMBERS_WAIT_S)
-            self._peers.apply_changes(changes.rows, changes.deleted)
-            version = changes.version
-        addresses = self._peers.addresses()
+    def _peers_changed(self, addresses: list[str]) -> None:
         self._peer_health.set_peers(addresses)
         self._policy_proxies.set_peers(addresses)
-        return version
 
     def notify_owner(self, job_id: str, submission: str) -> None:
         """Notify the owner of a stored job or cancellation, without waiting for it.
@@ -533,7 +511,7 @@
                 ages = await self._peer_calls.owner_row_ages(
                     peers, TABLE_ACCESS_MAX_AGE_S
                 )
-                if self._has_read_members:
+                if self._directory.has_read:
                     owner.note_owner_row_ages(ages, probed_s)
                 peer = _first_with_table_access(peers, ages)
                 if peer and not await self._can_read_owner_row():
--- a/redwingrun/jobs/memberregistry.py
+++ b/redwingrun/jobs/memberregistry.py
@@ -10,6 +10,7 @@
 from redwingrun.coordination.codec import encode
 from redwingrun.coordination.table import (
     Changes,
+    Committed,
     Condition,
     Snapshot,
     TableUnavailable,
@@ -38,9 +39,13 @@
         """Return the secret that all members share; retry until the table answers."""
         return await self._retry_until_done(self._load_or_create_secret)
 
+    def key(self, name: str) -> str:
+        """Return the key of a member's row."""
+        return members_prefix(self._slice_name) + name
+
     async def register(self, row: MemberRow) -> None:
         """Store a member's row; retry until the table answers."""
-        write = Write(members_prefix(self._slice_name) + row.name, encode(row))
+        write = Write(self.key(row.name), encode(row))
         await self._retry_until_done(
             lambda: self._table.transact(Transaction((), (write,)))
         )
@@ -54,12 +59,23 @@
         :raises TableUnavailable: when the call had no effect.
         :raises TableUnknown: when the call's outcome is unknown.
         """
-        key = members_prefix(self._slice_name) + row.name
-        stored = await self._table.read(key)
+        stored = await self._table.read(self.key(row.name))
         if stored is None or stored.value != encode(row):
             return
-        condition = Condition.at(key, stored.version)
-        await self._table.transact(Transaction((condition,), (Write(key, None),)))
+        await self.remove(row.name, stored.version)
+
+    async def remove(self, name: str, version: int) -> bool:
+        """Remove a member's row if it still has this version; return whether it had.
+
+        :raises TableUnavailable: when the call had no effect.
+        :raises TableUnknown: when the call's outcome is unknown.
+        """
+        key = self.key(name)
+        condition = Condition.at(key, version)
+        answer = await self._table.transact(
+            Transaction((condition,), (Write(key, None),))
+        )
+        return isinstance(answer, Committed)
 
     async def members(self) -> Snapshot:
         """Return the rows of all members.
--- a/redwingrun/jobs/peerlist.py
+++ b/redwingrun/jobs/peerlist.py
@@ -58,6 +58,11 @@
             self._row_by_name.pop(last_segment(key), None)
         self._row_by_name.pop(self._own.name, None)
 
+    def address(self, name: str) -> str | None:
+        """Return the address of a peer; ``None`` if its row is not known or damaged."""
+        row = self._row_by_name.get(name)
+        return row.address if row else None
+
     def addresses(self) -> list[str]:
         """Return the addresses of the peers."""
         return [row.address for row in self._row_by_name.values()]
