Planned stop: nobody waits for a successor that was not named

Callers saw: after a planned stop of an owner that reached no peer, the slice had no owner for 0.8 s (simulated).

Cause: the members waited 0.7 s for the named successor also when none was named. Evidence: test_a_planned_stop_without_a_successor_is_not_waited_for failed before, 0.80 s.

Change: without a named successor the first in the order of claims may claim at once; claims are decided by the row as before.

--- a/redwingrun/jobs/ownerwatch.py
+++ b/redwingrun/jobs/ownerwatch.py
@@ -122,7 +122,7 @@
             )
         if owner.successor == own_name:
             return 0.0
-        return SUCCESSOR_TIMEOUT_S + claim_delay_s
+        return (SUCCESSOR_TIMEOUT_S if owner.successor else 0.0) + claim_delay_s
 
     def address_to_probe(self, delay_s: float) -> str:
         """Return the owner's address if its process should be probed, else ``""``.
--- a/tests/jobs/test_lost_members.py
+++ b/tests/jobs/test_lost_members.py
@@ -11,6 +11,7 @@
 import pytest
 from attrs import evolve
 
+from redwingrun.jobs.ownerwatch import SUCCESSOR_TIMEOUT_S
 from redwingrun.jobs.progress import JobState
 from redwingrun.jobs.spec import QueueSet
 from tests.helpers import DOWN
@@ -135,6 +136,14 @@
         assert takeover_s(cluster) < PLANNED_TAKEOVER_S
 
 
+def test_a_planned_stop_without_a_successor_is_not_waited_for(
+    cluster: SimulatedCluster,
+):
+    """All members waited for a successor that the owner could not name."""
+    cluster.isolated_members.add(cluster.owner_name())
+    assert takeover_s(cluster) < SUCCESSOR_TIMEOUT_S
+
+
 @pytest.mark.parametrize("lost", [(), ("fast1", "fast2", "fast3")])
 def test_a_silent_owner_is_replaced_in_time_if_fast_hosts_are_lost(
     lost: tuple[str, ...],
