Peers that are known to be silent are not asked for the owner's row

Callers saw nothing by itself: an owner that the table does not answer asks all peers again and again, and each round took 0.6 s while one of them was lost; the hand-over to a peer with access waited for it.

Change: a silent peer counts as one without an answer at once, until a probe in the background finds it again. An owner still needs an answer of every peer before it believes that nobody has claimed the slice.

--- a/redwingrun/jobs/member.py
+++ b/redwingrun/jobs/member.py
@@ -224,7 +224,7 @@
         self._leaving = True
         owner = self._owner
         if owner is not None:
-            peers = self._available(self._peers.fastest_first())
+            peers = self._peers.fastest_first()
             await self._release_to(owner, await self._first_with_table_access(peers))
         try:
             async with asyncio.timeout(UNREGISTER_TIMEOUT_S):
@@ -521,7 +521,7 @@
 
     async def _hand_over_to_faster(self, owner: SliceOwner) -> None:
         """Release the slice to a clearly faster host that reaches the table."""
-        faster = self._available(self._peers.faster())
+        faster = self._peers.faster()
         if not faster or self._leaving or owner.since_commit_s() > HAND_OVER_AFTER_S:
             return
         self._next_hand_over_at_s = (
@@ -543,10 +543,6 @@
             return False
         return True
 
-    def _available(self, rows: list[MemberRow]) -> list[MemberRow]:
-        """Return the peers that are not known to be silent."""
-        return [row for row in rows if self._peer_health.is_available(row.address)]
-
     async def _first_with_table_access(self, rows: list[MemberRow]) -> MemberRow | None:
         """Ask peers at the same time; return the first that reaches the table.
 
--- a/redwingrun/jobs/peercalls.py
+++ b/redwingrun/jobs/peercalls.py
@@ -107,10 +107,11 @@
     ) -> list[float | None]:
         """Return how many seconds ago peers last read the owner's row.
 
-        All are asked at the same time. Once one has read it within ``max_age_s``, the
-        others get ``SLOWER_ANSWER_S`` to answer: lost ones never do.
+        All are asked at the same time, but for those that are known to be silent. Once
+        one has read it within ``max_age_s``, the others get ``SLOWER_ANSWER_S`` to
+        answer.
 
-        :return: an age for each row, ``None`` if the peer has not answered.
+        :return: an age for each row, ``None`` if there is no answer.
         """
         tasks = [
             asyncio.ensure_future(self._owner_row_age_s(row.address)) for row in rows
@@ -147,6 +148,8 @@
                 self._spawn(_finish(task))
 
     async def _owner_row_age_s(self, address: str) -> float | None:
+        if self.health.is_silent(address):
+            return None
         age_s = await self._links.probe(address, claim=False)
         self._record_probe(address, age_s)
         return age_s
--- a/redwingrun/jobs/peerhealth.py
+++ b/redwingrun/jobs/peerhealth.py
@@ -114,6 +114,11 @@
             return False
         return self._clock.now() >= record.ejected_until_s
 
+    def is_silent(self, address: str) -> bool:
+        """Return whether a peer has not answered its last call or probe."""
+        record = self._record_by_address.get(address)
+        return record is not None and record.is_silent
+
     def available(self) -> list[str]:
         """Return the addresses of the peers that may be chosen."""
         return [item for item in self._record_by_address if self.is_available(item)]
--- a/tests/jobs/test_peerhealth.py
+++ b/tests/jobs/test_peerhealth.py
@@ -18,6 +18,7 @@
     PeerHealth,
 )
 from redwingrun.jobs.peerlinks import LIVENESS_TIMEOUT_S, Liveness, PeerFailure
+from redwingrun.jobs.peerlist import MemberRow
 from redwingrun.logs import Log
 from tests.helpers import LoopClock, VirtualLoop, close_loop
 
@@ -114,6 +115,11 @@
         await asyncio.sleep(self.answer_s)
         return Ok("answer")
 
+    async def probe(self, address: str, claim: bool, handover_from: str = ""):
+        """Answer that the owner's row was read long ago, if the process answers."""
+        liveness = await self.liveness(address)
+        return 60.0 if liveness is Liveness.ANSWERS else None
+
     async def liveness(self, address: str) -> Liveness:
         """Return the next of the outcomes that the test has set, the last for ever."""
         self.probes += 1
@@ -211,3 +217,16 @@
     probes = setup.links.probes
     setup.run(60.0)
     assert setup.links.probes == probes
+
+
+def test_peers_that_are_known_to_be_silent_are_not_waited_for(setup: Setup):
+    """An owner that the table does not answer asks its peers again and again."""
+    rows = [MemberRow("one", "p1"), MemberRow("two", "p2")]
+    setup.health.set_peers(["p1", "p2"])
+    setup.links.liveness_by_address["p1"] = [Liveness.SILENT]
+    ask = setup.calls.owner_row_ages(rows, max_age_s=0.7)
+    assert setup.loop.run_until_complete(ask) == [None, 60.0]
+    began_s = setup.loop.time()
+    ask = setup.calls.owner_row_ages(rows, max_age_s=0.7)
+    assert setup.loop.run_until_complete(ask) == [None, 60.0]
+    assert setup.loop.time() - began_s < 0.01
