Policy queries: three ways at most, the last one by the owner itself

Evidence and guard: test_a_policy_that_fails_everywhere_is_asked_a_few_times_only; the other tests of test_policysender.py name the ways of a query one by one.

--- a/redwingrun/jobs/policysender.py
+++ b/redwingrun/jobs/policysender.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from attrs import frozen
 from expression import Result
 
 from redwingrun.coordination.clock import Clock
@@ -16,6 +17,8 @@
 from redwingrun.logs import Log
 
 TIMEOUT_MARGIN_S = 1.0
+# A query that failed through so many peers is sent by this member itself.
+MAX_PEERS_TRIED = 2
 
 # Sends a query through a member, with a timeout in seconds.
 QueryPolicy = Callable[
@@ -24,6 +27,17 @@
 ]
 
 
+@frozen
+class _Sent:
+    """The result of sending a query one way.
+
+    :param is_final: whether there is no use in another way.
+    """
+
+    result: Result[PolicyAnswer, Failure]
+    is_final: bool
+
+
 class PolicySender:
     """Sends queries to the placement policy through the members of the slice.
 
@@ -45,21 +59,27 @@
         once: through a peer that has answered since the query began, or by this member.
         """
         began_s = self._clock.now()
-        heard_since_s = -math.inf
-        while True:
-            sent_s = self._clock.now()
-            proxy = self._proxies.choose(query.expected_answer_s, sent_s, heard_since_s)
-            expected_wait_s = max(0.0, proxy.busy_until_s - sent_s)
-            answer = await self._query_policy(
-                proxy, query, expected_wait_s + TIMEOUT_MARGIN_S
-            )
-            self._log_answer(query, proxy, answer, sent_s)
-            if answer.is_ok():
-                return answer
+        answer = await self._send_through(query, -math.inf)
+        for _ in range(1, MAX_PEERS_TRIED):
+            if answer.is_final:
+                return answer.result
+            answer = await self._send_through(query, began_s)
+        if not answer.is_final:
+            answer = await self._send_through(query, math.inf)
+        return answer.result
+
+    async def _send_through(self, query: PolicyQuery, heard_since_s: float) -> _Sent:
+        """Send a query through a peer heard since a monotonic time, or by itself."""
+        sent_s = self._clock.now()
+        proxy = self._proxies.choose(query.expected_answer_s, sent_s, heard_since_s)
+        expected_wait_s = max(0.0, proxy.busy_until_s - sent_s)
+        result = await self._query_policy(
+            proxy, query, expected_wait_s + TIMEOUT_MARGIN_S
+        )
+        self._log_answer(query, proxy, result, sent_s)
+        if result.is_error():
             self._proxies.query_failed(proxy, self._clock.now())
-            if not proxy.address:
-                return answer
-            heard_since_s = began_s
+        return _Sent(result, is_final=result.is_ok() or not proxy.address)
 
     def _log_answer(
         self,
