--- a/redwingrun/jobs/member.py
+++ b/redwingrun/jobs/member.py
@@ -19,6 +19,7 @@
 from redwingrun.jobs.memberconfig import MemberDependencies, MemberSettings
 from redwingrun.jobs.memberport import MemberPort
 from redwingrun.jobs.memberregistry import MemberRegistry
+from redwingrun.jobs.ownerprobe import OwnerProbe
 from redwingrun.jobs.ownerwatch import FAILURE_TIMEOUT_READS, PROBE_AFTER_S, OwnerWatch
 from redwingrun.jobs.partitionwriter import owner_key
 from redwingrun.jobs.peercalls import PeerCalls
@@ -106,10 +107,9 @@
         self._ownership_over = asyncio.Event()
         self._peers = PeerList(settings.row())
         self._next_hand_over_at_s = -math.inf
-        # The owner's row when the owner was probed, and what the probe has found.
-        self._probed_row: Row | None = None
-        self._owner_liveness = Liveness.ANSWERS
-        self._is_probing = False
+        self._owner_probe = OwnerProbe(
+            self._peer_calls, self._spawn, self._poll_now.set
+        )
         self._owner_row_read_s = -math.inf
         # The owner's row that this member last tried to replace by its claim, and the
         # last time at which it owned the slice.
@@ -369,7 +369,8 @@
             claim_is_due = self._watch.unchanged_s >= self._claim_after_s()
             self._start_due_probe()
             if (
-                claim_is_due or self._probe_has_found(Liveness.ENDED)
+                claim_is_due
+                or self._owner_probe.has_found(Liveness.ENDED, self._watch.row)
             ) and not self._leaving:
                 await self._claim()
 
@@ -382,39 +383,15 @@
     def _claim_after_s(self) -> float:
         """Return how long the owner's row must be unchanged before a claim."""
         name, claim_delay_s = self._settings.name, self._claim_order.claim_delay_s()
-        is_silent = self._probe_has_found(Liveness.SILENT)
+        is_silent = self._owner_probe.has_found(Liveness.SILENT, self._watch.row)
         return self._watch.claim_after_s(
             name, self._handover_from, claim_delay_s, is_silent
         )
 
-    def _probe_has_found(self, liveness: Liveness) -> bool:
-        """Return whether a probe of the owner has found this.
-
-        What it found does not count once the owner's row has changed.
-        """
-        if self._probed_row is None or self._probed_row != self._watch.row:
-            return False
-        return self._owner_liveness is liveness
-
     def _start_due_probe(self) -> None:
-        """Start a probe of the owner in the background if one is due.
-
-        A claim does not wait for it: an owner whose host is frozen or unreachable does
-        not answer.
-        """
         address = self._watch.address_to_probe(self._claim_order.probe_delay_s())
-        if address and not self._is_probing:
-            self._is_probing = True
-            self._spawn(self._probe_owner(address, self._watch.row))
-
-    async def _probe_owner(self, address: str, row: Row | None) -> None:
-        try:
-            self._owner_liveness = await self._peer_calls.liveness(address)
-            self._probed_row = row
-            if self._owner_liveness is not Liveness.ANSWERS:
-                self._poll_now.set()
-        finally:
-            self._is_probing = False
+        if address:
+            self._owner_probe.start(address, self._watch.row)
 
     async def _claim(self) -> None:
         settings = self._settings
