The owner counts its commits as answers of the table

Callers saw: at a member that owns the slice and whose peers are all lost, some requests were turned away with 503 `table-away`, while the table answered it; with peers that live they took a detour.

Cause: a member judges the table by its reads of the owner's row and of the configuration. An owner reads neither often: its row is its own.

--- a/redwingrun/jobs/member.py
+++ b/redwingrun/jobs/member.py
@@ -152,12 +152,14 @@
 
         The limit is ``TABLE_UNAVAILABLE_AFTER_S`` plus ``TABLE_UNAVAILABLE_READS``
         average read times. Only reads of the owner's row and of the configuration of
-        queues count.
+        queues count, and the commits of an owner, which does not read its row.
         """
+        now_s = self._dependencies.clock.now()
         answered_s = max(self._owner_row_read_s, self._queue_follower.answered_s)
-        since_answer_s = self._dependencies.clock.now() - answered_s
+        if self._owner is not None:
+            answered_s = max(answered_s, now_s - self._owner.since_commit_s())
         return (
-            since_answer_s
+            now_s - answered_s
             > TABLE_UNAVAILABLE_AFTER_S
             + TABLE_UNAVAILABLE_READS * self._watch.average_read_s
         )
--- a/tests/jobs/test_lost_members.py
+++ b/tests/jobs/test_lost_members.py
@@ -109,6 +109,19 @@
         cluster.run(1.0)
 
 
+def test_an_owner_serves_requests_without_its_lost_peers(cluster: SimulatedCluster):
+    """It took the table for unavailable between two reads, and turned clients away."""
+    owner = cluster.owner_name()
+    lose(cluster, [name for name in ALL if name != owner])
+    cluster.run(SETTLED_S)
+    for number in range(1, 30):
+        began_s = cluster.loop.time()
+        cluster.submit(job_id(number), job(step(1, 0.1)), at=owner)
+        assert job_id(number) in cluster.accepted
+        assert cluster.loop.time() - began_s < 0.1
+        cluster.run(0.13)
+
+
 def takeover_s(cluster: SimulatedCluster) -> float:
     """Stop the owner as planned; return how long the slice had no owner."""
     cluster.leave(cluster.owner_name())
