--- a/redwingrun/jobs/member.py
+++ b/redwingrun/jobs/member.py
@@ -51,6 +51,7 @@
 # this after its claim; HAND_OVER_RETRY_INTERVAL_S is the time between two attempts.
 MIN_OWNERSHIP_S = 3.0
 HAND_OVER_RETRY_INTERVAL_S = 60.0
+MAX_SUCCESSORS_ASKED = 16
 # Longest time that a leaving member spends on removing its row.
 UNREGISTER_TIMEOUT_S = 0.5
 TASK_RESTART_INTERVAL_S = 1.0
@@ -525,10 +526,14 @@
     async def _first_with_table_access(self, rows: list[MemberRow]) -> MemberRow | None:
         """Ask peers at the same time; return the first that reaches the table.
 
-        :param rows: the peers, in order of preference.
+        :param rows: the peers, in order of preference. The first
+            ``MAX_SUCCESSORS_ASKED`` of them that are not known to be silent are asked.
         """
-        ages = await self._peer_calls.owner_row_ages(rows, TABLE_ACCESS_MAX_AGE_S)
-        return _first_with_table_access(rows, ages)
+        health = self._peer_health
+        rows = [row for row in rows if not health.is_silent(row.address)]
+        asked = rows[:MAX_SUCCESSORS_ASKED]
+        ages = await self._peer_calls.owner_row_ages(asked, TABLE_ACCESS_MAX_AGE_S)
+        return _first_with_table_access(asked, ages)
 
     async def _hand_over_without_table(self, owner: SliceOwner, address: str) -> None:
         """Ask a peer that reaches the table to claim the slice, then stop owning it.
