Tests of members' rows: the intervals divided by ten

The bound on rows allows for the 13 s in which a change of the rows may be read, which are not divided.

--- a/tests/jobs/test_member_rows.py
+++ b/tests/jobs/test_member_rows.py
@@ -8,25 +8,35 @@
 import pytest
 
 from redwingrun.coordination.table import Transaction, Write
-from redwingrun.jobs.peerdirectory import (
-    LOST_AFTER_S,
-    REMOVAL_INTERVAL_S,
-    RENEWAL_INTERVAL_S,
-    PeerDirectory,
-)
+from redwingrun.jobs import peerdirectory
+from redwingrun.jobs.peerdirectory import PeerDirectory
 from redwingrun.jobs.progress import JobState
 from redwingrun.jobs.rowkeys import last_segment, members_prefix
 from tests.helpers import DOWN, OK
 from tests.jobs.cluster import SimulatedCluster, job, job_id, make_cluster, step
 
 MEMBERS = 4
-REMOVED_WITHIN_S = LOST_AFTER_S + 3 * REMOVAL_INTERVAL_S
-REPLACEMENT_INTERVAL_S = 300.0
+# The intervals of the directory, divided by this: the tests are faster so.
+SPEED_UP = 10
+LOST_AFTER_S = peerdirectory.LOST_AFTER_S / SPEED_UP
+RENEWAL_INTERVAL_S = peerdirectory.RENEWAL_INTERVAL_S / SPEED_UP
+REMOVAL_INTERVAL_S = peerdirectory.REMOVAL_INTERVAL_S / SPEED_UP
+# Members see a change of the rows at the latest after this.
+READ_S = peerdirectory.READ_INTERVAL_S + peerdirectory.READ_WAIT_S
+REMOVED_WITHIN_S = READ_S + LOST_AFTER_S + 3 * REMOVAL_INTERVAL_S
+REPLACEMENT_INTERVAL_S = 300.0 / SPEED_UP
 PREFIX = members_prefix("s0")
 
 
+@pytest.fixture(autouse=True)
+def speed_up(monkeypatch):
+    """Divide the intervals."""
+    for name in ("LOST_AFTER_S", "RENEWAL_INTERVAL_S", "REMOVAL_INTERVAL_S"):
+        monkeypatch.setattr(peerdirectory, name, globals()[name])
+
+
 @pytest.fixture
-def cluster():
+def cluster(speed_up):
     """Return a cluster of four members and one worker."""
     with closing(make_cluster(members=MEMBERS, workers=1)) as made:
         made.run(10.0)
