--- a/redwingrun/jobs/spec.py
+++ b/redwingrun/jobs/spec.py
@@ -8,6 +8,8 @@
 from attrs import asdict, field, fields_dict, frozen
 
 from redwingrun.errors import RedwingrunError
+from redwingrun.jobs.accounts import AccountDirectory
+from redwingrun.jobs.tasksize import TaskSize
 
 MAX_STEPS = 100
 MAX_TASKS_PER_JOB = 10_000
@@ -21,20 +23,6 @@
     """An invalid job description; the text says why."""
 
 
-@frozen
-class TaskSize:
-    """The resources that one task needs.
-
-    :param cpu_milli: thousandths of a core.
-    :param memory_mb: megabytes of memory.
-    :param gpus: number of accelerators.
-    """
-
-    cpu_milli: int = 0
-    memory_mb: int = 0
-    gpus: int = 0
-
-
 @frozen
 class StepSpec:
     """A step of a job: tasks of the same kind.
@@ -106,11 +94,13 @@
     """A job as it was submitted to a queue and stored.
 
     :param accepted_ms: Unix time at which it was accepted.
+    :param account: name of the client account that submitted it; empty for none.
     """
 
     queue: str
     spec: JobSpec
     accepted_ms: int = 0
+    account: str = ""
 
 
 @frozen(cache_hash=True)
@@ -195,6 +185,8 @@
         "payload": spec.payload,
         "steps": [_encode_step(step) for step in spec.steps],
     }
+    if submission.account:
+        encoded["account"] = submission.account
     if spec.is_scheduled:
         encoded["occurrences"] = spec.occurrences
         encoded["first_due_ms"] = spec.first_due_ms
@@ -212,7 +204,9 @@
         encoded.get("first_due_ms", 0),
         encoded.get("period_ms", 0),
     )
-    return Submission(encoded["queue"], spec, encoded["accepted_ms"])
+    return Submission(
+        encoded["queue"], spec, encoded["accepted_ms"], encoded.get("account", "")
+    )
 
 
 _STEP_FIELDS = fields_dict(StepSpec)
@@ -250,6 +244,7 @@
     :param uses_policy: whether the placement policy decides which workers may be used.
     :param policy_call_ms: time that the policy needs for a query.
     :param policy_per_worker_ms: additional time for each worker in the query.
+    :param requires_key: whether requests need the key of a client account.
     """
 
     name: str
@@ -261,6 +256,7 @@
     uses_policy: bool = False
     policy_call_ms: float = 0.0
     policy_per_worker_ms: float = 0.0
+    requires_key: bool = False
 
     def policy_answer_s(self, workers: int) -> float:
         """Return how long the policy needs to answer a query, in seconds.
@@ -297,6 +293,7 @@
 
     :param enforces_capacity_by_pool: whether a pool's workers refuse runs that do not
         fit.
+    :param accounts: the client accounts; empty if no queue requires a key.
     """
 
     version: int
@@ -304,6 +301,7 @@
     addresses_by_host: dict[str, tuple[QueueAddress, ...]] = field(factory=dict)
     limits: RequestLimits = RequestLimits()
     enforces_capacity_by_pool: dict[str, bool] = field(factory=dict)
+    accounts: AccountDirectory = field(factory=AccountDirectory)
 
     def find(self, host: str, path: str) -> QueueAddress | None:
         """Return the address on a host with the longest prefix of a path."""
--- a/redwingrun/platform/queues.py
+++ b/redwingrun/platform/queues.py
@@ -8,12 +8,17 @@
 import orjson
 
 from redwingrun.coordination.table import Row, WatchableTable
+from redwingrun.jobs.accounts import AccountDirectory, ClientAccount, key_digest
 from redwingrun.jobs.ports import QueueChange, QueueSource
 from redwingrun.jobs.spec import Queue, QueueAddress, QueueSet, RequestLimits
+from redwingrun.jobs.tasksize import TaskSize
 from redwingrun.logs import Log
 from redwingrun.platform.jsonfields import (
     BadFieldError,
+    checked_string,
+    get_boolean,
     get_integer,
+    get_list,
     get_number,
     get_object,
     get_objects,
@@ -31,10 +36,11 @@
     data = orjson.loads(value)
     if not isinstance(data, dict):
         raise BadFieldError("the configuration is not a JSON object")
+    has_accounts = "tenants" in data
     queue_by_name = {}
     addresses_by_host: dict[str, list[QueueAddress]] = {}
     for route in get_objects(data, "routes"):
-        queue = _decode_queue(route)
+        queue = _decode_queue(route, has_accounts)
         queue_by_name[queue.name] = queue
         host = get_string(route, "hostname")
         address = QueueAddress(host, get_string(route, "pathPrefix"), queue.name)
@@ -55,10 +61,31 @@
             get_string(service, "name"): bool(service.get("enforcesCapacity"))
             for service in get_objects(data, "services")
         },
+        accounts=AccountDirectory(
+            _decode_account(tenant) for tenant in get_objects(data, "tenants")
+        ),
     )
 
 
-def _decode_queue(route: dict[str, Any]) -> Queue:
+def _decode_account(tenant: dict[str, Any]) -> ClientAccount:
+    cap = get_object(tenant, "cap")
+    keys = [checked_string(key, "apiKeys") for key in get_list(tenant, "apiKeys")]
+    return ClientAccount(
+        name=get_string(tenant, "name"),
+        weight=get_number(tenant, "weight", 1.0),
+        cap=TaskSize(
+            get_integer(cap, "cpu"), get_integer(cap, "memMb"), get_integer(cap, "gpu")
+        ),
+        key_digests=frozenset(key_digest(key) for key in keys if key),
+    )
+
+
+def _decode_queue(route: dict[str, Any], has_accounts: bool) -> Queue:
+    """Decode a queue.
+
+    :param has_accounts: whether the configuration has client accounts. Without them no
+        queue requires a key, and the field that makes one public is missing.
+    """
     advice = route.get("advice")
     policy = advice if isinstance(advice, dict) else {}
     return Queue(
@@ -71,6 +98,7 @@
         uses_policy=bool(policy),
         policy_call_ms=get_number(policy, "decideMs"),
         policy_per_worker_ms=get_number(policy, "eachMs"),
+        requires_key=has_accounts and not get_boolean(route, "public"),
     )
 
 
