Keys of client accounts: checked on each request, and revoked in time on every member

Cause: the adapter ignored keys. Change: a queue that is not public needs a key; 401 for an unknown one, 503 while the configuration may be older than one that holds it. With strict revocation a member accepts keys only while it knows that its configuration was the newest one; what a read proves counts from when it was sent. A job's account is stored with its submission.

--- a/redwingrun/jobs/jobpeer_grpc.py
+++ b/redwingrun/jobs/jobpeer_grpc.py
@@ -30,6 +30,10 @@
     async def Tell(self, stream: 'grpclib.server.Stream[jobpeer_pb2.TellRequest, jobpeer_pb2.TellReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Config(self, stream: 'grpclib.server.Stream[jobpeer_pb2.ConfigRequest, jobpeer_pb2.ConfigReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/redwingrun.jobs.JobPeer/Ask': grpclib.const.Handler(
@@ -56,6 +60,12 @@
                 jobpeer_pb2.TellRequest,
                 jobpeer_pb2.TellReply,
             ),
+            '/redwingrun.jobs.JobPeer/Config': grpclib.const.Handler(
+                self.Config,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                jobpeer_pb2.ConfigRequest,
+                jobpeer_pb2.ConfigReply,
+            ),
         }
 
 
@@ -86,3 +96,9 @@
             jobpeer_pb2.TellRequest,
             jobpeer_pb2.TellReply,
         )
+        self.Config = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/redwingrun.jobs.JobPeer/Config',
+            jobpeer_pb2.ConfigRequest,
+            jobpeer_pb2.ConfigReply,
+        )
--- a/redwingrun/jobs/jobpeerservice.py
+++ b/redwingrun/jobs/jobpeerservice.py
@@ -6,7 +6,13 @@
 
 from redwingrun.coordination.verdict import Verdict
 from redwingrun.jobs.jobpeer_grpc import JobPeerBase
-from redwingrun.jobs.jobpeer_pb2 import AskReply, LookReply, RelayReply, TellReply
+from redwingrun.jobs.jobpeer_pb2 import (
+    AskReply,
+    ConfigReply,
+    LookReply,
+    RelayReply,
+    TellReply,
+)
 from redwingrun.jobs.jobstore import TABLE_UNAVAILABLE
 from redwingrun.jobs.memberport import MemberPort
 from redwingrun.jobs.spec import StepId
@@ -68,6 +74,16 @@
         self._member.receive_notification(request.job, request.submission)
         await stream.send_message(TellReply())
 
+    async def Config(self, stream: Stream) -> None:  # noqa: N802
+        """Tell a peer which configuration this member uses, and how old it may be."""
+        request = await stream.recv_message()
+        answer = self._member.config_answer(request.known_version)
+        await stream.send_message(
+            ConfigReply(
+                version=answer.version, age_s=answer.age_s, encoded=answer.encoded
+            )
+        )
+
     async def Look(self, stream: Stream) -> None:  # noqa: N802
         """Answer a probe with the time since this member last read the owner's row.
 
--- a/redwingrun/jobs/member.py
+++ b/redwingrun/jobs/member.py
@@ -14,6 +14,8 @@
 from redwingrun.coordination.verdict import Failure
 from redwingrun.jobs.cancellation import cancel_all
 from redwingrun.jobs.claimorder import ClaimOrder
+from redwingrun.jobs.configanswer import ConfigAnswer
+from redwingrun.jobs.configfreshness import ConfigFreshness
 from redwingrun.jobs.jobservice import JobService
 from redwingrun.jobs.jobstore import JobStore
 from redwingrun.jobs.memberconfig import MemberDependencies, MemberSettings
@@ -23,6 +25,7 @@
 from redwingrun.jobs.ownerwatch import FAILURE_TIMEOUT_READS, PROBE_AFTER_S, OwnerWatch
 from redwingrun.jobs.partitionwriter import owner_key
 from redwingrun.jobs.peercalls import PeerCalls
+from redwingrun.jobs.peerconfig import PeerConfigReader
 from redwingrun.jobs.peerdirectory import PeerDirectory
 from redwingrun.jobs.peerhealth import PeerHealth
 from redwingrun.jobs.peerlinks import Liveness
@@ -70,12 +73,16 @@
         self._settings = settings
         self._dependencies = dependencies
         self._log = dependencies.log
+        self._freshness = ConfigFreshness(
+            dependencies.clock, dependencies.log, settings.revocation_timeout_s
+        )
         self._queue_follower = QueueFollower(
             dependencies.queues,
             dependencies.clock,
             dependencies.log,
             dependencies.metrics,
             self._queues_changed,
+            self._freshness,
         )
         self._has_queues = False
         self._member_registry = MemberRegistry(
@@ -92,6 +99,14 @@
         self._peer_calls = PeerCalls(
             dependencies.peers, self._peer_health, dependencies.log, self._spawn
         )
+        self._peer_config = PeerConfigReader(
+            self._peer_calls,
+            self._queue_follower,
+            self._freshness,
+            dependencies.clock,
+            dependencies.log,
+            settings.name,
+        )
         self._policy_proxies = PolicyProxies(self._peer_health)
         self.jobs = JobService(
             self.job_store,
@@ -136,7 +151,17 @@
 
     def queues_age_s(self) -> float:
         """Return the seconds since the configuration was last read or confirmed."""
-        return self._queue_follower.age_s()
+        return min(self._queue_follower.age_s(), self._freshness.age_s())
+
+    def accepts_keys(self) -> bool:
+        """Return whether the configuration is fresh enough to decide about keys."""
+        return self._freshness.is_fresh()
+
+    def config_answer(self, known_version: int) -> ConfigAnswer:
+        """Return what this member knows of the configuration."""
+        follower = self._queue_follower
+        encoded = follower.encoded if follower.version > known_version else ""
+        return ConfigAnswer(follower.version, self._freshness.age_s(), encoded)
 
     @property
     def is_ready(self) -> bool:
@@ -194,6 +219,7 @@
         loop = asyncio.get_running_loop()
         for work in (
             self._queue_follower.run,
+            self._peer_config.run,
             self._join,
             self._directory.renew,
             self._remove_lost_members,
--- a/redwingrun/jobs/memberconfig.py
+++ b/redwingrun/jobs/memberconfig.py
@@ -25,6 +25,8 @@
     :param engine: settings of the job engine, used while the member owns the slice.
     :param speed: speed of the host's processor share; 1.0 is one core of ordinary
         speed.
+    :param revocation_timeout_s: time within which a revoked key must stop working on
+        every member, in seconds; ``None`` if there is no such limit.
     """
 
     name: str
@@ -32,6 +34,7 @@
     slice_name: str = "s0"
     engine: EngineSettings = EngineSettings()
     speed: float = 1.0
+    revocation_timeout_s: float | None = None
 
     def row(self) -> MemberRow:
         """Return the row by which peers find the member."""
--- a/redwingrun/jobs/memberport.py
+++ b/redwingrun/jobs/memberport.py
@@ -5,6 +5,7 @@
 from abc import ABC, abstractmethod
 from typing import Any
 
+from redwingrun.jobs.configanswer import ConfigAnswer
 from redwingrun.jobs.jobstore import JobStore
 from redwingrun.jobs.workerpool import PolicyQuery
 
@@ -24,6 +25,13 @@
         This differs from ``TableUnavailable``, which is about one call.
         """
 
+    @abstractmethod
+    def config_answer(self, known_version: int) -> ConfigAnswer:
+        """Return what this member knows of the configuration.
+
+        :param known_version: the asking peer's version; a newer one is included.
+        """
+
     @abstractmethod
     def owner_row_age_s(self) -> float:
         """Return the seconds since this member last read the owner's row."""
--- a/redwingrun/jobs/peercalls.py
+++ b/redwingrun/jobs/peercalls.py
@@ -10,6 +10,7 @@
 
 from redwingrun.coordination.verdict import Failure, may_have_run
 from redwingrun.jobs.cancellation import cancel_all
+from redwingrun.jobs.configanswer import ConfigAnswer
 from redwingrun.jobs.peerhealth import PeerHealth
 from redwingrun.jobs.peerlinks import (
     Liveness,
@@ -85,6 +86,20 @@
         else:
             self._record_failure(address)
 
+    async def read_config(
+        self, address: str, known_version: int
+    ) -> Result[ConfigAnswer, Failure]:
+        """Ask a peer which configuration it uses.
+
+        :param known_version: a newer version is included in the answer.
+        """
+        result = await self._links.read_config(address, known_version)
+        if result.is_ok():
+            self.health.answered(address)
+        else:
+            self._record_failure(address)
+        return result
+
     async def liveness(self, address: str) -> Liveness:
         """Probe the process at a peer's address."""
         liveness = await self._links.liveness(address)
--- a/redwingrun/jobs/peerlinks.py
+++ b/redwingrun/jobs/peerlinks.py
@@ -9,9 +9,11 @@
 from expression import Error, Ok, Result
 
 from redwingrun.coordination.verdict import Failure, Verdict, not_run
+from redwingrun.jobs.configanswer import ConfigAnswer
 from redwingrun.jobs.jobpeer_grpc import JobPeerStub
 from redwingrun.jobs.jobpeer_pb2 import (
     AskRequest,
+    ConfigRequest,
     LookRequest,
     RelayRequest,
     TellRequest,
@@ -26,6 +28,7 @@
 PROBE_TIMEOUT_S = 0.6
 LIVENESS_TIMEOUT_S = 0.35
 NOTIFY_TIMEOUT_S = 0.6
+CONFIG_TIMEOUT_S = 1.0
 
 
 class Liveness(Enum):
@@ -134,6 +137,16 @@
         :return: whether the owner has acknowledged the notification.
         """
 
+    @abstractmethod
+    async def read_config(
+        self, address: str, known_version: int
+    ) -> Result[ConfigAnswer, Failure]:
+        """Ask a peer which configuration it uses.
+
+        :param known_version: a newer version is included in the answer.
+        :return: a ``PeerFailure`` if the peer has not answered.
+        """
+
     @abstractmethod
     async def liveness(self, address: str) -> Liveness:
         """Probe the process at a peer's address, for ``LIVENESS_TIMEOUT_S``."""
@@ -212,6 +225,19 @@
         reply = await self._client.call(address, "Tell", request, NOTIFY_TIMEOUT_S)
         return reply.is_ok()
 
+    async def read_config(
+        self, address: str, known_version: int
+    ) -> Result[ConfigAnswer, Failure]:
+        """Ask a peer which configuration it uses."""
+        if self._client is None:
+            return Error(not_run("no-peers"))
+        request = ConfigRequest(known_version=known_version)
+        reply = await self._client.call(address, "Config", request, CONFIG_TIMEOUT_S)
+        if reply.is_error():
+            return Error(PeerFailure.of(reply.error))
+        answer = reply.ok
+        return Ok(ConfigAnswer(answer.version, answer.age_s, answer.encoded))
+
     async def liveness(self, address: str) -> Liveness:
         """Probe the process at a peer's address."""
         if self._client is None:
--- a/redwingrun/jobs/ports.py
+++ b/redwingrun/jobs/ports.py
@@ -160,17 +160,25 @@
         of the configuration.
     :param row_count: how many versions of the configuration the answer held.
     :param value_bytes: their size without the encoding of the answer.
+    :param encoded: ``queues`` as the table holds it.
+    :param is_newest: whether no newer version exists that could not be read.
     """
 
     queues: QueueSet | None
     version: int = 0
     row_count: int = 0
     value_bytes: int = 0
+    encoded: str = ""
+    is_newest: bool = True
 
 
 class QueueSource(ABC):
     """The source of the queues' configuration."""
 
+    @abstractmethod
+    def decode(self, encoded: str) -> QueueSet | None:
+        """Decode a configuration that a peer holds; ``None`` if it is damaged."""
+
     @abstractmethod
     async def load(self) -> QueueChange:
         """Return the newest configuration."""
--- a/redwingrun/jobs/queuefollower.py
+++ b/redwingrun/jobs/queuefollower.py
@@ -12,6 +12,7 @@
     TableUnavailable,
     TableUnknown,
 )
+from redwingrun.jobs.configfreshness import ConfigFreshness
 from redwingrun.jobs.ports import QueueChange, QueueSource
 from redwingrun.jobs.spec import QueueSet
 from redwingrun.logs import Log
@@ -33,7 +34,9 @@
 
     :param source: the configuration, as the table holds it.
     :param apply: called with each newer version, after ``queues`` is set.
+    :param freshness: told when the configuration in force was the newest one.
     :ivar queues: the configuration in force; ``None`` until it has been read.
+    :ivar encoded: that configuration as the table holds it.
     :ivar answered_s: monotonic time of the last answer from the table.
     """
 
@@ -44,13 +47,16 @@
         log: Log,
         metrics: Metrics,
         apply: Callable[[QueueSet], None],
+        freshness: ConfigFreshness,
     ):
         self._source = source
         self._clock = clock
         self._log = log
         self._metrics = metrics
         self._apply = apply
+        self._freshness = freshness
         self.queues: QueueSet | None = None
+        self.encoded = ""
         self.answered_s = -math.inf
         # Version of the table from which to request changes; ``None`` to read the
         # present configuration instead.
@@ -82,7 +88,11 @@
             age_s = self.age_s()
             self._after = change.version
             self.answered_s = self._clock.now()
-            is_newer = change.queues is not None and self._put_in_force(change.queues)
+            is_newer = change.queues is not None and self._put_in_force(
+                change.queues, change.encoded
+            )
+            if change.is_newest:
+                self._freshness.confirm(started_s, "table")
             if change.queues is not None:
                 self._log_read(change, source, took_s, age_s)
             self._is_behind = is_newer and (self._is_behind or change.row_count > 1)
@@ -95,12 +105,26 @@
             return await self._source.load()
         return await self._source.changes(self._after, WAIT_S)
 
-    def _put_in_force(self, queues: QueueSet) -> bool:
+    def apply_encoded(self, encoded: str, source: str) -> bool:
+        """Apply a configuration from a peer, unless it is older than the one in force.
+
+        :param source: the peer's address, for the log.
+        :return: whether it could be decoded.
+        """
+        queues = self._source.decode(encoded)
+        if queues is None:
+            return False
+        if self._put_in_force(queues, encoded):
+            self._log.event("queues-read", version=queues.version, source=source)
+        return True
+
+    def _put_in_force(self, queues: QueueSet, encoded: str) -> bool:
         """Apply a configuration; return whether it is newer than the one in force."""
-        before = self._version()
+        before = self.version
         if self.queues is not None and queues.version <= before:
             return False
         self.queues = queues
+        self.encoded = encoded
         self._log.event(
             "queues-in-force",
             version=queues.version,
@@ -111,8 +135,9 @@
         self._apply(queues)
         return True
 
-    def _version(self) -> int:
-        """Return the version in force; 0 if there is none."""
+    @property
+    def version(self) -> int:
+        """The version in force; 0 if there is none."""
         return self.queues.version if self.queues else 0
 
     def _source_name(self) -> str:
@@ -145,7 +170,7 @@
             why=why,
             source=self._source_name(),
             after=self._after,
-            version=self._version(),
+            version=self.version,
             took_s=round(took_s, 3),
             age_s=round(age_s, 3) if math.isfinite(age_s) else None,
         )
--- a/redwingrun/platform/__main__.py
+++ b/redwingrun/platform/__main__.py
@@ -112,7 +112,11 @@
         )
         address = f"{settings.ip}:{settings.peer_port}"
         member_settings = MemberSettings(
-            settings.node, address, engine=engine, speed=settings.speed
+            settings.node,
+            address,
+            engine=engine,
+            speed=settings.speed,
+            revocation_timeout_s=bounds.revocation_timeout_s,
         )
         return Member(member_settings, dependencies)
 
--- a/redwingrun/platform/clientapi.py
+++ b/redwingrun/platform/clientapi.py
@@ -11,12 +11,14 @@
 
 from redwingrun.coordination.clock import Clock
 from redwingrun.coordination.verdict import Failure, Verdict
+from redwingrun.jobs.accounts import ClientAccount
 from redwingrun.jobs.jobstore import TABLE_REJECTS
 from redwingrun.jobs.member import Member
 from redwingrun.jobs.progress import JobState
 from redwingrun.jobs.spec import (
     BadJobError,
     QueueAddress,
+    QueueSet,
     Submission,
     encode_submission,
 )
@@ -31,6 +33,7 @@
 # before the deadline, so that it arrives before it.
 REPLY_MARGIN_S = 0.15
 RETRY_AFTER_S = "1"
+KEY_SCHEME = "bearer"
 STATE_NAMES = {
     JobState.QUEUED: "queued",
     JobState.RUNNING: "running",
@@ -128,10 +131,12 @@
         """Find the queue, or reply with an error.
 
         503 without a configuration, 404 for an unknown queue (503 while the
-        configuration may be old), 413 for a body over the limit.
+        configuration may be old), 401 for an unknown key (503 while the configuration
+        may be old), 413 for a body over the limit.
         """
         queues = self.dependencies.member.queues
         self.address: QueueAddress | None = None
+        self.account: ClientAccount | None = None
         if queues is None:
             self.set_header("Retry-After", RETRY_AFTER_S)
             self.reply(503, {"error": "no configuration is loaded yet"})
@@ -140,9 +145,54 @@
         self.address = queues.find(host, self.request.path)
         if self.address is None:
             self._reply_unknown_queue(host)
+        elif queues.queue_by_name[self.address.queue].requires_key and (
+            not self._accept_key(queues)
+        ):
+            return
         elif len(self.request.body) > queues.limits.body_bytes:
             self.reply(413, {"error": "the body is too large"})
 
+    def _accept_key(self, queues: QueueSet) -> bool:
+        """Find the account of the request's key, or reply with an error.
+
+        A key that is known may have been revoked since, and one that is unknown may
+        have been added, if the configuration may be old.
+
+        :return: whether the key was accepted.
+        """
+        member = self.dependencies.member
+        self.account = queues.accounts.find_by_key(self._key())
+        if not member.accepts_keys():
+            self._refuse_key(503, "configuration-too-old")
+        elif self.account is not None:
+            return True
+        elif member.queues_age_s() > self.dependencies.config_deadline_s:
+            self._refuse_key(503, "unknown-key-in-old-configuration")
+        else:
+            self.set_header("WWW-Authenticate", "Bearer")
+            self._refuse_key(401, "unknown-key")
+        return False
+
+    def _key(self) -> str:
+        """Return the key in the ``Authorization`` header, empty if there is none."""
+        scheme, _, key = self.request.headers.get("Authorization", "").partition(" ")
+        return key.strip() if scheme.lower() == KEY_SCHEME else ""
+
+    def _refuse_key(self, status: int, reason: str) -> None:
+        """Reply that a request is not served because of its key; it has not run."""
+        if status == 503:
+            self.set_header("Retry-After", RETRY_AFTER_S)
+        self.dependencies.metrics.count("refusals_total", reason=reason)
+        self._log_lookup(
+            "refused",
+            method=self.request.method,
+            path=self.request.path,
+            status=status,
+            reason=reason,
+            account=self.account.name if self.account else "",
+        )
+        self.reply(status, {"error": reason})
+
     def _reply_unknown_queue(self, host: str) -> None:
         """Reply 404, or 503 if the queue may have been added meanwhile."""
         self._log_lookup("unknown-queue", host=host, path=self.request.path)
@@ -188,7 +238,12 @@
         except BadJobError as error:
             self.reply(400, {"error": str(error)})
             return
-        submission = Submission(self.address.queue, spec, self.dependencies.unix_ms())
+        submission = Submission(
+            self.address.queue,
+            spec,
+            self.dependencies.unix_ms(),
+            self.account.name if self.account else "",
+        )
         started_s = self.dependencies.clock.now()
         result = await self.dependencies.member.jobs.submit(
             job_id, encode_submission(submission), self._timeout_s()
@@ -203,6 +258,7 @@
             "accepted",
             job=job_id,
             queue=submission.queue,
+            account=submission.account,
             took_s=round(self.dependencies.clock.now() - started_s, 4),
         )
         self.reply(200, {})
--- a/redwingrun/platform/queues.py
+++ b/redwingrun/platform/queues.py
@@ -112,6 +112,14 @@
         self._table = table
         self._log = log
 
+    def decode(self, encoded: str) -> QueueSet | None:
+        """Decode a configuration that a peer holds; ``None`` if it is damaged."""
+        try:
+            return decode_queues(encoded)
+        except ValueError as error:
+            self._log.fault("configuration-unreadable", why=str(error))
+            return None
+
     async def load(self) -> QueueChange:
         """Return the newest configuration."""
         snapshot = await self._table.snapshot_row(CONFIG_KEY)
@@ -129,14 +137,15 @@
         """Return the last readable configuration of the rows, if any."""
         values = [row.value for row in rows if row.key == CONFIG_KEY]
         size = sum(len(value) for value in values)
-        return QueueChange(
-            self._last_readable(values), table_version, len(values), size
-        )
-
-    def _last_readable(self, values: list[str]) -> QueueSet | None:
         for value in reversed(values):
-            try:
-                return decode_queues(value)
-            except ValueError as error:
-                self._log.fault("configuration-unreadable", why=str(error))
-        return None
+            queues = self.decode(value)
+            if queues is not None:
+                return QueueChange(
+                    queues,
+                    table_version,
+                    len(values),
+                    size,
+                    value,
+                    is_newest=value is values[-1],
+                )
+        return QueueChange(None, table_version, len(values), size, is_newest=not values)
--- a/redwingrun/platform/settings.py
+++ b/redwingrun/platform/settings.py
@@ -28,6 +28,8 @@
     :param far_factor: factor by which a task takes longer away from its data.
     :param keep_results_s: how long clients may ask for a finished job's state.
     :param max_lease_s: a minion shortens a longer lease to this.
+    :param revocation_timeout_s: time within which a revoked key must stop working;
+        ``None`` if there is no such limit.
     """
 
     grace_s: float = 6.0
@@ -36,6 +38,7 @@
     far_factor: float = 2.0
     keep_results_s: float = 120.0
     max_lease_s: float = 10.0
+    revocation_timeout_s: float | None = None
 
 
 @frozen
@@ -117,8 +120,15 @@
             keep_results_s=float(bounds.get("status_s", defaults.keep_results_s)),
             max_lease_s=float(bounds.get("holdMaxMs", defaults.max_lease_s * 1000))
             / 1000,
+            revocation_timeout_s=_revocation_timeout_s(bounds),
         ),
         # The platform gives the speed of a core as a number of ordinary cores.
         speed=float(limits.get("cpuShare") or 1.0)
         * float(limits.get("cpuCores") or 1.0),
     )
+
+
+def _revocation_timeout_s(bounds: dict[str, Any]) -> float | None:
+    if not bounds.get("strictRevoke"):
+        return None
+    return float(bounds["revokeTimeoutMs"]) / 1000
--- a/tests/jobs/cluster.py
+++ b/tests/jobs/cluster.py
@@ -73,6 +73,9 @@
     :ivar history_from: the table's feed has no changes before this version.
     :ivar unavailable_partitions: partitions that do not answer any member.
     :ivar registry_is_unavailable: the registrations of workers can't be read.
+    :ivar published: the versions of the configuration that were read, by version.
+    :ivar revocation_timeout_s: setting of the members that are added.
+    :ivar clock_rate: rate of the clocks of the members that are added.
     :ivar queues_error: raised by reads of the configuration.
     :ivar registry_changes_time_out: changes of the registrations can't be read in time;
         their present state can.
@@ -103,6 +106,9 @@
     loop: VirtualLoop
     rows: Rows = field(factory=Rows)
     queues: QueueSet = field(factory=lambda: make_queues())
+    published: dict[int, QueueSet] = field(factory=dict)
+    revocation_timeout_s: float | None = None
+    clock_rate: float = 1.0
     history_from: int = 0
     unavailable_partitions: set[str] = field(factory=set)
     registry_is_unavailable: bool = False
@@ -168,12 +174,18 @@
             SimulatedRegistry(self, process),
             SimulatedPolicy(self),
             SimulatedPeers(self, process),
-            LoopClock(self.loop),
+            LoopClock(self.loop, self.clock_rate),
             lambda: int(self.loop.time() * 1000),
             RecordingLog(name, self),
             Metrics(),
         )
-        settings = MemberSettings(name, name, engine=EngineSettings(), speed=speed)
+        settings = MemberSettings(
+            name,
+            name,
+            engine=EngineSettings(),
+            speed=speed,
+            revocation_timeout_s=self.revocation_timeout_s,
+        )
         member = Member(settings, dependencies)
         self.member_by_name[name] = member
         member.start()
--- a/tests/jobs/clusterports.py
+++ b/tests/jobs/clusterports.py
@@ -21,9 +21,11 @@
     WatchableTable,
 )
 from redwingrun.coordination.verdict import Failure, may_have_run, not_run
+from redwingrun.jobs.configanswer import ConfigAnswer
 from redwingrun.jobs.jobstore import TABLE_UNAVAILABLE
 from redwingrun.jobs.member import Member
 from redwingrun.jobs.peerlinks import (
+    CONFIG_TIMEOUT_S,
     LIVENESS_TIMEOUT_S,
     NOTIFY_TIMEOUT_S,
     PROBE_TIMEOUT_S,
@@ -48,6 +50,7 @@
 )
 from redwingrun.jobs.progress import JobState
 from redwingrun.jobs.spec import (
+    QueueSet,
     RunId,
     StepId,
 )
@@ -310,14 +313,23 @@
         self._cluster = cluster
         self._process = process
 
+    def decode(self, encoded: str) -> QueueSet | None:
+        """Decode a peer's configuration: here, its version."""
+        return self._cluster.published[int(encoded)]
+
     async def load(self) -> QueueChange:
-        """Return the configuration, unless the table is down."""
+        """Return the configuration, unless the table is down.
+
+        A member that is paused gets the answer late, as it was given.
+        """
+        queues = self._cluster.queues
         await self._process.wait_until_resumed()
         if self._process.table_mode == DOWN:
             raise TableUnavailable(DOWN)
         if self._cluster.queues_error is not None:
             raise self._cluster.queues_error
-        return QueueChange(self._cluster.queues, self._cluster.queues.version, 1)
+        self._cluster.published[queues.version] = queues
+        return QueueChange(queues, queues.version, 1, encoded=str(queues.version))
 
     async def changes(self, after: int, wait_s: float) -> QueueChange:
         """Return the configuration if it is newer, after the wait."""
@@ -423,6 +435,15 @@
         member.receive_notification(job_id, submission)
         return True
 
+    async def read_config(
+        self, address: str, known_version: int
+    ) -> Result[ConfigAnswer, Failure]:
+        """Ask a member which configuration it uses."""
+        member = await self._reach(address, CONFIG_TIMEOUT_S)
+        if member is None:
+            return Error(PeerFailure.of(not_run("peer-lost")))
+        return Ok(member.config_answer(known_version))
+
     async def liveness(self, address: str) -> Liveness:
         """Return whether a member answers; the call to a paused one times out."""
         await self._process.wait_until_resumed()
--- a/tests/jobs/test_queuefollower.py
+++ b/tests/jobs/test_queuefollower.py
@@ -10,6 +10,7 @@
 import pytest
 from attrs import define
 
+from redwingrun.jobs.configfreshness import ConfigFreshness
 from redwingrun.jobs.queuefollower import QueueFollower
 from redwingrun.logs import Log
 from redwingrun.metrics import Metrics
@@ -109,7 +110,12 @@
         table = PlatformTable(JsonClient(link, "store:1", clock), Metrics())
         log = Log("test", "quiet")
         follower = QueueFollower(
-            PlatformQueues(table, log), clock, log, Metrics(), lambda queues: None
+            PlatformQueues(table, log),
+            clock,
+            log,
+            Metrics(),
+            lambda queues: None,
+            ConfigFreshness(clock, log, None),
         )
         made = Follower(loop, store, link, table, follower, routes)
         made.publish()
--- a/tests/platform/test_clientapi.py
+++ b/tests/platform/test_clientapi.py
@@ -11,6 +11,7 @@
 
 from redwingrun.coordination.clock import MonotonicClock
 from redwingrun.httpclient import HttpCall, HttpClient, HttpReply
+from redwingrun.jobs.accounts import AccountDirectory, ClientAccount, key_digest
 from redwingrun.jobs.spec import Queue, QueueAddress, QueueSet
 from redwingrun.logs import Log
 from redwingrun.metrics import Metrics
@@ -25,6 +26,7 @@
     """A member with one queue, which three jobs wait in."""
 
     age_s: float = 0.0
+    has_fresh_config: bool = True
     is_ready: bool = True
     queues: QueueSet | None = QueueSet(
         7, {"q": Queue("q", "p")}, {HOST: (QueueAddress(HOST, "/known/", "q"),)}
@@ -33,11 +35,14 @@
     def queues_age_s(self) -> float:
         return self.age_s
 
+    def accepts_keys(self) -> bool:
+        return self.has_fresh_config
+
     def waiting_count(self, queue: str) -> int:
         return 3
 
 
-def get(member: _Member, path: str) -> HttpReply:
+def get(member: _Member, path: str, **headers: str) -> HttpReply:
     """Return the member's answer to a client."""
 
     async def run() -> HttpReply:
@@ -56,7 +61,9 @@
         url = f"http://127.0.0.1:{port}{path}"
         try:
             return (
-                await client.send(HttpCall("GET", url, 10.0, None, {"Host": HOST}))
+                await client.send(
+                    HttpCall("GET", url, 10.0, None, {"Host": HOST, **headers})
+                )
             ).ok
         finally:
             client.close()
@@ -90,3 +97,64 @@
 def test_every_queue_is_refused_without_a_configuration():
     """A host that has just started does not know any queue."""
     assert get(_Member(queues=None), "/known/").status == 503
+
+
+KEY = "key-of-the-copy-desk"
+WITH_ACCOUNTS = QueueSet(
+    7,
+    {
+        "closed": Queue("closed", "p", requires_key=True),
+        "open": Queue("open", "p"),
+    },
+    {
+        HOST: (
+            QueueAddress(HOST, "/closed/", "closed"),
+            QueueAddress(HOST, "/open/", "open"),
+        )
+    },
+    accounts=AccountDirectory(
+        [ClientAccount("copy-desk", key_digests=frozenset([key_digest(KEY)]))]
+    ),
+)
+
+
+def status_with_key(
+    authorization: str | None,
+    path: str = "/closed/",
+    age_s: float = 0.0,
+    has_fresh_config: bool = True,
+) -> int:
+    """Return the status of a request that carries an ``Authorization`` header."""
+    member = _Member(age_s, has_fresh_config, queues=WITH_ACCOUNTS)
+    headers = {} if authorization is None else {"Authorization": authorization}
+    return get(member, path, **headers).status
+
+
+@pytest.mark.parametrize("scheme", ["Bearer", "bearer", "BEARER"])
+def test_known_key_is_accepted(scheme: str):
+    """The scheme's name is case-insensitive."""
+    assert status_with_key(f"{scheme} {KEY}") == 200
+
+
+@pytest.mark.parametrize(
+    "authorization", [None, "", KEY, "Bearer", "Bearer other", f"Basic {KEY}"]
+)
+def test_unknown_or_missing_key_is_refused(authorization: str | None):
+    """Guards against requests that run without a key of a client account."""
+    assert status_with_key(authorization) == 401
+
+
+def test_public_queue_needs_no_key():
+    """A key that is sent all the same is not looked at."""
+    assert status_with_key(None, "/open/") == 200
+    assert status_with_key("Bearer other", "/open/", has_fresh_config=False) == 200
+
+
+def test_unknown_key_is_refused_for_now_while_the_configuration_may_be_older():
+    """Guards against a final answer although a newer version may hold the key."""
+    assert status_with_key("Bearer other", age_s=DEADLINE_S + 0.1) == 503
+
+
+def test_known_key_is_refused_for_now_without_a_fresh_configuration():
+    """Guards against a key that works on although it may have been revoked."""
+    assert status_with_key(f"Bearer {KEY}", has_fresh_config=False) == 503
