Caps of client accounts: the owner counts what may be running, and starts no more

Cause: runs had no account, and nothing counted them. Change: SliceState counts the runs of each account from placement until their end is proved; StepScheduler places no more tasks than the cap has room for, a gang whole or not at all. The log says when an account's work begins and ceases to wait for its cap; metrics show the 20 accounts that use most.

--- a/redwingrun/jobs/decisionlog.py
+++ b/redwingrun/jobs/decisionlog.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+import math
+from collections.abc import Iterable, Set
 
 from redwingrun.coordination.clock import Clock
 from redwingrun.jobs.crashes import CrashReport
@@ -24,6 +25,9 @@
 FIRST_RUN = 1
 # A line names at most so many tasks, so that its length is bounded.
 MAX_LOGGED_SUSPECTS = 20
+# Metrics show the use of so many accounts, so that their number is bounded.
+MAX_ACCOUNTS_SHOWN = 20
+ACCOUNT_METRICS_INTERVAL_S = 1.0
 
 
 class DecisionLog:
@@ -34,6 +38,39 @@
         self._engine = engine
         self._clock = clock
         self._metrics = metrics
+        self._capped_accounts: frozenset[str] = frozenset()
+        self._accounts_shown: Set[str] = frozenset()
+        self._accounts_shown_s = -math.inf
+
+    def accounts(self, capped: frozenset[str]) -> None:
+        """Log whose work begins or ceases to wait for a cap, and show what they use.
+
+        :param capped: the client accounts whose work waits for their cap.
+        """
+        usage = self._engine.state.account_usage
+        for account in sorted(capped ^ self._capped_accounts):
+            used = usage.usage(account)
+            self._log.event(
+                "account-at-cap" if account in capped else "account-below-cap",
+                account=account,
+                cpu_milli=used.cpu_milli,
+                memory_mb=used.memory_mb,
+                gpus=used.gpus,
+                runs=used.runs,
+            )
+        self._capped_accounts = capped
+        now_s = self._clock.now()
+        if now_s - self._accounts_shown_s < ACCOUNT_METRICS_INTERVAL_S:
+            return
+        self._accounts_shown_s = now_s
+        shown = dict(usage.largest(MAX_ACCOUNTS_SHOWN))
+        for account in self._accounts_shown - shown.keys():
+            self._metrics.remove_gauge("account_cpu_milli", account=account)
+            self._metrics.remove_gauge("account_runs", account=account)
+        for account, used in shown.items():
+            self._metrics.gauge("account_cpu_milli", used.cpu_milli, account=account)
+            self._metrics.gauge("account_runs", used.runs, account=account)
+        self._accounts_shown = shown.keys()
 
     def starts(self, orders: tuple[StartOrder, ...], fence: int) -> None:
         """Log which tasks start on which workers, one line for each step.
--- a/redwingrun/jobs/engine.py
+++ b/redwingrun/jobs/engine.py
@@ -83,6 +83,8 @@
 
     The changed jobs must be stored before the starts are sent: otherwise another owner
     could start the same tasks again after a takeover.
+
+    :param capped_accounts: the client accounts whose work waits for their cap.
     """
 
     starts: tuple[StartOrder, ...]
@@ -90,6 +92,7 @@
     paces: tuple[PaceOrder, ...]
     policy_queries: tuple[PolicyQuery, ...]
     changed_jobs: frozenset[str]
+    capped_accounts: frozenset[str] = frozenset()
 
 
 class Engine:
@@ -163,6 +166,7 @@
     def set_queues(self, queues: QueueSet) -> None:
         """Apply a newer configuration; a job of a removed queue keeps its old queue."""
         self._queues = queues
+        self.state.account_usage.set_accounts(queues.accounts)
         for job in self.state.job_by_id.values():
             job.queue = queues.queue_by_name.get(job.queue.name, job.queue)
 
@@ -413,7 +417,14 @@
         stops, self.state.stops = self.state.stops, []
         paces = self._reports.pop_pace_orders()
         changed, self.state.changed = frozenset(self.state.changed), set()
-        return Plan(tuple(starts), tuple(stops), paces, tuple(policy_queries), changed)
+        return Plan(
+            tuple(starts),
+            tuple(stops),
+            paces,
+            tuple(policy_queries),
+            changed,
+            self.state.account_usage.pop_capped(),
+        )
 
     def last_end_by_worker(self) -> dict[str, LastEnd]:
         """Return the last processed run end, by worker."""
--- a/redwingrun/jobs/sliceowner.py
+++ b/redwingrun/jobs/sliceowner.py
@@ -315,6 +315,7 @@
         self._unsaved_jobs |= plan.changed_jobs
         if plan.starts or self._batch_delay_s() < MIN_BATCH_DELAY_S:
             await self._store()
+        self.decisions.accounts(plan.capped_accounts)
         self.decisions.starts(plan.starts, self.fence)
         for start in plan.starts:
             self._send_start(start)
--- a/redwingrun/jobs/slicestate.py
+++ b/redwingrun/jobs/slicestate.py
@@ -6,6 +6,7 @@
 
 from attrs import define
 
+from redwingrun.jobs.accountusage import AccountUsage
 from redwingrun.jobs.evidence import EndedRun, Evidence
 from redwingrun.jobs.job import Job, apply_run_loss
 from redwingrun.jobs.placement import reserved_size
@@ -49,6 +50,7 @@
     :ivar policy_cache_by_step: answers of the placement policy.
     :ivar live_runs: by task and run number, the worker of each run that may be alive.
     :ivar ended_run_by_task: of each task that waits for another run, the one before.
+    :ivar account_usage: what the runs in ``live_runs`` use, by client account.
     :ivar stops: stop orders that no plan has returned yet.
     :ivar changed: ids of the jobs whose progress must be stored.
     :ivar scheduled: ids of the jobs with occurrences that have not begun.
@@ -63,6 +65,7 @@
         self.ready_step_by_id: dict[StepId, ReadyStep] = {}
         self.policy_cache_by_step: dict[StepId, StepPolicyCache] = {}
         self.live_runs: dict[TaskId, dict[int, str]] = {}
+        self.account_usage = AccountUsage()
         self.stops: list[StopOrder] = []
         self.changed: set[str] = set()
         self.scheduled: set[str] = set()
@@ -103,8 +106,11 @@
             percent_changed_s=now_s,
             is_filler=step.filler,
             target_ms=step.target_ms,
+            account=job.submission.account,
+            account_size=step.size,
         )
-        worker.add(run)
+        if worker.add(run):
+            self.account_usage.add(run.account, run.account_size)
         self.live_runs.setdefault(run_id.task, {})[run_id.run] = worker.worker_id
         return run
 
@@ -115,7 +121,10 @@
             live.pop(run_id.run, None)
             if not live:
                 del self.live_runs[run_id.task]
-        return worker.remove(run_id)
+        run = worker.remove(run_id)
+        if run is not None:
+            self.account_usage.remove(run.account, run.account_size)
+        return run
 
     def lose_run(self, worker: Worker, run_id: RunId, evidence: Evidence) -> bool:
         """Remove a run that ended without a report, if there is evidence of its end.
--- a/redwingrun/jobs/stepscheduler.py
+++ b/redwingrun/jobs/stepscheduler.py
@@ -92,6 +92,9 @@
         is_gang = job.step(step_id).gang
         if is_gang and len(waiting) < len(job.tasks(step_id)):
             return
+        waiting = self._within_cap(job, step_id, waiting)
+        if not waiting:
+            return
         if not is_gang:
             waiting = waiting[: max_starts - len(starts)]
         workers = candidates.in_pool(job.queue.pool)
@@ -122,6 +125,19 @@
                 view, job, waiting, workers, now_s
             )
 
+    def _within_cap(self, job: Job, step_id: StepId, waiting: list[int]) -> list[int]:
+        """Return the waiting tasks that the cap of the job's account has room for.
+
+        A gang is started as a whole: of one that does not fit none is returned.
+        """
+        step = job.step(step_id)
+        usage = self._state.account_usage
+        room = usage.room_for(job.submission.account, step.size)
+        if room >= len(waiting):
+            return waiting
+        usage.note_capped(job.submission.account)
+        return [] if step.gang else waiting[: int(room)]
+
     def _has_waited_too_long(self, job: Job, now_s: float) -> bool:
         """Return whether suspected tasks have waited too long for a held worker."""
         since_s = job.suspects_wait_since_s
--- a/redwingrun/jobs/workerpool.py
+++ b/redwingrun/jobs/workerpool.py
@@ -77,6 +77,9 @@
     :param pace_percent: share of full speed that the worker last acknowledged.
     :param is_filler: whether the run uses only processor time that others leave.
     :param target_ms: upper bound on the tail latency of a serving task; 0 for none.
+    :param account: the client account whose cap it counts against; empty for none.
+    :param account_size: what it counts there. A filler reserves no processor on its
+        worker, but uses some.
     """
 
     run_id: RunId
@@ -97,6 +100,8 @@
     pace_percent: int = 100
     is_filler: bool = False
     target_ms: float = 0
+    account: str = ""
+    account_size: TaskSize = TaskSize()
 
     @property
     def may_start_late(self) -> bool:
@@ -238,12 +243,13 @@
         """Whether more is reserved than the worker has; it may have shrunk."""
         return not self.fits(TaskSize())
 
-    def add(self, run: Run) -> None:
-        """Record a run and reserve its resources."""
+    def add(self, run: Run) -> bool:
+        """Record a run and reserve its resources; return whether it is a new one."""
         if run.run_id in self.run_by_id:
-            return
+            return False
         self.run_by_id[run.run_id] = run
         self._reserve(run, 1)
+        return True
 
     def remove(self, run_id: RunId) -> Run | None:
         """Remove a run that has certainly ended and release its resources."""
--- a/redwingrun/metrics.py
+++ b/redwingrun/metrics.py
@@ -50,6 +50,10 @@
         """Set a gauge."""
         self._gauges[name, tuple(sorted(labels.items()))] = value
 
+    def remove_gauge(self, name: str, **labels: str) -> None:
+        """Remove a gauge whose labels no longer apply."""
+        self._gauges.pop((name, tuple(sorted(labels.items()))), None)
+
     def seconds(self, name: str, value_s: float, **labels: str) -> None:
         """Record a duration, given in seconds, in a histogram."""
         key = (name, tuple(sorted(labels.items())))
--- a/tests/jobs/cluster.py
+++ b/tests/jobs/cluster.py
@@ -63,6 +63,8 @@
 CRASHES_BEFORE_LIMIT = 3
 STARTS_AFTER_CRASHES = 3
 QUEUE = "checks"
+# Share of its cap by which the platform lets an account exceed it.
+CAP_OVERAGE = 0.1
 POOL = "walls"
 
 
@@ -74,6 +76,7 @@
     :ivar unavailable_partitions: partitions that do not answer any member.
     :ivar registry_is_unavailable: the registrations of workers can't be read.
     :ivar published: the versions of the configuration that were read, by version.
+    :ivar account: the client account on whose behalf jobs are submitted.
     :ivar revocation_timeout_s: setting of the members that are added.
     :ivar clock_rate: rate of the clocks of the members that are added.
     :ivar queues_error: raised by reads of the configuration.
@@ -107,6 +110,7 @@
     rows: Rows = field(factory=Rows)
     queues: QueueSet = field(factory=lambda: make_queues())
     published: dict[int, QueueSet] = field(factory=dict)
+    account: str = ""
     revocation_timeout_s: float | None = None
     clock_rate: float = 1.0
     history_from: int = 0
@@ -227,7 +231,7 @@
         :param at: name of a member; by default the first that is not paused, if
             possible one that reaches the table.
         """
-        submission = Submission(QUEUE, spec, int(self.loop.time() * 1000))
+        submission = Submission(QUEUE, spec, int(self.loop.time() * 1000), self.account)
         self.submission_by_job[job_id] = submission
         running = [n for n, p in self.process_by_name.items() if p.resumed.is_set()]
         if not running:
@@ -349,6 +353,7 @@
             self.violations.append(f"UNKNOWN JOB: {run_id}")
             return
         self._check_step_order(run_id, submission.spec)
+        self._check_cap(run_id, submission.account)
         used = sum(self.step_of(key.task).size.cpu_milli for key in worker.runs)
         if used > worker.info.capacity.cpu_milli:
             self.violations.append(
@@ -356,6 +361,20 @@
                 f" of {worker.info.capacity.cpu_milli} millicores"
             )
 
+    def _check_cap(self, run_id: RunId, account: str) -> None:
+        """Check that a start brings its account over its cap by one task at most."""
+        known = self.queues.accounts.find_by_name(account)
+        if known is None:
+            return
+        used = sum(
+            self.step_of(task).size.cpu_milli * len(runs)
+            for task, runs in self.live_runs.items()
+            if self.submission_by_job[task.job].account == account
+        )
+        allowed = known.cap.cpu_milli * (1 + CAP_OVERAGE)
+        if used > allowed + self.step_of(run_id.task).size.cpu_milli:
+            self.violations.append(f"CAP: {account} uses {used} millicores at {run_id}")
+
     def _record_gang_start(self, run_id: RunId) -> None:
         """Record the time if all tasks of the run's gang are running now."""
         step_id = run_id.task.step_id
