Retry-After grows with the age of the table's outage

Callers saw: while the table did not answer for some seconds, each refusal with 503 said `Retry-After: 1`. Clients used up their four retries before the table was back, and their jobs were lost although workers were free.

Cause: the header was a constant.

Change: `RetryAfter` draws the wait between 1 and 1.5 times the age of the outage, in whole seconds, 1 to 8 s; `Member.table_outage_s` is that age, and 0 while the table answers, when the wait stays 1 s. All 503 replies of the client handlers use it.

Evidence: tests/jobs/test_retryafter.py and tests/platform/test_clientapi.py pass, with test_jobservice, test_revokedkeys, test_partition_outages, test_configfreshness and test_docs.

--- a/redwingrun/jobs/member.py
+++ b/redwingrun/jobs/member.py
@@ -73,6 +73,7 @@
         self._settings = settings
         self._dependencies = dependencies
         self._log = dependencies.log
+        self._created_s = dependencies.clock.now()
         self._freshness = ConfigFreshness(
             dependencies.clock, dependencies.log, settings.revocation_timeout_s
         )
@@ -180,16 +181,30 @@
         average read times. Only reads of the owner's row and of the configuration of
         queues count, and the commits of an owner, which does not read its row.
         """
-        now_s = self._dependencies.clock.now()
-        answered_s = max(self._owner_row_read_s, self._queue_follower.answered_s)
-        if self._owner is not None:
-            answered_s = max(answered_s, now_s - self._owner.since_commit_s())
         return (
-            now_s - answered_s
+            self._dependencies.clock.now() - self._table_answered_s()
             > TABLE_UNAVAILABLE_AFTER_S
             + TABLE_UNAVAILABLE_READS * self._watch.average_read_s
         )
 
+    def table_outage_s(self) -> float:
+        """Return the seconds since the table's last answer, 0 while it is available.
+
+        Before the first answer they count from the creation of this member.
+        """
+        if not self.table_is_unavailable():
+            return 0.0
+        since_s = max(self._created_s, self._table_answered_s())
+        return self._dependencies.clock.now() - since_s
+
+    def _table_answered_s(self) -> float:
+        """Return the monotonic time of the table's last answer to this member."""
+        answered_s = max(self._owner_row_read_s, self._queue_follower.answered_s)
+        if self._owner is None:
+            return answered_s
+        now_s = self._dependencies.clock.now()
+        return max(answered_s, now_s - self._owner.since_commit_s())
+
     def owner_row_age_s(self) -> float:
         """Return the seconds since this member last read the owner's row.
 
--- a/redwingrun/platform/clientapi.py
+++ b/redwingrun/platform/clientapi.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 import orjson
-from attrs import frozen
+from attrs import field, frozen
 from tornado.web import Application, RequestHandler
 
 from redwingrun.coordination.clock import Clock
@@ -15,6 +15,7 @@
 from redwingrun.jobs.jobstore import TABLE_REJECTS
 from redwingrun.jobs.member import Member
 from redwingrun.jobs.progress import JobState
+from redwingrun.jobs.retryafter import RetryAfter
 from redwingrun.jobs.spec import (
     BadJobError,
     QueueAddress,
@@ -32,7 +33,6 @@
 # The client's deadline starts when it sends the request. The reply is sent this long
 # before the deadline, so that it arrives before it.
 REPLY_MARGIN_S = 0.15
-RETRY_AFTER_S = "1"
 KEY_SCHEME = "bearer"
 STATE_NAMES = {
     JobState.QUEUED: "queued",
@@ -49,6 +49,7 @@
 
     :param config_deadline_s: age from which on the configuration may be older than one
         that hosts must use.
+    :param retry_after: computes when clients that are refused should come again.
     """
 
     member: Member
@@ -57,6 +58,7 @@
     log: Log
     metrics: Metrics
     config_deadline_s: float
+    retry_after: RetryAfter = field(factory=RetryAfter)
 
 
 class _Handler(RequestHandler):
@@ -78,6 +80,12 @@
             self.set_header("Connection", "close")
         self.finish(orjson.dumps(data))
 
+    def _set_retry_after(self) -> None:
+        """Tell the client when to come again, by the age of the table's outage."""
+        outage_s = self.dependencies.member.table_outage_s()
+        wait_s = self.dependencies.retry_after.seconds(outage_s)
+        self.set_header("Retry-After", str(wait_s))
+
     def compute_etag(self) -> None:
         """Send no ETag: replies must not be cached."""
 
@@ -89,7 +97,7 @@
         if failure.reason == TABLE_REJECTS:
             status = 413
         elif failure.verdict is Verdict.NOT_RUN:
-            self.set_header("Retry-After", RETRY_AFTER_S)
+            self._set_retry_after()
             status = 503
         else:
             status = 504
@@ -138,7 +146,7 @@
         self.address: QueueAddress | None = None
         self.account: ClientAccount | None = None
         if queues is None:
-            self.set_header("Retry-After", RETRY_AFTER_S)
+            self._set_retry_after()
             self.reply(503, {"error": "no configuration is loaded yet"})
             return
         host = self.request.host.partition(":")[0]
@@ -181,7 +189,7 @@
     def _refuse_key(self, status: int, reason: str) -> None:
         """Reply that a request is not served because of its key; it has not run."""
         if status == 503:
-            self.set_header("Retry-After", RETRY_AFTER_S)
+            self._set_retry_after()
         self.dependencies.metrics.count("refusals_total", reason=reason)
         self._log_lookup(
             "refused",
@@ -200,7 +208,7 @@
         if age_s <= self.dependencies.config_deadline_s:
             self.reply(404, {"error": "no such queue"})
             return
-        self.set_header("Retry-After", RETRY_AFTER_S)
+        self._set_retry_after()
         self.reply(503, {"error": "no such queue in a configuration that may be old"})
 
     def _log_lookup(self, what: str, **fields: object) -> None:
@@ -297,7 +305,7 @@
     def _reply_waiting_count(self) -> None:
         waiting_count = self.dependencies.member.waiting_count(self.address.queue)
         if waiting_count is None:
-            self.set_header("Retry-After", RETRY_AFTER_S)
+            self._set_retry_after()
             self.reply(503, {"error": "the number of waiting jobs is not known yet"})
         else:
             self._log_lookup("counted", queue=self.address.queue, count=waiting_count)
--- a/tests/platform/test_clientapi.py
+++ b/tests/platform/test_clientapi.py
@@ -5,13 +5,17 @@
 import asyncio
 
 import pytest
-from attrs import define
+from attrs import define, evolve
+from expression import Error, Result
 from tornado.httpserver import HTTPServer
 from tornado.testing import bind_unused_port
 
 from redwingrun.coordination.clock import MonotonicClock
+from redwingrun.coordination.verdict import Failure, not_run
 from redwingrun.httpclient import HttpCall, HttpClient, HttpReply
 from redwingrun.jobs.accounts import AccountDirectory, ClientAccount, key_digest
+from redwingrun.jobs.jobstore import TABLE_UNAVAILABLE
+from redwingrun.jobs.progress import JobState
 from redwingrun.jobs.spec import Queue, QueueAddress, QueueSet
 from redwingrun.logs import Log
 from redwingrun.metrics import Metrics
@@ -21,6 +25,15 @@
 DEADLINE_S = 2.0
 
 
+class _TableAway:
+    """A service that can't reach the table, itself or through a peer."""
+
+    async def state(
+        self, job_id: str, timeout_s: float
+    ) -> Result[JobState | None, Failure]:
+        return Error(not_run(TABLE_UNAVAILABLE))
+
+
 @define
 class _Member:
     """A member with one queue, which three jobs wait in."""
@@ -28,6 +41,8 @@
     age_s: float = 0.0
     has_fresh_config: bool = True
     is_ready: bool = True
+    outage_s: float = 0.0
+    waiting: int | None = 3
     queues: QueueSet | None = QueueSet(
         7, {"q": Queue("q", "p")}, {HOST: (QueueAddress(HOST, "/known/", "q"),)}
     )
@@ -38,8 +53,15 @@
     def accepts_keys(self) -> bool:
         return self.has_fresh_config
 
-    def waiting_count(self, queue: str) -> int:
-        return 3
+    def table_outage_s(self) -> float:
+        return self.outage_s
+
+    def waiting_count(self, queue: str) -> int | None:
+        return self.waiting
+
+    @property
+    def jobs(self) -> _TableAway:
+        return _TableAway()
 
 
 def get(member: _Member, path: str, **headers: str) -> HttpReply:
@@ -158,3 +180,26 @@
 def test_known_key_is_refused_for_now_without_a_fresh_configuration():
     """Guards against a key that works on although it may have been revoked."""
     assert status_with_key(f"Bearer {KEY}", has_fresh_config=False) == 503
+
+
+REFUSALS = {
+    "no configuration": (_Member(queues=None), "/known/"),
+    "unknown queue": (_Member(age_s=60.0), "/new/"),
+    "key not checked": (
+        _Member(has_fresh_config=False, queues=WITH_ACCOUNTS),
+        "/closed/",
+    ),
+    "table away": (_Member(), "/known/0123456789abcdef"),
+    "waiting jobs not known": (_Member(waiting=None), "/known/"),
+}
+
+
+@pytest.mark.parametrize("cause", REFUSALS)
+def test_refused_clients_come_again_by_the_age_of_the_outage(cause: str):
+    """Guards against clients that use up their retries while the table is away."""
+    member, path = REFUSALS[cause]
+    waits_by_outage_s = {0.0: {"1"}, 4.0: {"4", "5", "6"}, 60.0: {"6", "7", "8"}}
+    for outage_s, waits in waits_by_outage_s.items():
+        reply = get(evolve(member, outage_s=outage_s), path)
+        assert reply.status == 503
+        assert reply.headers["Retry-After"] in waits
