Learned run times by image and queue, off by default

Callers saw: clients' estimates for long work are wrong by a factor of e^0.9 in either direction, and the due times that order the work follow them.

Cause: only the average bias of a queue's estimates was learned, for the speed of workers; nothing replaced an estimate that says nothing.

Change: `RunTimeModel` learns, by queue and image, the distributions of the run time and of its ratio to the estimate from whole runs near their data, normalised by the speed of the worker. `Run.is_resumed` marks starts from a checkpoint, which are not measured.

--- a/redwingrun/jobs/engine.py
+++ b/redwingrun/jobs/engine.py
@@ -21,11 +21,13 @@
 from redwingrun.jobs.policycache import Ticket
 from redwingrun.jobs.policyqueries import PolicyQueryPlanner
 from redwingrun.jobs.progress import JobProgress, JobState
+from redwingrun.jobs.runtimemodel import RunTimeModel
 from redwingrun.jobs.slicestate import SliceState
 from redwingrun.jobs.spec import (
     Queue,
     QueueSet,
     RunId,
+    StepSpec,
     Submission,
     TaskId,
 )
@@ -70,11 +72,14 @@
     :param early_s: how many seconds before its due time an occurrence may start. Not
         used: occurrences start at their due time.
     :param max_lease_s: a worker shortens a longer lease to this.
+    :param learns_run_times: whether learned run times replace the clients' estimates in
+        due times and in the detection of slow workers.
     """
 
     far_factor: float = 2.0
     early_s: float = 0.0
     max_lease_s: float = 10.0
+    learns_run_times: bool = False
 
 
 @frozen
@@ -106,8 +111,13 @@
         # Cancellations that arrived before their jobs.
         self._cancelled_early: set[str] = set()
         self._crashes = CrashRecorder(self.state)
+        self._run_times = RunTimeModel() if settings.learns_run_times else None
         self._reports = ReportProcessor(
-            self.state, SpeedMeter(speed_model), speed_model, self._crashes
+            self.state,
+            SpeedMeter(speed_model),
+            speed_model,
+            self._crashes,
+            self._run_times,
         )
         placer = Placer(speed_model)
         self._query_planner = PolicyQueryPlanner(placer)
@@ -444,12 +454,18 @@
     def _due_s(self, submission: Submission, queue: Queue, now_s: float) -> float:
         """Return the monotonic time at which a job is due by its queue's objective.
 
-        The objective is relative to the estimated length of the job's critical path.
+        The objective is relative to the expected length of the job's critical path.
         """
         path_ms = [0.0] * len(submission.spec.steps)
         for position, step in enumerate(submission.spec.steps):
             before = max((path_ms[other] for other in step.after), default=0)
-            path_ms[position] = before + step.estimate_ms
+            path_ms[position] = before + self._expected_ms(queue, step)
         age_ms = max(0, self.state.unix_ms - submission.accepted_ms)
         allowed_ms = queue.stretch * max(path_ms) + queue.slack_ms
         return now_s + (allowed_ms - age_ms) / MS_PER_S
+
+    def _expected_ms(self, queue: Queue, step: StepSpec) -> float:
+        """Return the learned run time of a step's tasks, or the client's estimate."""
+        if self._run_times is None:
+            return step.estimate_ms
+        return self._run_times.expected_ms(queue.name, step)
--- a/redwingrun/jobs/stepscheduler.py
+++ b/redwingrun/jobs/stepscheduler.py
@@ -229,7 +229,8 @@
             job.progress.state = JobState.RUNNING
         self._state.changed.add(job.job_id)
         run_id = RunId(task_id, task.run)
-        self._state.add_run(job, run_id, placement.worker, now_s)
+        run = self._state.add_run(job, run_id, placement.worker, now_s)
+        run.is_resumed = bool(task.checkpoint)
         return StartOrder(
             run_id,
             task.worker,
--- a/redwingrun/jobs/stragglers.py
+++ b/redwingrun/jobs/stragglers.py
@@ -14,6 +14,7 @@
 from redwingrun.jobs.candidates import is_usable
 from redwingrun.jobs.job import Job
 from redwingrun.jobs.placement import has_required_label, reserved_size
+from redwingrun.jobs.runtimemodel import RunTimeModel
 from redwingrun.jobs.slicestate import SliceState
 from redwingrun.jobs.spec import StepId
 from redwingrun.jobs.speeds import SpeedModel
@@ -42,11 +43,19 @@
     """Computes workers' slow factors and selects the runs to move.
 
     :param speed_model: read only.
+    :param run_times: learned run times, read only; ``None`` if clients' estimates are
+        used.
     """
 
-    def __init__(self, state: SliceState, speed_model: SpeedModel):
+    def __init__(
+        self,
+        state: SliceState,
+        speed_model: SpeedModel,
+        run_times: RunTimeModel | None = None,
+    ):
         self._state = state
         self._speed_model = speed_model
+        self._run_times = run_times
         # The factors of the runs of each step, by worker.
         self._factors_by_step: dict[StepId, dict[str, list[float]]] = {}
 
@@ -128,11 +137,10 @@
     def _expected_s(self, job: Job, run: Run) -> float:
         """Return the expected run time of the task on an average worker."""
         step = job.step(run.run_id.task.step_id)
-        return (
-            step.estimate_ms
-            / MS_PER_S
-            * self._speed_model.estimate_bias(job.queue.name)
-        )
+        queue = job.queue.name
+        if self._run_times is not None and self._run_times.has_learned(queue, step):
+            return self._run_times.expected_ms(queue, step) / MS_PER_S
+        return step.estimate_ms / MS_PER_S * self._speed_model.estimate_bias(queue)
 
     def _projected_s(self, run: Run, now_s: float) -> float | None:
         """Return the total run time extrapolated from a run's progress.
--- a/redwingrun/jobs/workerpool.py
+++ b/redwingrun/jobs/workerpool.py
@@ -66,6 +66,7 @@
         may still carry out its start.
     :param started_s: monotonic time at which the worker confirmed the start; ``None``
         before, and negative infinity for a run that a former owner started.
+    :param is_resumed: whether it was started from a checkpoint.
     :param percent: progress in percent, as last reported.
     :param percent_changed_s: monotonic time of the last report with a new ``percent``.
     :param measured_from_s: monotonic time from which its progress is measured, to learn
@@ -91,6 +92,7 @@
     unanswered_s: float | None = None
     late_until_s: float = -math.inf
     started_s: float | None = None
+    is_resumed: bool = False
     percent: float = 0
     percent_changed_s: float = 0
     measured_from_s: float | None = None
--- a/redwingrun/jobs/workerreports.py
+++ b/redwingrun/jobs/workerreports.py
@@ -11,6 +11,8 @@
 from redwingrun.jobs.job import Job, apply_run_end, remove_done_occurrences
 from redwingrun.jobs.pacing import pace_orders
 from redwingrun.jobs.progress import TaskState
+from redwingrun.jobs.runtimemeter import RunTimeMeter
+from redwingrun.jobs.runtimemodel import RunTimeModel
 from redwingrun.jobs.slicestate import SliceState
 from redwingrun.jobs.spec import RunId
 from redwingrun.jobs.speedmeter import SpeedMeter
@@ -51,6 +53,8 @@
     :param speed_meter: measures the progress of runs.
     :param speed_model: what is learned from that; read only.
     :param crashes: counts the runs that ended with their workers.
+    :param run_times: learns the run times of tasks; ``None`` if clients' estimates are
+        used.
     """
 
     def __init__(
@@ -59,11 +63,15 @@
         speed_meter: SpeedMeter,
         speed_model: SpeedModel,
         crashes: CrashRecorder,
+        run_times: RunTimeModel | None = None,
     ):
         self._state = state
         self._crashes = crashes
         self._speed_meter = speed_meter
-        self._stragglers = StragglerDetector(state, speed_model)
+        self._run_time_meter: RunTimeMeter | None = None
+        if run_times is not None:
+            self._run_time_meter = RunTimeMeter(run_times, speed_model)
+        self._stragglers = StragglerDetector(state, speed_model, run_times)
         self._failed_jobs_by_worker: dict[str, set[str]] = {}
         self._checked_s = 0.0
         self._pace_orders: list[PaceOrder] = []
@@ -246,6 +254,8 @@
         self._update_failed_jobs(worker, job, end, now_s)
         if end.kind is EndKind.DONE and run is not None:
             self._speed_meter.run_done(worker, run, job, now_s)
+            if self._run_time_meter is not None:
+                self._run_time_meter.run_done(worker, run, job, now_s)
         if end.kind is not EndKind.DONE:
             self._state.stop_gang(job, end.run_id.task)
         self._state.add_ready_steps(job, end.run_id.task.occurrence)
--- a/tests/jobs/test_workerreports.py
+++ b/tests/jobs/test_workerreports.py
@@ -15,16 +15,18 @@
 from tests.jobs.cluster import POOL, QUEUE, TaskSize, job, job_id, make_queues, step
 
 REPORT_INTERVAL_S = 0.5
+SETTINGS = EngineSettings()
 
 
 class EngineHarness:
     """An engine with workers whose reports are given by the test.
 
     :param workers: number of workers; each has room for four tasks of one core.
+    :param settings: settings of the engine.
     """
 
-    def __init__(self, workers: int = 3):
-        self.engine = Engine(EngineSettings())
+    def __init__(self, workers: int = 3, settings: EngineSettings = SETTINGS):
+        self.engine = Engine(settings)
         self.engine.set_queues(make_queues())
         self.now_s = 100.0
         self.names: list[str] = []
