Hostile clients: a budget of bodies, caps on connections, and truthful refusals

Clients that sent many unfinished, slow or far too large requests brought a process over the memory of its host. Each connection could hold a body of 1 MB, nothing bounded their sum or the number of connections, the readiness port took bodies of any size that tornado allows (100 MB), and a connection to the peers' port could grow an HTTP/2 header block before it had sent the secret.

`BodyBudget` counts bytes over all connections of the process as they arrive, with headers and framing, and decides without a network what gives way: the address that uses the most, and of its unfinished requests a stalled one first. `GuardedServer` applies it to tornado below the application, so that handlers stay as they are. A declared excess is answered 413 before the body, a chunked one at the limit while it arrives, everything else 503 with Retry-After; none of these requests has run. The rest of a refused request is read and dropped for 0.5 s, because a reset would destroy the answer. The peers' port closes connections without the secret after 32,768 bytes or 3 s, and the oldest of them first above the maximum.

--- /dev/null
+++ b/redwingrun/bodybudget.py
@@ -0,0 +1,339 @@
+"""A budget of the bytes that unanswered requests hold, over all connections."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from enum import Enum
+from typing import Any
+
+from attrs import define, field, frozen
+
+BYTES_PER_MB = 1_048_576
+# A process uses about 61 MB at its peak without requests in flight.
+PROCESS_MB = 64
+# A byte of a body needs up to four bytes of memory: the buffer that grows, the copy for
+# the handler and the decoded request.
+MEMORY_PER_BODY_BYTE = 4
+# What tornado and the kernel's descriptor need for a connection without a body.
+MEMORY_PER_CONNECTION_BYTES = 65_536
+# The largest body that a process accepts must fit into the budget beside other bodies.
+MIN_LARGEST_BODIES = 2
+# Part of the memory beside the process that connections without bodies may use. Bodies
+# rarely need the whole rest: not all of them are copied and decoded at the same time.
+CONNECTION_MEMORY_SHARE = 0.25
+MIN_CONNECTIONS = 16
+# Clients get this part of the descriptors; calls to workers, peers and the store need
+# the rest.
+CLIENT_DESCRIPTOR_SHARE = 0.25
+# An unfinished request without progress for this time is dropped before an active one.
+STALL_S = 0.2
+
+
+class Refusal(Enum):
+    """Why a request or connection is refused; the values are labels of a counter."""
+
+    TOO_LARGE = "body-too-large"
+    NO_BUDGET = "body-budget"
+    UNFINISHED = "unfinished-requests"
+    SLOW_BODY = "slow-body"
+    SLOW_HEADERS = "slow-headers"
+    CONNECTIONS = "connections"
+    PEER_CONNECTIONS = "peer-connections"
+    PEER_UNAUTHENTICATED = "peer-unauthenticated"
+
+
+class Phase(Enum):
+    """What a connection does."""
+
+    IDLE = "idle"
+    HEADERS = "headers"
+    BODY = "body"
+    ANSWERING = "answering"
+    REFUSED = "refused"
+
+
+UNFINISHED_PHASES = (Phase.HEADERS, Phase.BODY)
+
+
+@frozen
+class BodyLimits:
+    """Limits of one process.
+
+    :param total_bytes: bytes held by unanswered requests, with headers and framing.
+    :param max_connections: most connections of clients.
+    :param max_unfinished: most connections with an unfinished request.
+    :param max_peer_connections: most connections to the peers' port.
+    :param max_body_bytes: longest body; a chunked one counts with its framing.
+    :param min_bytes_per_s: minimum rate of a body since its headers, whose bytes are
+        counted too.
+    :param rate_grace_s: time before the rate of a body is checked.
+    :param header_timeout_s: time from the first byte of the headers to their last.
+    """
+
+    total_bytes: int
+    max_connections: int
+    max_unfinished: int
+    max_peer_connections: int
+    max_body_bytes: int = BYTES_PER_MB
+    min_bytes_per_s: int = 8_192
+    rate_grace_s: float = 2.0
+    header_timeout_s: float = 3.0
+
+    @classmethod
+    def for_host(
+        cls,
+        memory_mb: float,
+        max_descriptors: int,
+        max_body_bytes: int = BYTES_PER_MB,
+        **others: Any,
+    ) -> BodyLimits:
+        """Return the limits for a process that has the memory of its host to itself.
+
+        :param memory_mb: memory of the host, in MiB.
+        :param max_descriptors: most open file descriptors of the process.
+        :param others: values of further limits.
+        """
+        room_bytes = int(max(0.0, memory_mb - PROCESS_MB) * BYTES_PER_MB)
+        connections = min(
+            int(room_bytes * CONNECTION_MEMORY_SHARE) // MEMORY_PER_CONNECTION_BYTES,
+            int(max_descriptors * CLIENT_DESCRIPTOR_SHARE),
+        )
+        connections = max(MIN_CONNECTIONS, connections)
+        return cls(
+            total_bytes=max(
+                MIN_LARGEST_BODIES * max_body_bytes, room_bytes // MEMORY_PER_BODY_BYTE
+            ),
+            max_connections=connections,
+            max_unfinished=connections // 2,
+            max_peer_connections=connections // 2,
+            max_body_bytes=max_body_bytes,
+            **others,
+        )
+
+
+@define(eq=False)
+class ClientConnection:
+    """A connection of a client.
+
+    :param address: the client's IP address.
+    :param port_name: the server's port that it uses.
+    :param phase_since_s: monotonic time at which the phase began.
+    :param progress_s: monotonic time of the last byte.
+    :param held_bytes: bytes of the present request.
+    :param body_bytes: those that arrived since its headers.
+    :param is_chunked: whether the body has no declared length.
+    :param on_refused: answers the request and closes the connection.
+    """
+
+    address: str
+    port_name: str
+    phase_since_s: float
+    progress_s: float
+    phase: Phase = Phase.IDLE
+    held_bytes: int = 0
+    body_bytes: int = 0
+    is_chunked: bool = False
+    on_refused: Callable[[Refusal], None] = lambda reason: None
+
+    def enter(self, phase: Phase, now_s: float) -> None:
+        """Change the phase."""
+        self.phase = phase
+        self.phase_since_s = now_s
+
+
+Refusals = list[tuple[ClientConnection, Refusal]]
+
+
+@define
+class BodyBudget:
+    """Decides which requests and connections are refused, without a network.
+
+    Methods that may refuse return the refused connections with the reasons. A refused
+    request has not run. When something is used up, the address that uses the most of
+    it gives way, so that one address may use everything while no other one needs it.
+    """
+
+    limits: BodyLimits
+    held_bytes: int = 0
+    _connections: set[ClientConnection] = field(factory=set)
+
+    @property
+    def connection_count(self) -> int:
+        """The number of open connections."""
+        return len(self._connections)
+
+    def open(
+        self, address: str, port_name: str, now_s: float
+    ) -> tuple[ClientConnection, Refusals]:
+        """Add a connection.
+
+        Each port of the server has its own maximum, so that clients of one cannot make
+        another one unreachable.
+
+        :return: the connection, and those that must be closed, maybe with this one.
+        """
+        connection = ClientConnection(address, port_name, now_s, now_s)
+        self._connections.add(connection)
+        if len(self._connections) <= self.limits.max_connections:
+            return connection, []
+        same_port = [item for item in self._connections if item.port_name == port_name]
+        if len(same_port) <= self.limits.max_connections:
+            return connection, []
+        same_port.remove(connection)
+        refused = [item for item in same_port if item.phase is Phase.REFUSED]
+        waiting = [
+            item for item in same_port if item.phase in (Phase.IDLE, Phase.HEADERS)
+        ]
+        victim = min(refused, key=_phase_since_s, default=None)
+        if victim is None and waiting:
+            address_counts = Counter(item.address for item in same_port)
+            victim = max(
+                waiting,
+                key=lambda item: (
+                    address_counts[item.address],
+                    item.phase is Phase.HEADERS,
+                    -item.phase_since_s,
+                ),
+            )
+        victim = victim or connection
+        # It must not be chosen again before the server reports that it is closed.
+        self.close(victim)
+        return connection, [(victim, Refusal.CONNECTIONS)]
+
+    def close(self, connection: ClientConnection) -> None:
+        """Remove a connection."""
+        self._release(connection)
+        self._connections.discard(connection)
+
+    def begin_request(self, connection: ClientConnection, now_s: float) -> None:
+        """Wait for a request; the one before has been answered."""
+        self._release(connection)
+        connection.enter(Phase.IDLE, now_s)
+
+    def begin_body(
+        self,
+        connection: ClientConnection,
+        declared_bytes: int | None,
+        now_s: float,
+    ) -> Refusals:
+        """Expect a body after complete headers.
+
+        :param declared_bytes: length of the body; ``None`` for a chunked one.
+        """
+        if (declared_bytes or 0) > self.limits.max_body_bytes:
+            return [self._refuse(connection, Refusal.TOO_LARGE, now_s)]
+        connection.enter(Phase.BODY, now_s)
+        connection.body_bytes = 0
+        connection.is_chunked = declared_bytes is None
+        return []
+
+    def end_body(self, connection: ClientConnection, now_s: float) -> None:
+        """Count a whole request until it is answered."""
+        connection.enter(Phase.ANSWERING, now_s)
+
+    def add(self, connection: ClientConnection, count: int, now_s: float) -> Refusals:
+        """Count bytes that have arrived.
+
+        :param count: number of bytes, of headers, framing or body.
+        """
+        is_open = connection in self._connections
+        if connection.phase is Phase.REFUSED or not is_open:
+            return []
+        connection.held_bytes += count
+        connection.progress_s = now_s
+        self.held_bytes += count
+        refusals = []
+        if connection.phase is Phase.IDLE:
+            connection.enter(Phase.HEADERS, now_s)
+            refusals += self._check_unfinished(connection, now_s)
+        elif connection.phase is Phase.BODY:
+            connection.body_bytes += count
+            if (
+                connection.is_chunked
+                and connection.body_bytes > self.limits.max_body_bytes
+            ):
+                return [self._refuse(connection, Refusal.TOO_LARGE, now_s)]
+        while self.held_bytes > self.limits.total_bytes:
+            victim = self._heaviest(connection, now_s)
+            refusals.append(self._refuse(victim, Refusal.NO_BUDGET, now_s))
+            if victim is connection:
+                break
+        return refusals
+
+    def overdue(self, now_s: float) -> Refusals:
+        """Return the connections whose headers or bodies arrive too slowly."""
+        found = []
+        for connection in self._connections:
+            elapsed_s = now_s - connection.phase_since_s
+            if connection.phase is Phase.HEADERS:
+                if elapsed_s > self.limits.header_timeout_s:
+                    found.append((connection, Refusal.SLOW_HEADERS))
+            elif (
+                connection.phase is Phase.BODY
+                and elapsed_s > self.limits.rate_grace_s
+                and connection.held_bytes < elapsed_s * self.limits.min_bytes_per_s
+            ):
+                found.append((connection, Refusal.SLOW_BODY))
+        return [self._refuse(item, reason, now_s) for item, reason in found]
+
+    def _check_unfinished(self, connection: ClientConnection, now_s: float) -> Refusals:
+        if len(self._connections) <= self.limits.max_unfinished:
+            return []
+        unfinished = self._unfinished()
+        if len(unfinished) <= self.limits.max_unfinished:
+            return []
+        count_by_address = Counter(item.address for item in unfinished)
+        most = max(count_by_address.values())
+        candidates = [
+            item for item in unfinished if count_by_address[item.address] == most
+        ]
+        victim = _least_active(candidates, now_s)
+        return [self._refuse(victim or connection, Refusal.UNFINISHED, now_s)]
+
+    def _heaviest(self, connection: ClientConnection, now_s: float) -> ClientConnection:
+        """Return the unfinished request that gives way to other bytes."""
+        held_by_address: Counter[str] = Counter()
+        unfinished = self._unfinished()
+        for item in unfinished:
+            held_by_address[item.address] += item.held_bytes
+        most = max(held_by_address.values(), default=0)
+        candidates = [
+            item for item in unfinished if held_by_address[item.address] == most
+        ]
+        return _least_active(candidates, now_s) or connection
+
+    def _unfinished(self) -> list[ClientConnection]:
+        return [item for item in self._connections if item.phase in UNFINISHED_PHASES]
+
+    def _refuse(
+        self, connection: ClientConnection, reason: Refusal, now_s: float
+    ) -> tuple[ClientConnection, Refusal]:
+        self._release(connection)
+        connection.enter(Phase.REFUSED, now_s)
+        return connection, reason
+
+    def _release(self, connection: ClientConnection) -> None:
+        self.held_bytes -= connection.held_bytes
+        connection.held_bytes = 0
+        connection.body_bytes = 0
+
+
+def _phase_since_s(connection: ClientConnection) -> float:
+    return connection.phase_since_s
+
+
+def _least_active(
+    connections: list[ClientConnection], now_s: float
+) -> ClientConnection | None:
+    """Return the stalled connection with the oldest byte, or else the last to begin.
+
+    Active requests that began early are kept: refusing each of them in turn under a
+    burst would complete none.
+    """
+    if not connections:
+        return None
+    stalled = min(connections, key=lambda item: item.progress_s)
+    if now_s - stalled.progress_s >= STALL_S:
+        return stalled
+    return max(connections, key=_phase_since_s)
--- /dev/null
+++ b/redwingrun/guardedserver.py
@@ -0,0 +1,256 @@
+"""An HTTP server that refuses what would use up the memory of its host."""
+
+from __future__ import annotations
+
+import socket
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import orjson
+from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    RequestStartLine,
+)
+from tornado.ioloop import IOLoop, PeriodicCallback
+from tornado.iostream import IOStream
+from tornado.web import Application
+
+from redwingrun.bodybudget import (
+    BodyBudget,
+    ClientConnection,
+    Phase,
+    Refusal,
+    Refusals,
+)
+from redwingrun.refusals import RefusalCounter
+
+READ_CHUNK_BYTES = 16_384
+# A stream buffers at most the largest headers and one read.
+MAX_BUFFER_BYTES = 131_072
+SWEEP_INTERVAL_MS = 500
+# How long the rest of a refused request is read and dropped. A close with unread bytes
+# resets the connection, which may destroy the answer before the client has read it.
+LINGER_S = 0.5
+RETRY_AFTER_S = 1
+
+
+def response_to(reason: Refusal) -> bytes:
+    """Return the whole answer to a refused request, which has not run."""
+    body = orjson.dumps({"error": reason.value})
+    if reason is Refusal.TOO_LARGE:
+        head = ["HTTP/1.1 413 Request Entity Too Large"]
+    else:
+        head = ["HTTP/1.1 503 Service Unavailable", f"Retry-After: {RETRY_AFTER_S}"]
+    head += [
+        "Content-Type: application/json",
+        f"Content-Length: {len(body)}",
+        "Connection: close",
+        "\r\n",
+    ]
+    return "\r\n".join(head).encode() + body
+
+
+class _CountedStream(IOStream):
+    """A stream that reports bytes when they arrive, before anything parses them.
+
+    :param on_bytes: called with the connection's record and the number of bytes.
+    """
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        record: ClientConnection,
+        on_bytes: Callable[[ClientConnection, int], None],
+    ):
+        super().__init__(
+            sock, max_buffer_size=MAX_BUFFER_BYTES, read_chunk_size=READ_CHUNK_BYTES
+        )
+        self.record = record
+        self._on_bytes = on_bytes
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Read from the socket."""
+        count = super().read_from_fd(buf)
+        if count:
+            self._on_bytes(self.record, count)
+        return count
+
+
+class GuardedServer(HTTPServer):
+    """An HTTP server whose connections share a budget."""
+
+    def initialize(
+        self,
+        application: Application,
+        budget: BodyBudget,
+        port_name: str,
+        refusals: RefusalCounter,
+        **options: Any,
+    ) -> None:
+        """Set the server up; called by tornado.
+
+        :param port_name: name of the port, for its own maximum of connections.
+        """
+        super().initialize(
+            application,
+            chunk_size=READ_CHUNK_BYTES,
+            max_body_size=budget.limits.max_body_bytes,
+            **options,
+        )
+        self._budget = budget
+        self._port_name = port_name
+        self._refusals = refusals
+        self._stream_by_record: dict[ClientConnection, _CountedStream] = {}
+        self._delegate_by_record: dict[ClientConnection, _GuardedDelegate] = {}
+        self._sweeper = PeriodicCallback(self._sweep, SWEEP_INTERVAL_MS)
+
+    def handle_stream(self, stream: IOStream, address: tuple) -> None:
+        """Serve a new connection, or refuse it or another one."""
+        record, refusals = self._budget.open(
+            address[0], self._port_name, time.monotonic()
+        )
+        record.on_refused = lambda reason: self._refuse(record, reason)
+        counted = _CountedStream(stream.socket, record, self._count_bytes)
+        self._stream_by_record[record] = counted
+        if not self._sweeper.is_running():
+            self._sweeper.start()
+        for victim, reason in refusals:
+            self._refusals.count(reason, victim.address)
+            # At once, so that the number of descriptors stays below its maximum.
+            self._drop(victim, reason, is_new=victim is record)
+        if counted.closed():
+            self._forget(record)
+        else:
+            super().handle_stream(counted, address)
+
+    def start_request(
+        self, server_conn: Any, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        """Return the delegate of a connection's next request."""
+        record = server_conn.stream.record
+        self._budget.begin_request(record, time.monotonic())
+        inner = super().start_request(server_conn, request_conn)
+        delegate = _GuardedDelegate(inner, request_conn, record, self)
+        self._delegate_by_record[record] = delegate
+        return delegate
+
+    def on_close(self, server_conn: Any) -> None:
+        """Forget a closed connection."""
+        self._forget(server_conn.stream.record)
+        super().on_close(server_conn)
+
+    def begin_body(self, record: ClientConnection, declared_bytes: int | None) -> None:
+        """Expect a body."""
+        self._apply(self._budget.begin_body(record, declared_bytes, time.monotonic()))
+
+    def end_body(self, record: ClientConnection) -> None:
+        """Note that a request has arrived completely."""
+        self._budget.end_body(record, time.monotonic())
+
+    def close_stream(self, record: ClientConnection) -> None:
+        """Close a connection if it is open."""
+        stream = self._stream_by_record.get(record)
+        if stream is not None:
+            stream.close()
+
+    def _forget(self, record: ClientConnection) -> None:
+        self._budget.close(record)
+        self._stream_by_record.pop(record, None)
+        self._delegate_by_record.pop(record, None)
+        if not self._stream_by_record:
+            self._sweeper.stop()
+
+    def _count_bytes(self, record: ClientConnection, count: int) -> None:
+        refusals = self._budget.add(record, count, time.monotonic())
+        if refusals:
+            # The stream must not be written to or closed in the middle of a read.
+            IOLoop.current().add_callback(self._apply, refusals)
+
+    def _sweep(self) -> None:
+        self._apply(self._budget.overdue(time.monotonic()))
+
+    def _apply(self, refusals: Refusals) -> None:
+        for record, reason in refusals:
+            self._refusals.count(reason, record.address)
+            record.on_refused(reason)
+
+    def _refuse(self, record: ClientConnection, reason: Refusal) -> None:
+        """Answer an unfinished request, and close its connection after a while."""
+        stream = self._stream_by_record.get(record)
+        if stream is None or stream.closed():
+            return
+        delegate = self._delegate_by_record.get(record)
+        if delegate is not None:
+            delegate.abandon()
+        stream.write(response_to(reason))
+        IOLoop.current().call_later(LINGER_S, stream.close)
+
+    def _drop(self, record: ClientConnection, reason: Refusal, is_new: bool) -> None:
+        """Close a connection now; one that waits for a request gets no answer."""
+        stream = self._stream_by_record[record]
+        if is_new or record.phase is Phase.HEADERS:
+            stream.write(response_to(reason))
+        stream.close()
+
+
+class _GuardedDelegate(HTTPMessageDelegate):
+    """Passes a request on to the application unless it is refused."""
+
+    def __init__(
+        self,
+        inner: HTTPMessageDelegate,
+        request_conn: Any,
+        record: ClientConnection,
+        server: GuardedServer,
+    ):
+        self._inner = inner
+        self._request_conn = request_conn
+        self._record = record
+        self._server = server
+        self._is_passed_on = False
+
+    def headers_received(
+        self, start_line: RequestStartLine, headers: HTTPHeaders
+    ) -> Awaitable[None] | None:
+        """Decide by the declared length whether the body may follow."""
+        declared = headers.get("Content-Length", "")
+        if "Transfer-Encoding" in headers:
+            self._server.begin_body(self._record, None)
+        elif declared.isdecimal():
+            self._server.begin_body(self._record, int(declared))
+        if self._record.phase is Phase.REFUSED:
+            return None
+        self._is_passed_on = True
+        return self._inner.headers_received(start_line, headers)
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Pass a part of the body on, or drop it."""
+        if self._record.phase is Phase.REFUSED:
+            return None
+        return self._inner.data_received(chunk)
+
+    def finish(self) -> None:
+        """Have the request handled, or close the connection of a refused one."""
+        if self._record.phase is Phase.REFUSED:
+            self.abandon()
+            self._server.close_stream(self._record)
+            return
+        self._server.end_body(self._record)
+        self._is_passed_on = False
+        self._inner.finish()
+
+    def on_connection_close(self) -> None:
+        """Tell the application that the rest of the request will not arrive."""
+        self.abandon()
+
+    def abandon(self) -> None:
+        """Drop what has arrived, and read any rest of the request without a limit."""
+        self._request_conn.set_max_body_size(sys.maxsize)
+        if self._is_passed_on:
+            self._is_passed_on = False
+            self._inner.on_connection_close()
--- a/redwingrun/jobs/peerlinks.py
+++ b/redwingrun/jobs/peerlinks.py
@@ -23,7 +23,8 @@
 from redwingrun.jobs.ports import PolicyAnswer
 from redwingrun.jobs.progress import JobState
 from redwingrun.jobs.workerpool import PolicyQuery
-from redwingrun.peers import PeerClient, PeerServer
+from redwingrun.peers import DEFAULT_MAX_CONNECTIONS, PeerClient, PeerServer
+from redwingrun.refusals import RefusalCounter
 
 PROBE_TIMEOUT_S = 0.6
 LIVENESS_TIMEOUT_S = 0.35
@@ -157,18 +158,31 @@
 
     :param ip: address to listen on.
     :param port: port to listen on.
+    :param refusals: counts the connections that the server closes; ``None`` to count
+        none.
+    :param max_connections: most connections to the server.
     """
 
-    def __init__(self, ip: str, port: int):
+    def __init__(
+        self,
+        ip: str,
+        port: int,
+        refusals: RefusalCounter | None = None,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
+    ):
         self._ip = ip
         self._port = port
+        self._refusals = refusals
+        self._max_connections = max_connections
         self._client: PeerClient | None = None
         self._server: PeerServer | None = None
 
     async def open(self, member: MemberPort, secret: str) -> None:
         """Start to serve the peers' calls, and get ready to call them."""
         self._client = PeerClient(secret, JobPeerStub)
-        self._server = PeerServer(JobPeerService(member), secret)
+        self._server = PeerServer(
+            JobPeerService(member), secret, self._refusals, self._max_connections
+        )
         await self._server.start(self._ip, self._port)
 
     async def close(self) -> None:
--- a/redwingrun/peers.py
+++ b/redwingrun/peers.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+import socket
+from collections.abc import Callable, Collection
 from typing import Any
 
 from attrs import define
@@ -12,13 +13,25 @@
 from grpclib.const import Status
 from grpclib.events import RecvRequest, listen
 from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.protocol import AbstractHandler, H2Protocol, Stream
 from grpclib.server import Server
 
 from redwingrun.auth import secrets_equal
+from redwingrun.bodybudget import Refusal
 from redwingrun.coordination.verdict import Failure, may_have_run, not_run
 from redwingrun.peer_grpc import PeerStub
+from redwingrun.refusals import RefusalCounter
 
 SECRET_METADATA_KEY = "x-peer-secret"
+# Far above the number of members of a slice, which have one or two connections each.
+DEFAULT_MAX_CONNECTIONS = 512
+# What a connection may send before its first call with the secret: the preface and
+# the headers of that call take less than 1,024 bytes.
+MAX_UNAUTHENTICATED_BYTES = 32_768
+AUTHENTICATION_TIMEOUT_S = 3.0
+# How many connections the event loop accepts before it closes those above the maximum.
+ACCEPT_BATCH = 16
+LISTEN_BACKLOG = 256
 
 
 @define
@@ -140,12 +153,153 @@
     return may_have_run("peer-failed", text)
 
 
+class _AuthenticatingHandler(AbstractHandler):
+    """Notes whether a call of a connection has sent the secret.
+
+    :param inner: handles the calls; it refuses those without the secret itself.
+    """
+
+    def __init__(self, inner: AbstractHandler, secret: str):
+        self._inner = inner
+        self._secret = secret
+        self.is_authenticated = False
+
+    def accept(
+        self,
+        stream: Stream,
+        headers: Collection[tuple[str, str]],
+        release_stream: Callable[[], Any],
+    ) -> None:
+        """Accept a call whose headers have arrived."""
+        secret = dict(headers).get(SECRET_METADATA_KEY, "")
+        if not self.is_authenticated and secrets_equal(secret, self._secret):
+            self.is_authenticated = True
+        self._inner.accept(stream, headers, release_stream)
+
+    def cancel(self, stream: Stream) -> None:
+        """Cancel a call."""
+        self._inner.cancel(stream)
+
+    def close(self) -> None:
+        """Cancel all calls."""
+        self._inner.close()
+
+
+class _GuardedProtocol(H2Protocol):
+    """A connection that is closed unless it sends the secret soon.
+
+    :ivar handler: the connection's handler.
+    """
+
+    handler: _AuthenticatingHandler
+
+    def __init__(self, server: _GuardedServer, handler: Any, *options: Any):
+        super().__init__(handler, *options)
+        self._server = server
+        self._transport: asyncio.Transport | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._received_bytes = 0
+        self.address = ""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start to serve the connection, or close it."""
+        self._transport = transport
+        self.address = (transport.get_extra_info("peername") or ("",))[0]
+        super().connection_made(transport)
+        self._server.add(self)
+        self._timer = asyncio.get_running_loop().call_later(
+            AUTHENTICATION_TIMEOUT_S, self._check_authenticated
+        )
+
+    def data_received(self, data: bytes) -> None:
+        """Serve what has arrived, or close the connection."""
+        if self._transport.is_closing():
+            return
+        super().data_received(data)
+        if self.handler.is_authenticated:
+            return
+        self._received_bytes += len(data)
+        if self._received_bytes > MAX_UNAUTHENTICATED_BYTES:
+            self.refuse(Refusal.PEER_UNAUTHENTICATED)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forget the connection."""
+        self._timer.cancel()
+        self._server.remove(self)
+        super().connection_lost(exc)
+
+    def refuse(self, reason: Refusal) -> None:
+        """Close the connection at once."""
+        self._server.remove(self)
+        self._server.count_refusal(reason, self.address)
+        self._transport.abort()
+
+    def _check_authenticated(self) -> None:
+        if not self.handler.is_authenticated and not self._transport.is_closing():
+            self.refuse(Refusal.PEER_UNAUTHENTICATED)
+
+
+class _GuardedServer(Server):
+    """A server with a maximum of connections, of which those of peers come first.
+
+    :param refusals: counts the connections that are closed; ``None`` to count none.
+    """
+
+    def __init__(
+        self,
+        service: Any,
+        secret: str,
+        max_connections: int,
+        refusals: RefusalCounter | None,
+    ):
+        super().__init__([service])
+        self._secret = secret
+        self._max_connections = max_connections
+        self._refusals = refusals
+        # Ordered by the time of the connection.
+        self._connections: dict[_GuardedProtocol, None] = {}
+
+    def _protocol_factory(self) -> H2Protocol:
+        protocol = super()._protocol_factory()
+        handler = _AuthenticatingHandler(protocol.handler, self._secret)
+        return _GuardedProtocol(self, handler, protocol.config, protocol.h2_config)
+
+    def add(self, connection: _GuardedProtocol) -> None:
+        """Add a connection; above the maximum, close the oldest without the secret."""
+        self._connections[connection] = None
+        if len(self._connections) <= self._max_connections:
+            return
+        victim = next(
+            item for item in self._connections if not item.handler.is_authenticated
+        )
+        victim.refuse(Refusal.PEER_CONNECTIONS)
+
+    def remove(self, connection: _GuardedProtocol) -> None:
+        """Forget a connection."""
+        self._connections.pop(connection, None)
+
+    def count_refusal(self, reason: Refusal, address: str) -> None:
+        """Count a connection that is closed."""
+        if self._refusals is not None:
+            self._refusals.count(reason, address)
+
+
 class PeerServer:
-    """Serves calls of peers that send the shared secret."""
+    """Serves calls of peers that send the shared secret.
 
-    def __init__(self, service: Any, secret: str):
+    :param refusals: counts the connections that are closed; ``None`` to count none.
+    :param max_connections: most connections at the same time.
+    """
+
+    def __init__(
+        self,
+        service: Any,
+        secret: str,
+        refusals: RefusalCounter | None = None,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
+    ):
         self._secret = secret
-        self._server = Server([service])
+        self._server = _GuardedServer(service, secret, max_connections, refusals)
         listen(self._server, RecvRequest, self._authenticate)
 
     async def _authenticate(self, event: RecvRequest) -> None:
@@ -155,7 +309,11 @@
 
     async def start(self, ip: str, port: int) -> None:
         """Start listening."""
-        await self._server.start(ip, port)
+        listener = socket.create_server((ip, port))
+        await self._server.start(sock=listener, backlog=ACCEPT_BATCH)
+        # The event loop uses the backlog as the number of connections that it accepts
+        # at a time; the kernel's queue is set apart from it.
+        listener.listen(LISTEN_BACKLOG)
 
     async def stop(self) -> None:
         """Stop listening, cancel the calls in progress and wait for their end."""
--- a/redwingrun/platform/__main__.py
+++ b/redwingrun/platform/__main__.py
@@ -10,8 +10,10 @@
 from attrs import asdict
 from tornado.httpserver import HTTPServer
 
+from redwingrun.bodybudget import BodyBudget, BodyLimits
 from redwingrun.coordination.clock import MonotonicClock
 from redwingrun.errors import RedwingrunError
+from redwingrun.guardedserver import GuardedServer
 from redwingrun.httpclient import HttpClient
 from redwingrun.jobs.engine import EngineSettings
 from redwingrun.jobs.member import Member
@@ -35,6 +37,7 @@
 )
 from redwingrun.platform.table import PlatformTable
 from redwingrun.platform.workerclient import PlatformWorkerClient
+from redwingrun.refusals import RefusalCounter
 
 MAX_BODY_BYTES = 1_048_576
 MAX_HEADER_BYTES = 16_384
@@ -68,6 +71,15 @@
         self._metrics = Metrics()
         self._clock = MonotonicClock()
         self._stop_requested = asyncio.Event()
+        self._budget = BodyBudget(
+            BodyLimits.for_host(
+                settings.memory_mb,
+                settings.max_descriptors,
+                max_body_bytes=MAX_BODY_BYTES,
+                header_timeout_s=settings.header_timeout_s,
+            )
+        )
+        self._refusals = RefusalCounter(log, self._metrics)
         self._member = self._build_member()
         dependencies = ApiDependencies(
             self._member,
@@ -77,14 +89,24 @@
             self._metrics,
             settings.bounds.config_deadline_s,
         )
-        self._client_server = HTTPServer(
+        self._client_server = GuardedServer(
             client_application(dependencies),
-            max_body_size=MAX_BODY_BYTES,
+            self._budget,
+            "clients",
+            self._refusals,
+            max_header_size=MAX_HEADER_BYTES,
+            body_timeout=BODY_TIMEOUT_S,
+            idle_connection_timeout=IDLE_CONNECTION_TIMEOUT_S,
+        )
+        self._ready_server = GuardedServer(
+            ready_application(dependencies),
+            self._budget,
+            "ready",
+            self._refusals,
             max_header_size=MAX_HEADER_BYTES,
             body_timeout=BODY_TIMEOUT_S,
             idle_connection_timeout=IDLE_CONNECTION_TIMEOUT_S,
         )
-        self._ready_server = HTTPServer(ready_application(dependencies))
 
     def _build_member(self) -> Member:
         settings, log, metrics = self._settings, self._log, self._metrics
@@ -100,7 +122,12 @@
             ),
             PlatformRegistry(table, log),
             self._policy,
-            GrpcPeerLinks(settings.ip, settings.peer_port),
+            GrpcPeerLinks(
+                settings.ip,
+                settings.peer_port,
+                self._refusals,
+                self._budget.limits.max_peer_connections,
+            ),
             self._clock,
             unix_ms,
             log,
--- a/redwingrun/platform/settings.py
+++ b/redwingrun/platform/settings.py
@@ -12,6 +12,10 @@
 from redwingrun.errors import RedwingrunError
 
 SETTINGS_VARIABLE = "REDWINGRUN_BOOT"
+# Of the smallest host, for settings that name no limits.
+SMALLEST_MEMORY_MB = 160.0
+SMALLEST_MAX_DESCRIPTORS = 1638
+DEFAULT_HEADER_TIMEOUT_MS = 3000
 
 
 class SettingsError(RedwingrunError):
@@ -55,6 +59,9 @@
     :param advice: address of the placement policy; empty when there is none.
     :param speed: speed of the host's processor share; 1.0 is one core of ordinary
         speed.
+    :param memory_mb: memory of the host, in MiB.
+    :param max_descriptors: most open file descriptors of the process.
+    :param header_timeout_s: time in which the headers of a request must arrive.
     """
 
     node: str
@@ -67,6 +74,9 @@
     advice: str
     bounds: TimeBounds
     speed: float = 1.0
+    memory_mb: float = SMALLEST_MEMORY_MB
+    max_descriptors: int = SMALLEST_MAX_DESCRIPTORS
+    header_timeout_s: float = 3.0
 
 
 def settings_path() -> Path:
@@ -125,6 +135,12 @@
         # The platform gives the speed of a core as a number of ordinary cores.
         speed=float(limits.get("cpuShare") or 1.0)
         * float(limits.get("cpuCores") or 1.0),
+        memory_mb=float(limits.get("memoryMb") or SMALLEST_MEMORY_MB),
+        max_descriptors=int(limits.get("maxFds") or SMALLEST_MAX_DESCRIPTORS),
+        header_timeout_s=float(
+            limits.get("headerTimeoutMs") or DEFAULT_HEADER_TIMEOUT_MS
+        )
+        / 1000,
     )
 
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -55,6 +55,22 @@
     assert settings.speed == pytest.approx(speed)
 
 
+@pytest.mark.parametrize(
+    ("limits", "expected"),
+    [
+        ({"memoryMb": 300, "maxFds": 4096, "headerTimeoutMs": 500}, (300, 4096, 0.5)),
+        ({}, (160, 1638, 3.0)),
+    ],
+)
+def test_the_limits_of_a_host_default_to_those_of_the_smallest_one(
+    tmp_path: Path, limits: dict, expected: tuple[float, int, float]
+):
+    """A process without limits must not take more memory than the smallest host has."""
+    settings = load_settings(write_settings(tmp_path, {**VALID, "limits": limits}))
+    found = (settings.memory_mb, settings.max_descriptors, settings.header_timeout_s)
+    assert found == expected
+
+
 @pytest.mark.parametrize("name", ["nodeName", "listen", "portRange", "platform"])
 def test_a_missing_field_is_named_with_the_path(tmp_path: Path, name: str):
     """The error names the file and the missing field."""
--- /dev/null
+++ b/tests/test_guardedserver.py
@@ -0,0 +1,211 @@
+"""Answers of a guarded server over real connections, and what it frees afterwards."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from tornado.testing import bind_unused_port
+from tornado.web import Application, RequestHandler
+
+from redwingrun.bodybudget import BodyBudget, BodyLimits
+from redwingrun.guardedserver import GuardedServer
+from redwingrun.logs import Log
+from redwingrun.metrics import Metrics
+from redwingrun.refusals import RefusalCounter
+
+LIMITS = BodyLimits(
+    total_bytes=400_000,
+    max_connections=3,
+    max_unfinished=3,
+    max_peer_connections=1,
+    max_body_bytes=300_000,
+    header_timeout_s=0.3,
+)
+LEGAL_BODY_BYTES = 262_144
+READ_TIMEOUT_S = 5.0
+
+
+class _Echo(RequestHandler):
+    """Answers with the length of the body, and counts the requests that ran."""
+
+    runs = 0
+
+    def post(self) -> None:
+        """Answer."""
+        _Echo.runs += 1
+        self.finish(str(len(self.request.body)))
+
+
+class _Server:
+    """A server with its budget and metrics."""
+
+    def __init__(self, limits: BodyLimits):
+        _Echo.runs = 0
+        self.budget = BodyBudget(limits)
+        self.metrics = Metrics()
+        refusals = RefusalCounter(Log("test", "quiet"), self.metrics)
+        self.http = GuardedServer(
+            Application([("/", _Echo)], log_function=lambda handler: None),
+            self.budget,
+            "clients",
+            refusals,
+            max_header_size=16_384,
+        )
+        sock, self.port = bind_unused_port()
+        self.http.add_socket(sock)
+
+    async def send(self, data: bytes) -> tuple[asyncio.StreamReader, Any]:
+        """Send on a new connection."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(data)
+        return reader, writer
+
+    async def ask(self, data: bytes) -> bytes:
+        """Send, and return everything until the server closes the connection."""
+        reader, writer = await self.send(data)
+        try:
+            async with asyncio.timeout(READ_TIMEOUT_S):
+                return await reader.read()
+        finally:
+            writer.close()
+
+    def refusals(self) -> float:
+        """Return the number of refusals."""
+        return self.metrics.counter_total("connection_refusals_total")
+
+
+def run(
+    scenario: Callable[[_Server], Coroutine[Any, Any, None]],
+    limits: BodyLimits = LIMITS,
+) -> None:
+    """Run a scenario, and check that nothing stays counted after its connections."""
+
+    async def play() -> None:
+        server = _Server(limits)
+        await scenario(server)
+        await server.http.close_all_connections()
+        server.http.stop()
+        assert server.budget.held_bytes == 0
+        assert server.budget.connection_count == 0
+
+    asyncio.run(play())
+
+
+def _post(body: bytes, *headers: str, length: int | None = None) -> bytes:
+    lines = ["POST / HTTP/1.1", "Host: x", *headers]
+    if length is not None:
+        lines.append(f"Content-Length: {length}")
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+def test_the_largest_legal_request_is_served():
+    async def scenario(server: _Server) -> None:
+        body = bytes(LEGAL_BODY_BYTES)
+        padding = "X-Padding: " + "a" * 16_000
+        request = _post(body, "Connection: close", padding, length=len(body))
+        answer = await server.ask(request)
+        assert answer.startswith(b"HTTP/1.1 200")
+        assert answer.endswith(b"262144")
+
+    run(scenario)
+
+
+def test_the_largest_legal_chunked_request_is_served():
+    async def scenario(server: _Server) -> None:
+        chunk = b"400\r\n" + bytes(1024) + b"\r\n"
+        body = chunk * 256 + b"0\r\n\r\n"
+        request = _post(body, "Connection: close", "Transfer-Encoding: chunked")
+        assert (await server.ask(request)).endswith(b"262144")
+
+    run(scenario)
+
+
+def test_requests_of_one_connection_do_not_add_up():
+    """A connection that is kept must not use up the budget with answered requests."""
+
+    async def scenario(server: _Server) -> None:
+        request = _post(bytes(200_000), length=200_000)
+        reader, writer = await server.send(request)
+        for _ in range(4):
+            async with asyncio.timeout(READ_TIMEOUT_S):
+                assert (await reader.readuntil(b"200000")).startswith(b"HTTP/1.1 200")
+            writer.write(request)
+        writer.close()
+        assert server.refusals() == 0
+
+    run(scenario)
+
+
+def test_a_declared_excess_is_answered_413_without_its_body():
+    async def scenario(server: _Server) -> None:
+        answer = await server.ask(_post(b"", length=300_001))
+        assert answer.startswith(b"HTTP/1.1 413")
+        assert b"HTTP/1.1 400" not in answer
+        assert _Echo.runs == 0
+
+    run(scenario)
+
+
+def test_a_declared_excess_is_answered_while_the_body_arrives():
+    """A connection that is reset at once would lose the answer."""
+
+    async def scenario(server: _Server) -> None:
+        answer = await server.ask(_post(bytes(900_000), length=900_000))
+        assert answer.startswith(b"HTTP/1.1 413")
+        assert _Echo.runs == 0
+
+    run(scenario)
+
+
+def test_a_chunked_excess_is_answered_413_while_it_arrives():
+    async def scenario(server: _Server) -> None:
+        body = b"1\r\na\r\n" * 60_000
+        answer = await server.ask(_post(body, "Transfer-Encoding: chunked"))
+        assert answer.startswith(b"HTTP/1.1 413")
+        assert _Echo.runs == 0
+
+    run(scenario)
+
+
+def test_a_request_beyond_the_budget_is_answered_503_and_does_not_run():
+    async def scenario(server: _Server) -> None:
+        first, first_writer = await server.send(_post(bytes(250_000), length=250_001))
+        await asyncio.sleep(0.3)
+        _, second_writer = await server.send(_post(bytes(250_000), length=250_001))
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            answer = await first.read()
+        assert answer.startswith(b"HTTP/1.1 503")
+        assert b"Retry-After: 1\r\n" in answer
+        # What comes after the refusal does not complete the request.
+        first_writer.write(b"a")
+        second_writer.write(b"a")
+        await asyncio.sleep(0.1)
+        assert _Echo.runs == 1
+        second_writer.close()
+
+    run(scenario)
+
+
+def test_slow_headers_are_refused():
+    async def scenario(server: _Server) -> None:
+        answer = await server.ask(b"POST / HTTP/1.1\r\nHost:")
+        assert answer.startswith(b"HTTP/1.1 503")
+        assert server.refusals() == 1
+
+    run(scenario)
+
+
+def test_a_connection_above_the_maximum_closes_one_that_waits():
+    async def scenario(server: _Server) -> None:
+        waiting = [await server.send(b"") for _ in range(3)]
+        await asyncio.sleep(0.1)
+        request = _post(b"abc", "Connection: close", length=3)
+        assert (await server.ask(request)).endswith(b"3")
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            assert await waiting[0][0].read() == b""
+        for _, writer in waiting:
+            writer.close()
+
+    run(scenario)
