--- a/redwingrun/config.py
+++ b/redwingrun/config.py
@@ -113,6 +113,16 @@
     max_body_bytes: int = checked_field(
         "largest body of a request", integer(1, 64 << 20), 1 << 20
     )
+    memory_mb: float = checked_field(
+        "memory of the daemon in MiB, for the limits of bodies and connections",
+        number(96, 1 << 20),
+        1024.0,
+    )
+    max_descriptors: int = checked_field(
+        "file descriptors of the daemon; callers get a quarter",
+        integer(64, 1 << 20),
+        8192,
+    )
     max_calls: int = checked_field(
         "maximum number of HTTP calls in flight", integer(1, 100000), 2000
     )
