Hostile clients: our own interface has the budget and the caps, too

Unfinished and far too large requests brought an entry to 300 MB with a limit of 96 MB. The daemons of node.py now serve callers with `GuardedServer` and limit connections to the peers' port, by the settings `memory_mb` and `max_descriptors`.

--- a/redwingrun/node.py
+++ b/redwingrun/node.py
@@ -13,6 +13,7 @@
 from tornado.web import Application
 
 from redwingrun.auth import TokenStore, load_secret
+from redwingrun.bodybudget import BodyBudget, BodyLimits
 from redwingrun.config import Settings
 from redwingrun.configtask import ConfigTask
 from redwingrun.coordination.clock import MonotonicClock
@@ -20,6 +21,7 @@
 from redwingrun.coordination.groupcommit import GroupCommit
 from redwingrun.coordination.members import MemberRow
 from redwingrun.coordination.table import TableUnavailable, TableUnknown
+from redwingrun.guardedserver import GuardedServer
 from redwingrun.httpclient import HttpClient
 from redwingrun.logs import Log
 from redwingrun.membership import ENTRY, PLACER, Membership
@@ -28,6 +30,7 @@
 from redwingrun.peer_pb2 import News
 from redwingrun.peers import PeerClient, PeerServer
 from redwingrun.peerservice import PeerService
+from redwingrun.refusals import RefusalCounter
 from redwingrun.serviceclients import (
     HostListUnavailable,
     HostState,
@@ -122,6 +125,14 @@
         self.drained: set[str] = set()
         self.ready = False
         self.calls = InFlightCalls()
+        self._budget = BodyBudget(
+            BodyLimits.for_host(
+                settings.memory_mb,
+                settings.max_descriptors,
+                max_body_bytes=settings.max_body_bytes,
+            )
+        )
+        self._refusals = RefusalCounter(self.log, self.metrics)
         self._stop_requested = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
         self._news_sequence = 0
@@ -179,7 +190,12 @@
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self._stop_requested.set)
         settings = self.settings
-        peer_server = PeerServer(self.service(), self._secret)
+        peer_server = PeerServer(
+            self.service(),
+            self._secret,
+            self._refusals,
+            self._budget.limits.max_peer_connections,
+        )
         await peer_server.start(settings.listen_ip, settings.peer_port)
         http_server = self._listen()
         self.spawn(self.membership.run(), "membership")
@@ -190,9 +206,11 @@
         await self._shut_down(http_server, peer_server)
 
     def _listen(self) -> HTTPServer:
-        server = HTTPServer(
+        server = GuardedServer(
             self.application(),
-            max_body_size=self.settings.max_body_bytes,
+            self._budget,
+            self.kind,
+            self._refusals,
             max_header_size=MAX_HEADER_BYTES,
             idle_connection_timeout=IDLE_CONNECTION_TIMEOUT_S,
         )
