Hostile clients: bodies count until their handlers have ended; refusals say "not run"

A client that sent a whole body and closed its connection freed its share of the budget while the handler still waited with the body. The bytes are now held until the answer has ended, with or without the client. Refusals carry `X-Verdict: not run`, as all refusals of our own interface do.

--- a/redwingrun/bodybudget.py
+++ b/redwingrun/bodybudget.py
@@ -203,12 +203,22 @@
 
     def close(self, connection: ClientConnection) -> None:
         """Remove a connection."""
-        self._release(connection)
+        self.release(connection)
+        self.leave(connection)
+
+    def leave(self, connection: ClientConnection) -> None:
+        """Remove a connection, but count its bytes until they are released."""
         self._connections.discard(connection)
 
+    def release(self, connection: ClientConnection) -> None:
+        """Give back the bytes of a request."""
+        self.held_bytes -= connection.held_bytes
+        connection.held_bytes = 0
+        connection.body_bytes = 0
+
     def begin_request(self, connection: ClientConnection, now_s: float) -> None:
         """Wait for a request; the one before has been answered."""
-        self._release(connection)
+        self.release(connection)
         connection.enter(Phase.IDLE, now_s)
 
     def begin_body(
@@ -309,15 +319,10 @@
     def _refuse(
         self, connection: ClientConnection, reason: Refusal, now_s: float
     ) -> tuple[ClientConnection, Refusal]:
-        self._release(connection)
+        self.release(connection)
         connection.enter(Phase.REFUSED, now_s)
         return connection, reason
 
-    def _release(self, connection: ClientConnection) -> None:
-        self.held_bytes -= connection.held_bytes
-        connection.held_bytes = 0
-        connection.body_bytes = 0
-
 
 def _phase_since_s(connection: ClientConnection) -> float:
     return connection.phase_since_s
--- a/redwingrun/guardedserver.py
+++ b/redwingrun/guardedserver.py
@@ -5,6 +5,7 @@
 import socket
 import sys
 import time
+from asyncio import Future
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -15,6 +16,7 @@
     HTTPHeaders,
     HTTPMessageDelegate,
     RequestStartLine,
+    ResponseStartLine,
 )
 from tornado.ioloop import IOLoop, PeriodicCallback
 from tornado.iostream import IOStream
@@ -27,6 +29,8 @@
     Refusal,
     Refusals,
 )
+from redwingrun.coordination.verdict import Verdict
+from redwingrun.httpclient import VERDICT_HEADER
 from redwingrun.refusals import RefusalCounter
 
 READ_CHUNK_BYTES = 16_384
@@ -48,6 +52,7 @@
         head = ["HTTP/1.1 503 Service Unavailable", f"Retry-After: {RETRY_AFTER_S}"]
     head += [
         "Content-Type: application/json",
+        f"{VERDICT_HEADER}: {Verdict.NOT_RUN.value}",
         f"Content-Length: {len(body)}",
         "Connection: close",
         "\r\n",
@@ -124,6 +129,7 @@
             # At once, so that the number of descriptors stays below its maximum.
             self._drop(victim, reason, is_new=victim is record)
         if counted.closed():
+            self._budget.close(record)
             self._forget(record)
         else:
             super().handle_stream(counted, address)
@@ -133,15 +139,28 @@
     ) -> HTTPMessageDelegate:
         """Return the delegate of a connection's next request."""
         record = server_conn.stream.record
-        self._budget.begin_request(record, time.monotonic())
-        inner = super().start_request(server_conn, request_conn)
+        previous = self._delegate_by_record.get(record)
+        # After a client has gone, tornado tries to read a next request at once.
+        is_abandoned = previous is not None and previous.is_running
+        if not is_abandoned:
+            self._budget.begin_request(record, time.monotonic())
+        answering = _ObservedConnection(request_conn)
+        inner = super().start_request(server_conn, answering)
         delegate = _GuardedDelegate(inner, request_conn, record, self)
-        self._delegate_by_record[record] = delegate
+        answering.on_answered = delegate.note_answer
+        if not is_abandoned:
+            self._delegate_by_record[record] = delegate
         return delegate
 
     def on_close(self, server_conn: Any) -> None:
-        """Forget a closed connection."""
-        self._forget(server_conn.stream.record)
+        """Forget a closed connection, but not the bytes of a request that runs."""
+        record = server_conn.stream.record
+        delegate = self._delegate_by_record.get(record)
+        if delegate is not None and delegate.is_running:
+            self._budget.leave(record)
+        else:
+            self._budget.close(record)
+        self._forget(record)
         super().on_close(server_conn)
 
     def begin_body(self, record: ClientConnection, declared_bytes: int | None) -> None:
@@ -158,8 +177,11 @@
         if stream is not None:
             stream.close()
 
+    def release(self, record: ClientConnection) -> None:
+        """Give back the bytes of a request that was answered."""
+        self._budget.release(record)
+
     def _forget(self, record: ClientConnection) -> None:
-        self._budget.close(record)
         self._stream_by_record.pop(record, None)
         self._delegate_by_record.pop(record, None)
         if not self._stream_by_record:
@@ -198,8 +220,45 @@
         stream.close()
 
 
+class _ObservedConnection(HTTPConnection):
+    """Reports the end of an answer, also when the client has gone meanwhile.
+
+    :param inner: tornado's connection, whose other members are used as they are.
+    """
+
+    def __init__(self, inner: HTTPConnection):
+        self._inner = inner
+        self.on_answered: Callable[[], None] = lambda: None
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._inner, name)
+
+    def write_headers(
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+        headers: HTTPHeaders,
+        chunk: bytes | None = None,
+    ) -> Future[None]:
+        """Write the headers of an answer."""
+        return self._inner.write_headers(start_line, headers, chunk)
+
+    def write(self, chunk: bytes) -> Future[None]:
+        """Write a part of an answer."""
+        return self._inner.write(chunk)
+
+    def finish(self) -> None:
+        """End an answer."""
+        try:
+            self._inner.finish()
+        finally:
+            self.on_answered()
+
+
 class _GuardedDelegate(HTTPMessageDelegate):
-    """Passes a request on to the application unless it is refused."""
+    """Passes a request on to the application unless it is refused.
+
+    :ivar is_running: whether the request is being handled.
+    """
 
     def __init__(
         self,
@@ -213,6 +272,7 @@
         self._record = record
         self._server = server
         self._is_passed_on = False
+        self.is_running = False
 
     def headers_received(
         self, start_line: RequestStartLine, headers: HTTPHeaders
@@ -242,8 +302,14 @@
             return
         self._server.end_body(self._record)
         self._is_passed_on = False
+        self.is_running = True
         self._inner.finish()
 
+    def note_answer(self) -> None:
+        """Note that the request has been answered and needs no memory."""
+        self.is_running = False
+        self._server.release(self._record)
+
     def on_connection_close(self) -> None:
         """Tell the application that the rest of the request will not arrive."""
         self.abandon()
--- a/tests/test_guardedserver.py
+++ b/tests/test_guardedserver.py
@@ -38,16 +38,30 @@
         self.finish(str(len(self.request.body)))
 
 
+class _Slow(RequestHandler):
+    """Answers when ``go_on`` is set."""
+
+    go_on: asyncio.Event
+
+    async def post(self) -> None:
+        """Wait, and answer."""
+        await _Slow.go_on.wait()
+        self.finish("done")
+
+
 class _Server:
     """A server with its budget and metrics."""
 
     def __init__(self, limits: BodyLimits):
         _Echo.runs = 0
+        _Slow.go_on = asyncio.Event()
         self.budget = BodyBudget(limits)
         self.metrics = Metrics()
         refusals = RefusalCounter(Log("test", "quiet"), self.metrics)
         self.http = GuardedServer(
-            Application([("/", _Echo)], log_function=lambda handler: None),
+            Application(
+                [("/", _Echo), ("/slow", _Slow)], log_function=lambda handler: None
+            ),
             self.budget,
             "clients",
             refusals,
@@ -178,6 +192,7 @@
             answer = await first.read()
         assert answer.startswith(b"HTTP/1.1 503")
         assert b"Retry-After: 1\r\n" in answer
+        assert b"X-Verdict: not run\r\n" in answer
         # What comes after the refusal does not complete the request.
         first_writer.write(b"a")
         second_writer.write(b"a")
@@ -209,3 +224,21 @@
             writer.close()
 
     run(scenario)
+
+
+def test_a_running_request_is_counted_after_its_client_has_gone():
+    """Clients that leave at once must not fill the memory with waiting requests."""
+
+    async def scenario(server: _Server) -> None:
+        request = _post(bytes(200_000), length=200_000).replace(b"/", b"/slow", 1)
+        _, writer = await server.send(request)
+        await asyncio.sleep(0.2)
+        writer.transport.abort()
+        await asyncio.sleep(0.2)
+        assert server.budget.connection_count == 0
+        assert server.budget.held_bytes > 200_000
+        _Slow.go_on.set()
+        await asyncio.sleep(0.1)
+        assert server.budget.held_bytes == 0
+
+    run(scenario)
