Hostile clients: a request that was refused no longer runs when its rest arrives

A request that was refused while its headers arrived got 503, and ran when they were completed within the 0.5 s in which its connection is still read: `begin_body` put the connection back from refused to reading. A refused connection now stays refused; one that is closed at the maximum is marked before tornado goes on with headers that it has read already; and the connection is not closed before the refusal is written.

--- a/redwingrun/bodybudget.py
+++ b/redwingrun/bodybudget.py
@@ -231,6 +231,8 @@
 
         :param declared_bytes: length of the body; ``None`` for a chunked one.
         """
+        if connection.phase is Phase.REFUSED:
+            return []
         if (declared_bytes or 0) > self.limits.max_body_bytes:
             return [self._refuse(connection, Refusal.TOO_LARGE, now_s)]
         connection.enter(Phase.BODY, now_s)
--- a/redwingrun/guardedserver.py
+++ b/redwingrun/guardedserver.py
@@ -207,15 +207,19 @@
         if stream is None or stream.closed():
             return
         delegate = self._delegate_by_record.get(record)
+        stream.write(response_to(reason))
         if delegate is not None:
             delegate.abandon()
-        stream.write(response_to(reason))
+            delegate.is_refusal_sent = True
         IOLoop.current().call_later(LINGER_S, stream.close)
 
     def _drop(self, record: ClientConnection, reason: Refusal, is_new: bool) -> None:
         """Close a connection now; one that waits for a request gets no answer."""
         stream = self._stream_by_record[record]
-        if is_new or record.phase is Phase.HEADERS:
+        is_answered = is_new or record.phase is Phase.HEADERS
+        # Headers that tornado has read already must not start the request.
+        record.enter(Phase.REFUSED, time.monotonic())
+        if is_answered:
             stream.write(response_to(reason))
         stream.close()
 
@@ -258,6 +262,7 @@
     """Passes a request on to the application unless it is refused.
 
     :ivar is_running: whether the request is being handled.
+    :ivar is_refusal_sent: whether the refusal has been written.
     """
 
     def __init__(
@@ -273,6 +278,7 @@
         self._server = server
         self._is_passed_on = False
         self.is_running = False
+        self.is_refusal_sent = False
 
     def headers_received(
         self, start_line: RequestStartLine, headers: HTTPHeaders
@@ -298,7 +304,8 @@
         """Have the request handled, or close the connection of a refused one."""
         if self._record.phase is Phase.REFUSED:
             self.abandon()
-            self._server.close_stream(self._record)
+            if self.is_refusal_sent:
+                self._server.close_stream(self._record)
             return
         self._server.end_body(self._record)
         self._is_passed_on = False
--- a/tests/test_bodybudget.py
+++ b/tests/test_bodybudget.py
@@ -121,6 +121,16 @@
     assert refusals == [(last, Refusal.NO_BUDGET)]
 
 
+def test_a_refused_request_stays_refused_when_its_headers_are_complete():
+    """It must not run after its client was told that it has not."""
+    budget = BodyBudget(LIMITS)
+    connection = _connect(budget, "a", 0.0)
+    budget.add(connection, 5, 0.0)
+    assert budget.overdue(3.1) == [(connection, Refusal.SLOW_HEADERS)]
+    assert budget.begin_body(connection, 10, 3.2) == []
+    assert connection.phase is Phase.REFUSED
+
+
 def test_more_unfinished_requests_than_allowed_drop_a_stalled_one():
     budget = BodyBudget(LIMITS)
     stalled, _ = _send_body(budget, "a", 1, 0.0)
--- a/tests/test_guardedserver.py
+++ b/tests/test_guardedserver.py
@@ -212,6 +212,23 @@
     run(scenario)
 
 
+def test_a_refused_request_does_not_run_when_its_rest_arrives():
+    """The client was told that it has not run, and may send it again elsewhere."""
+
+    async def scenario(server: _Server) -> None:
+        reader, writer = await server.send(b"POST / HTTP/1.1\r\nHost:")
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            answer = await reader.readuntil(b"}")
+        assert answer.startswith(b"HTTP/1.1 503")
+        writer.write(b" x\r\nContent-Length: 3\r\n\r\nabc")
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            assert await reader.read() == b""
+        assert _Echo.runs == 0
+        writer.close()
+
+    run(scenario)
+
+
 def test_a_connection_above_the_maximum_closes_one_that_waits():
     async def scenario(server: _Server) -> None:
         waiting = [await server.send(b"") for _ in range(3)]
