--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -32,6 +32,7 @@
 
     Relay = Ask
     Tell = Ask
+    Config = Ask
 
 
 def run_with_peer(
