--- a/redwingrun/jobs/decisionlog.py
+++ b/redwingrun/jobs/decisionlog.py
@@ -28,6 +28,9 @@
 # Metrics show the use of so many accounts, so that their number is bounded.
 MAX_ACCOUNTS_SHOWN = 20
 ACCOUNT_METRICS_INTERVAL_S = 1.0
+# Bounds the lines about pairs of images.
+PAIR_LINES_INTERVAL_S = 1.0
+MAX_PAIR_LINES = 5
 
 
 class DecisionLog:
@@ -41,6 +44,7 @@
         self._capped_accounts: frozenset[str] = frozenset()
         self._accounts_shown: Set[str] = frozenset()
         self._accounts_shown_s = -math.inf
+        self._pairs_logged_s = -math.inf
 
     def accounts(self, capped: frozenset[str]) -> None:
         """Log whose work begins or ceases to wait for a cap, and show what they use.
@@ -72,6 +76,25 @@
             self._metrics.gauge("account_runs", used.runs, account=account)
         self._accounts_shown = shown.keys()
 
+    def interference(self) -> None:
+        """Log which pairs of images begin or cease to be known as bad.
+
+        At most ``MAX_PAIR_LINES`` every ``PAIR_LINES_INTERVAL_S``; later ones wait.
+        """
+        learned = self._engine.learned_interference
+        now_s = self._clock.now()
+        if learned is None or now_s - self._pairs_logged_s < PAIR_LINES_INTERVAL_S:
+            return
+        self._pairs_logged_s = now_s
+        for change in learned.pop_changes(MAX_PAIR_LINES):
+            self._log.event(
+                "interference-known" if change.is_bad else "interference-ceased",
+                victim=change.victim,
+                neighbour=change.neighbour,
+                slowdown=round(change.slowdown, 2),
+            )
+        self._metrics.gauge("interfering_pairs", learned.known_pairs)
+
     def starts(self, orders: tuple[StartOrder, ...], fence: int) -> None:
         """Log which tasks start on which workers, one line for each step.
 
--- a/redwingrun/jobs/engine.py
+++ b/redwingrun/jobs/engine.py
@@ -16,6 +16,8 @@
     NotCarriedOut,
     OtherWorkerAtAddress,
 )
+from redwingrun.jobs.interference import FixedInterference, LearnedInterference
+from redwingrun.jobs.interferencemeter import InterferenceMeter
 from redwingrun.jobs.job import Job
 from redwingrun.jobs.placement import Placer
 from redwingrun.jobs.policycache import Ticket
@@ -70,11 +72,14 @@
     :param early_s: how many seconds before its due time an occurrence may start. Not
         used: occurrences start at their due time.
     :param max_lease_s: a worker shortens a longer lease to this.
+    :param learns_interference: whether the engine learns which images slow each other
+        down on a worker, and keeps their tasks apart where there is room.
     """
 
     far_factor: float = 2.0
     early_s: float = 0.0
     max_lease_s: float = 10.0
+    learns_interference: bool = False
 
 
 @frozen
@@ -96,7 +101,10 @@
 
 
 class Engine:
-    """Schedules the jobs of one slice on the slice's workers."""
+    """Schedules the jobs of one slice on the slice's workers.
+
+    :ivar learned_interference: ``None`` unless the settings enable it.
+    """
 
     def __init__(self, settings: EngineSettings):
         speed_model = SpeedModel()
@@ -106,10 +114,22 @@
         # Cancellations that arrived before their jobs.
         self._cancelled_early: set[str] = set()
         self._crashes = CrashRecorder(self.state)
+        self.learned_interference: LearnedInterference | None = None
+        interference_meter = None
+        if settings.learns_interference:
+            self.state.counts_images = True
+            self.learned_interference = LearnedInterference()
+            interference_meter = InterferenceMeter(
+                self.state, self.learned_interference, speed_model
+            )
         self._reports = ReportProcessor(
-            self.state, SpeedMeter(speed_model), speed_model, self._crashes
+            self.state,
+            SpeedMeter(speed_model),
+            speed_model,
+            self._crashes,
+            interference_meter,
         )
-        placer = Placer(speed_model)
+        placer = Placer(speed_model, self.learned_interference or FixedInterference())
         self._query_planner = PolicyQueryPlanner(placer)
         self._steps = StepScheduler(
             self.state, placer, self._query_planner, settings.far_factor
--- a/redwingrun/jobs/placement.py
+++ b/redwingrun/jobs/placement.py
@@ -6,6 +6,7 @@
 
 from attrs import field, frozen
 
+from redwingrun.jobs.interference import INTERFERENCE_COST, Interference
 from redwingrun.jobs.policycache import StepPolicyCache
 from redwingrun.jobs.spec import StepId, StepSpec, TaskSize
 from redwingrun.jobs.speeds import SpeedModel
@@ -14,8 +15,6 @@
 # Costs are in multiples of a task's average run time. An empty worker costs this much
 # less than a full one.
 FREE_SHARE_WEIGHT = 0.3
-# Added where a filler and a serving task would run side by side.
-INTERFERENCE_COST = 0.6
 
 
 @frozen
@@ -57,14 +56,6 @@
     return 0.0
 
 
-def _interferes(step: StepSpec, worker: Worker) -> bool:
-    """Return whether a filler and a serving task would run side by side."""
-    runs = worker.run_by_id.values()
-    if step.filler:
-        return any(run.target_ms for run in runs)
-    return bool(step.target_ms) and any(run.is_filler for run in runs)
-
-
 @frozen
 class StepView:
     """A step as the placer sees it.
@@ -96,10 +87,12 @@
     """Chooses workers for the waiting tasks of one step.
 
     :param speed_model: read only.
+    :param interference: read only.
     """
 
-    def __init__(self, speed_model: SpeedModel):
+    def __init__(self, speed_model: SpeedModel, interference: Interference):
         self._speed_model = speed_model
+        self._interference = interference
 
     def place(
         self,
@@ -157,8 +150,7 @@
             # all workers start from the same cost.
             cost = max(cost, 1.0) if view.step.data_rack else 1.0
         cost *= worker.recent_slow_factor(now_s)
-        if _interferes(view.step, worker):
-            cost += INTERFERENCE_COST
+        cost += self._interference.cost(view.step, worker)
         return cost - FREE_SHARE_WEIGHT * worker.free_share
 
     def _available_workers(
@@ -214,13 +206,19 @@
     ) -> list[Placement]:
         """Assign the tasks one after the other, as far as they fit.
 
-        Urgent tasks fill the best worker first. Other and lasting tasks are spread.
+        Urgent tasks fill the best worker first. Other and lasting tasks are spread,
+        first over the workers without runs that they are known to interfere with.
 
         :param ranked: the workers, best first.
         """
         capacities = [_Capacity(worker, view) for worker in ranked]
         chosen: list[Placement] = []
         spread = view.step.lasting or not view.urgent
+        if spread and self._interference.is_learned:
+            for item in capacities:
+                item.interference_cost = self._interference.known_cost(
+                    view.step, item.worker
+                )
         for index in indexes:
             best = _next_fitting(capacities, spread, view.excluded(index))
             if best is None:
@@ -262,12 +260,15 @@
         if item.fits() and item.worker.worker_id not in excluded
     )
     if spread:
-        return min(fitting, key=lambda item: item.used_share, default=None)
+        return min(fitting, key=lambda item: item.spread_cost, default=None)
     return next(fitting, None)
 
 
 class _Capacity:
-    """The capacity of a worker, less the tasks of the step assigned to it so far."""
+    """The capacity of a worker, less the tasks of the step assigned to it so far.
+
+    :ivar interference_cost: known cost of a task of the step beside its runs.
+    """
 
     def __init__(self, worker: Worker, view: StepView):
         self.worker = worker
@@ -275,6 +276,12 @@
         self._limit = view.step.max_per_worker
         self._running = worker.tasks_by_step.get(view.step_id, 0)
         self._reserved = 0
+        self.interference_cost = 0.0
+
+    @property
+    def spread_cost(self) -> float:
+        """The used share; a known bad pair outweighs any share."""
+        return self.used_share + self.interference_cost / INTERFERENCE_COST
 
     @property
     def used_share(self) -> float:
--- a/redwingrun/jobs/slicestate.py
+++ b/redwingrun/jobs/slicestate.py
@@ -51,6 +51,7 @@
     :ivar live_runs: by task and run number, the worker of each run that may be alive.
     :ivar ended_run_by_task: of each task that waits for another run, the one before.
     :ivar account_usage: what the runs in ``live_runs`` use, by client account.
+    :ivar counts_images: whether workers count their runs by image.
     :ivar stops: stop orders that no plan has returned yet.
     :ivar changed: ids of the jobs whose progress must be stored.
     :ivar scheduled: ids of the jobs with occurrences that have not begun.
@@ -66,6 +67,7 @@
         self.policy_cache_by_step: dict[StepId, StepPolicyCache] = {}
         self.live_runs: dict[TaskId, dict[int, str]] = {}
         self.account_usage = AccountUsage()
+        self.counts_images = False
         self.stops: list[StopOrder] = []
         self.changed: set[str] = set()
         self.scheduled: set[str] = set()
@@ -108,6 +110,7 @@
             target_ms=step.target_ms,
             account=job.submission.account,
             account_size=step.size,
+            image=step.image if self.counts_images else None,
         )
         if worker.add(run):
             self.account_usage.add(run.account, run.account_size)
--- a/redwingrun/jobs/workerpool.py
+++ b/redwingrun/jobs/workerpool.py
@@ -80,6 +80,7 @@
     :param account: the client account whose cap it counts against; empty for none.
     :param account_size: what it counts there. A filler reserves no processor on its
         worker, but uses some.
+    :param image: what it runs; ``None`` if its worker need not count its images.
     """
 
     run_id: RunId
@@ -102,6 +103,7 @@
     target_ms: float = 0
     account: str = ""
     account_size: TaskSize = TaskSize()
+    image: str | None = None
 
     @property
     def may_start_late(self) -> bool:
@@ -120,6 +122,25 @@
     number: int = 0
 
 
+@define
+class ImageCount:
+    """The number of runs of an image on a worker.
+
+    :param fillers: how many of them are fillers.
+    :param serving: how many of them have a latency target.
+    """
+
+    runs: int = 0
+    fillers: int = 0
+    serving: int = 0
+
+    def add(self, run: Run, sign: int) -> None:
+        """Count a run, or with a sign of -1 stop counting it."""
+        self.runs += sign
+        self.fillers += sign * run.is_filler
+        self.serving += sign * (run.target_ms > 0)
+
+
 @define
 class Worker:
     """A worker with its runs, its reserved resources and the lease of its runs.
@@ -144,6 +165,7 @@
         fillers, even for the one that they had.
     :param slow_factor: recent run time of its tasks as a multiple of the expected.
     :param slow_factor_updated_s: monotonic time at which ``slow_factor`` was computed.
+    :param count_by_image: its runs by image, as far as they name one.
     """
 
     info: WorkerInfo
@@ -168,6 +190,7 @@
     memory_used: int = 0
     gpus_used: int = 0
     tasks_by_step: dict[StepId, int] = field(factory=dict)
+    count_by_image: dict[str, ImageCount] = field(factory=dict)
 
     @property
     def worker_id(self) -> str:
@@ -268,6 +291,14 @@
             self.tasks_by_step[step_id] = count
         else:
             self.tasks_by_step.pop(step_id, None)
+        if run.image is not None:
+            self._count_image(run, sign)
+
+    def _count_image(self, run: Run, sign: int) -> None:
+        count = self.count_by_image.setdefault(run.image, ImageCount())
+        count.add(run, sign)
+        if not count.runs:
+            del self.count_by_image[run.image]
 
     @property
     def free_share(self) -> float:
--- a/redwingrun/jobs/workerreports.py
+++ b/redwingrun/jobs/workerreports.py
@@ -8,6 +8,7 @@
 
 from redwingrun.jobs.crashes import CrashRecorder, CrashReport
 from redwingrun.jobs.evidence import AbsentFromReport, LaterIncarnation, ListedEnd
+from redwingrun.jobs.interferencemeter import InterferenceMeter
 from redwingrun.jobs.job import Job, apply_run_end, remove_done_occurrences
 from redwingrun.jobs.pacing import pace_orders
 from redwingrun.jobs.progress import TaskState
@@ -51,6 +52,8 @@
     :param speed_meter: measures the progress of runs.
     :param speed_model: what is learned from that; read only.
     :param crashes: counts the runs that ended with their workers.
+    :param interference_meter: measures runs beside their neighbours; ``None`` if that
+        is not learned.
     """
 
     def __init__(
@@ -59,10 +62,12 @@
         speed_meter: SpeedMeter,
         speed_model: SpeedModel,
         crashes: CrashRecorder,
+        interference_meter: InterferenceMeter | None = None,
     ):
         self._state = state
         self._crashes = crashes
         self._speed_meter = speed_meter
+        self._interference_meter = interference_meter
         self._stragglers = StragglerDetector(state, speed_model)
         self._failed_jobs_by_worker: dict[str, set[str]] = {}
         self._checked_s = 0.0
@@ -246,6 +251,8 @@
         self._update_failed_jobs(worker, job, end, now_s)
         if end.kind is EndKind.DONE and run is not None:
             self._speed_meter.run_done(worker, run, job, now_s)
+            if self._interference_meter is not None:
+                self._interference_meter.run_done(worker, run, now_s)
         if end.kind is not EndKind.DONE:
             self._state.stop_gang(job, end.run_id.task)
         self._state.add_ready_steps(job, end.run_id.task.occurrence)
@@ -312,6 +319,8 @@
             task = job.task(status.run_id.task) if job else None
             if task is not None and status.checkpoint:
                 task.checkpoint = status.checkpoint
+        if self._interference_meter is not None:
+            self._interference_meter.report_applied(worker, now_s)
         self._pace_orders += pace_orders(worker, now_s)
         self._stragglers.update_slow_factor(worker, now_s)
 
