Preemption: urgent steps without room stop checkpointed runs of less urgent queues

Callers of an urgent queue saw their jobs late for seconds after a burst of long jobs had filled the workers: placement by priority helps only once a run ends by itself.

With EngineSettings.preempts (off by default, and off in the platform's adapter), an urgent step that finds no room after its own placement has runs of less urgent queues stopped: only of steps that save checkpoints, no gangs, lasting tasks or fillers, the fewest runs first, then those that started or saved most recently. Nothing is stopped if enough runs are expected to end before a stop would make room, or if the job would be too late to count. Room that is about to come free is promised to one step and held against less urgent work. A budget bounds the stops in flight and the share of a pool that is preempted within two seconds; a task is not preempted again for ten. With a placement policy only workers known to be allowed are used, and an urgent step without room asks about full ones. The log line of the stop names the job that the room is for.

The adapter reads stopTimeoutMs (bounds) and passes it to the engine.

--- a/redwingrun/jobs/candidates.py
+++ b/redwingrun/jobs/candidates.py
@@ -22,6 +22,7 @@
         self._now_s = now_s
         self._by_pool: dict[str, dict[str, Worker]] | None = None
         self._largest_by_pool: dict[str, TaskSize] = {}
+        self._total_by_pool: dict[str, TaskSize] = {}
 
     def in_pool(self, pool: str) -> Mapping[str, Worker]:
         """Return the usable workers of a pool, by id."""
@@ -42,6 +43,19 @@
             )
         return self._largest_by_pool[pool]
 
+    def total_capacity(self, pool: str) -> TaskSize:
+        """Return the capacity of all usable workers of a pool, by resource."""
+        if pool not in self._total_by_pool:
+            capacities = [
+                worker.info.capacity for worker in self.in_pool(pool).values()
+            ]
+            self._total_by_pool[pool] = TaskSize(
+                sum(item.cpu_milli for item in capacities),
+                sum(item.memory_mb for item in capacities),
+                sum(item.gpus for item in capacities),
+            )
+        return self._total_by_pool[pool]
+
     def _group_by_pool(self) -> dict[str, dict[str, Worker]]:
         by_pool: dict[str, dict[str, Worker]] = {}
         for worker_id, worker in self._workers.items():
--- a/redwingrun/jobs/decisionlog.py
+++ b/redwingrun/jobs/decisionlog.py
@@ -121,9 +121,16 @@
         )
 
     def stop(self, order: StopOrder) -> None:
-        """Log that a run is told to stop, and why."""
+        """Log that a run is told to stop, why, and for which job if it is preempted."""
+        fields = {"for_job": order.for_job} if order.for_job else {}
+        if order.for_job:
+            self._metrics.count("preempted_total")
         self._log.event(
-            "stop", **_run_fields(order.run_id), worker=order.worker_id, why=order.why
+            "stop",
+            **_run_fields(order.run_id),
+            worker=order.worker_id,
+            why=order.why,
+            **fields,
         )
 
     def order_failed(
--- a/redwingrun/jobs/engine.py
+++ b/redwingrun/jobs/engine.py
@@ -20,6 +20,7 @@
 from redwingrun.jobs.placement import Placer
 from redwingrun.jobs.policycache import Ticket
 from redwingrun.jobs.policyqueries import PolicyQueryPlanner
+from redwingrun.jobs.preemption import Preemptor
 from redwingrun.jobs.progress import JobProgress, JobState
 from redwingrun.jobs.slicestate import SliceState
 from redwingrun.jobs.spec import (
@@ -70,11 +71,16 @@
     :param early_s: how many seconds before its due time an occurrence may start. Not
         used: occurrences start at their due time.
     :param max_lease_s: a worker shortens a longer lease to this.
+    :param preempts: whether runs that can resume from a checkpoint are stopped for
+        urgent steps that find no room.
+    :param stop_timeout_s: how long the stop of a run takes at most.
     """
 
     far_factor: float = 2.0
     early_s: float = 0.0
     max_lease_s: float = 10.0
+    preempts: bool = False
+    stop_timeout_s: float = 0.9
 
 
 @frozen
@@ -111,8 +117,11 @@
         )
         placer = Placer(speed_model)
         self._query_planner = PolicyQueryPlanner(placer)
+        preemptor = None
+        if settings.preempts:
+            preemptor = Preemptor(self.state, speed_model, settings.stop_timeout_s)
         self._steps = StepScheduler(
-            self.state, placer, self._query_planner, settings.far_factor
+            self.state, placer, self._query_planner, settings.far_factor, preemptor
         )
 
     @property
--- a/redwingrun/jobs/placement.py
+++ b/redwingrun/jobs/placement.py
@@ -76,6 +76,8 @@
     :param far_factor: run time of a task outside its data's rack, as a multiple of the
         run time in it.
     :param excluded_by_index: by task index, the ids of workers that must not run it.
+    :param reclaimable: full workers on which room could be made for the step if the
+        policy allows them, with the number of tasks; see preemption.py.
     """
 
     step_id: StepId
@@ -86,6 +88,7 @@
     policy_cache: StepPolicyCache | None
     far_factor: float
     excluded_by_index: Mapping[int, frozenset[str]] = field(factory=dict)
+    reclaimable: Mapping[str, int] = field(factory=dict)
 
     def excluded(self, index: int) -> frozenset[str]:
         """Return the ids of the workers that must not run a task."""
--- a/redwingrun/jobs/policyqueries.py
+++ b/redwingrun/jobs/policyqueries.py
@@ -151,6 +151,8 @@
         """Return how many tasks of a step a worker has room for, less the pledges."""
         capacity = worker.info.capacity
         worker_id = worker.worker_id
+        if worker_id in view.reclaimable:
+            return view.reclaimable[worker_id]
         cpu = capacity.cpu_milli - worker.cpu_used
         memory = capacity.memory_mb - worker.memory_used
         rooms = [
@@ -203,7 +205,8 @@
     They could take a task now but have no valid ticket; a refused worker is not queried
     again. If none could take one now, of tasks that need a large part of a worker, they
     are those that could when empty and were not queried yet: room is held on the
-    allowed ones then.
+    allowed ones then. Without any of these, they are the full workers on which room
+    could be made for an urgent step.
     """
     policy_cache = view.policy_cache
     size = reserved_size(view.step)
@@ -217,12 +220,15 @@
     ]
     with_room = [worker for worker in usable if worker.fits(size)]
     if with_room or not view.is_large:
-        return [
+        without_ticket = [
             worker
             for worker in with_room
             if policy_cache.valid_ticket(worker.worker_id, worker.info.born_ms, now_s)
             is None
         ]
+        return without_ticket or [
+            worker for worker in usable if worker.worker_id in view.reclaimable
+        ]
     return [
         worker
         for worker in usable
--- a/redwingrun/jobs/slicestate.py
+++ b/redwingrun/jobs/slicestate.py
@@ -161,16 +161,17 @@
             run_id, worker.worker_id, evidence, lease_left_s
         )
 
-    def stop(self, run_id: RunId, worker: Worker, why: str) -> None:
+    def stop(self, run_id: RunId, worker: Worker, why: str, for_job: str = "") -> None:
         """Issue a stop order for a run, unless one was issued before.
 
         :param why: the reason, for the log.
+        :param for_job: the job that the run's room is for; empty for none.
         """
         run = worker.run_by_id.get(run_id)
         if run is None or run.phase is RunPhase.STOPPING:
             return
         run.phase = RunPhase.STOPPING
-        self.stops.append(StopOrder(run_id, worker.worker_id, why))
+        self.stops.append(StopOrder(run_id, worker.worker_id, why, for_job))
 
     def stop_gang(self, job: Job, task_id: TaskId) -> None:
         """Stop the runs of a gang after one of them has ended or is lost."""
--- a/redwingrun/jobs/stepscheduler.py
+++ b/redwingrun/jobs/stepscheduler.py
@@ -16,6 +16,7 @@
 )
 from redwingrun.jobs.policycache import StepPolicyCache
 from redwingrun.jobs.policyqueries import PolicyQueryPlanner
+from redwingrun.jobs.preemption import Preemptor
 from redwingrun.jobs.progress import JobState, TaskState
 from redwingrun.jobs.roomholds import hold_room, needs_large_part
 from redwingrun.jobs.slicestate import ReadyStep, SliceState
@@ -44,6 +45,7 @@
     :param query_planner: plans the queries to the placement policy.
     :param far_factor: run time of a task outside its data's rack, as a multiple of the
         run time in it.
+    :param preemptor: makes room for urgent steps; ``None`` if no run is preempted.
     """
 
     def __init__(
@@ -52,11 +54,13 @@
         placer: Placer,
         query_planner: PolicyQueryPlanner,
         far_factor: float,
+        preemptor: Preemptor | None = None,
     ):
         self._state = state
         self._placer = placer
         self._query_planner = query_planner
         self._far_factor = far_factor
+        self._preemptor = preemptor
 
     def schedule(
         self,
@@ -118,6 +122,13 @@
                     # The next start is watched again.
                     job.suspects_wait_since_s = None
         missing = len(waiting) - (len(starts) - started)
+        if missing and view.urgent and self._preemptor is not None:
+            unplaced = [
+                index
+                for index in waiting
+                if job.tasks(step_id)[index].state is TaskState.WAITING
+            ]
+            view = self._preemptor.make_room(view, job, unplaced, candidates, now_s)
         if missing:
             hold_room(ready_step, view, workers, missing, now_s)
         if missing and view.policy_cache is not None:
@@ -230,6 +241,8 @@
         self._state.changed.add(job.job_id)
         run_id = RunId(task_id, task.run)
         self._state.add_run(job, run_id, placement.worker, now_s)
+        if self._preemptor is not None:
+            self._preemptor.task_placed(step_id, placement.worker)
         return StartOrder(
             run_id,
             task.worker,
--- a/redwingrun/jobs/workerpool.py
+++ b/redwingrun/jobs/workerpool.py
@@ -73,6 +73,8 @@
         or that a former owner started.
     :param measured_from_percent: its progress at that time.
     :param is_measured: whether its progress has been measured.
+    :param saved_s: monotonic time of the first report of its newest checkpoint;
+        negative infinity if this owner has seen no new one.
     :param metric_value: as in :class:`RunStatus`.
     :param pace_percent: share of full speed that the worker last acknowledged.
     :param is_filler: whether the run uses only processor time that others leave.
@@ -96,6 +98,7 @@
     measured_from_s: float | None = None
     measured_from_percent: float = 0
     is_measured: bool = False
+    saved_s: float = -math.inf
     metric_value: float = 0
     pace_percent: int = 100
     is_filler: bool = False
@@ -378,11 +381,13 @@
     """Order to stop a run on a worker.
 
     :param why: the reason, for the log.
+    :param for_job: the job that the run's room is for; empty for none.
     """
 
     run_id: RunId
     worker_id: str
     why: str = ""
+    for_job: str = ""
 
 
 @frozen
--- a/redwingrun/jobs/workerreports.py
+++ b/redwingrun/jobs/workerreports.py
@@ -311,6 +311,8 @@
                 self._speed_meter.run_reported(worker, run, job, now_s)
             task = job.task(status.run_id.task) if job else None
             if task is not None and status.checkpoint:
+                if task.checkpoint != status.checkpoint:
+                    run.saved_s = now_s
                 task.checkpoint = status.checkpoint
         self._pace_orders += pace_orders(worker, now_s)
         self._stragglers.update_slow_factor(worker, now_s)
--- a/redwingrun/platform/__main__.py
+++ b/redwingrun/platform/__main__.py
@@ -108,7 +108,10 @@
         )
         bounds = settings.bounds
         engine = EngineSettings(
-            bounds.far_factor, bounds.early_s, max_lease_s=bounds.max_lease_s
+            bounds.far_factor,
+            bounds.early_s,
+            max_lease_s=bounds.max_lease_s,
+            stop_timeout_s=bounds.stop_timeout_s,
         )
         address = f"{settings.ip}:{settings.peer_port}"
         member_settings = MemberSettings(
--- a/redwingrun/platform/settings.py
+++ b/redwingrun/platform/settings.py
@@ -30,6 +30,7 @@
     :param max_lease_s: a minion shortens a longer lease to this.
     :param revocation_timeout_s: time within which a revoked key must stop working;
         ``None`` if there is no such limit.
+    :param stop_timeout_s: a stopped run has ended and saved its checkpoint after this.
     """
 
     grace_s: float = 6.0
@@ -39,6 +40,7 @@
     keep_results_s: float = 120.0
     max_lease_s: float = 10.0
     revocation_timeout_s: float | None = None
+    stop_timeout_s: float = 0.9
 
 
 @frozen
@@ -121,6 +123,10 @@
             max_lease_s=float(bounds.get("holdMaxMs", defaults.max_lease_s * 1000))
             / 1000,
             revocation_timeout_s=_revocation_timeout_s(bounds),
+            stop_timeout_s=float(
+                bounds.get("stopTimeoutMs", defaults.stop_timeout_s * 1000)
+            )
+            / 1000,
         ),
         # The platform gives the speed of a core as a number of ordinary cores.
         speed=float(limits.get("cpuShare") or 1.0)
--- a/tests/jobs/cluster.py
+++ b/tests/jobs/cluster.py
@@ -76,6 +76,9 @@
     :ivar unavailable_partitions: partitions that do not answer any member.
     :ivar registry_is_unavailable: the registrations of workers can't be read.
     :ivar published: the versions of the configuration that were read, by version.
+    :ivar engine_settings: settings of the engines of the members that are added.
+    :ivar saves_checkpoints: whether stopped runs of checkpointed steps save one; it
+        names the seconds of work that are done.
     :ivar account: the client account on whose behalf jobs are submitted.
     :ivar revocation_timeout_s: setting of the members that are added.
     :ivar clock_rate: rate of the clocks of the members that are added.
@@ -110,6 +113,8 @@
     rows: Rows = field(factory=Rows)
     queues: QueueSet = field(factory=lambda: make_queues())
     published: dict[int, QueueSet] = field(factory=dict)
+    engine_settings: EngineSettings = EngineSettings()
+    saves_checkpoints: bool = False
     account: str = ""
     revocation_timeout_s: float | None = None
     clock_rate: float = 1.0
@@ -186,7 +191,7 @@
         settings = MemberSettings(
             name,
             name,
-            engine=EngineSettings(),
+            engine=self.engine_settings,
             speed=speed,
             revocation_timeout_s=self.revocation_timeout_s,
         )
@@ -225,13 +230,15 @@
         """Return a submission as it is stored in its row."""
         return encode_submission(self.submission_by_job[job_id])
 
-    def submit(self, job_id: str, spec: JobSpec, at: str = "") -> None:
+    def submit(
+        self, job_id: str, spec: JobSpec, at: str = "", queue: str = QUEUE
+    ) -> None:
         """Submit a job.
 
         :param at: name of a member; by default the first that is not paused, if
             possible one that reaches the table.
         """
-        submission = Submission(QUEUE, spec, int(self.loop.time() * 1000), self.account)
+        submission = Submission(queue, spec, int(self.loop.time() * 1000), self.account)
         self.submission_by_job[job_id] = submission
         running = [n for n, p in self.process_by_name.items() if p.resumed.is_set()]
         if not running:
@@ -467,11 +474,14 @@
     return QueueSet(1, {QUEUE: queue})
 
 
-def make_cluster(members: int = 3, workers: int = 3) -> SimulatedCluster:
-    """Return a cluster that has run for 2 s, in which a member claims the slice."""
+def make_cluster(members: int = 3, workers: int = 3, **fields: Any) -> SimulatedCluster:
+    """Return a cluster that has run for 2 s, in which a member claims the slice.
+
+    :param fields: initial values of fields of the cluster.
+    """
     loop = VirtualLoop()
     asyncio.set_event_loop(loop)
-    cluster = SimulatedCluster(loop)
+    cluster = SimulatedCluster(loop, **fields)
     for _ in range(workers):
         cluster.add_worker()
 
--- a/tests/jobs/simulatedworker.py
+++ b/tests/jobs/simulatedworker.py
@@ -149,13 +149,21 @@
         task = run.run_id.task
         before = self.highest_ended_run.get(task, 0)
         self.highest_ended_run[task] = max(before, run.run_id.run)
-        self.ends.append(RunEnd(self.next_end, run.run_id, kind, ""))
+        checkpoint = self._checkpoint(run) if kind is EndKind.STOPPED else ""
+        self.ends.append(RunEnd(self.next_end, run.run_id, kind, checkpoint))
         self.next_end += 1
         self.cluster.record_end(run.run_id, kind, self)
         if kind is not EndKind.GANG_MEMBER_ENDED and self.cluster.step_of(task).gang:
             others = EndKind.DONE if kind is EndKind.DONE else EndKind.GANG_MEMBER_ENDED
             self.cluster.end_gang(run.run_id, others)
 
+    def _checkpoint(self, run: SimulatedRun) -> str:
+        """Return the checkpoint that a stopped run leaves; empty if it saves none."""
+        step = self.cluster.step_of(run.run_id.task)
+        if not self.cluster.saves_checkpoints or not step.checkpointed:
+            return ""
+        return f"{run.saved_s + self.cluster.loop.time() - run.started_s:.3f}"
+
     def end_with_gang(self, run: SimulatedRun, kind: EndKind) -> None:
         """End a run because another run of its gang ended."""
         del self.runs[run.run_id]
@@ -184,11 +192,12 @@
         if self.clock_ms() >= self.deadline_ms:
             return Refusal.LEASE_EXPIRED
         spec = self.cluster.step_of(order.run_id.task)
+        saved_s = float(order.checkpoint or 0)
         run = SimulatedRun(
             order.run_id,
             self.cluster.loop.time(),
-            spec.estimate_ms / 1000,
-            0.0,
+            spec.estimate_ms / 1000 - saved_s,
+            saved_s,
             fails=self.cluster.fails(order.run_id.task, self),
         )
         self.runs[order.run_id] = run
--- a/tests/jobs/test_workerreports.py
+++ b/tests/jobs/test_workerreports.py
@@ -21,10 +21,11 @@
     """An engine with workers whose reports are given by the test.
 
     :param workers: number of workers; each has room for four tasks of one core.
+    :param settings: of the engine; the defaults if ``None``.
     """
 
-    def __init__(self, workers: int = 3):
-        self.engine = Engine(EngineSettings())
+    def __init__(self, workers: int = 3, settings: EngineSettings | None = None):
+        self.engine = Engine(settings or EngineSettings())
         self.engine.set_queues(make_queues())
         self.now_s = 100.0
         self.names: list[str] = []
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -43,6 +43,11 @@
     assert load_settings(write_settings(tmp_path, data)).bounds.max_lease_s == 8.0
 
 
+def test_the_stop_timeout_is_read_from_the_bounds(tmp_path: Path):
+    data = {**VALID, "bounds": {"stopTimeoutMs": 200}}
+    assert load_settings(write_settings(tmp_path, data)).bounds.stop_timeout_s == 0.2
+
+
 @pytest.mark.parametrize(
     ("limits", "speed"),
     [({"cpuShare": 0.5, "cpuCores": 3}, 1.5), ({"cpuShare": 0.4}, 0.4), ({}, 1.0)],
