--- a/redwingrun/jobs/engine.py
+++ b/redwingrun/jobs/engine.py
@@ -22,6 +22,7 @@
 from redwingrun.jobs.placement import Placer
 from redwingrun.jobs.policycache import Ticket
 from redwingrun.jobs.policyqueries import PolicyQueryPlanner
+from redwingrun.jobs.preemption import Preemptor
 from redwingrun.jobs.progress import JobProgress, JobState
 from redwingrun.jobs.runtimemodel import RunTimeModel
 from redwingrun.jobs.slicestate import SliceState
@@ -78,6 +79,9 @@
         due times and in the detection of slow workers.
     :param learns_interference: whether the engine learns which images slow each other
         down on a worker, and keeps their tasks apart where there is room.
+    :param preempts: whether runs that can resume from a checkpoint are stopped for
+        urgent steps that find no room.
+    :param stop_timeout_s: how long the stop of a run takes at most.
     """
 
     far_factor: float = 2.0
@@ -85,6 +89,8 @@
     max_lease_s: float = 10.0
     learns_run_times: bool = False
     learns_interference: bool = False
+    preempts: bool = False
+    stop_timeout_s: float = 0.9
 
 
 @frozen
@@ -138,8 +144,11 @@
         )
         placer = Placer(speed_model, self.learned_interference or FixedInterference())
         self._query_planner = PolicyQueryPlanner(placer)
+        preemptor = None
+        if settings.preempts:
+            preemptor = Preemptor(self.state, speed_model, settings.stop_timeout_s)
         self._steps = StepScheduler(
-            self.state, placer, self._query_planner, settings.far_factor
+            self.state, placer, self._query_planner, settings.far_factor, preemptor
         )
 
     @property
--- a/redwingrun/jobs/workerreports.py
+++ b/redwingrun/jobs/workerreports.py
@@ -328,6 +328,8 @@
                 self._speed_meter.run_reported(worker, run, job, now_s)
             task = job.task(status.run_id.task) if job else None
             if task is not None and status.checkpoint:
+                if task.checkpoint != status.checkpoint:
+                    run.saved_s = now_s
                 task.checkpoint = status.checkpoint
         if self._interference_meter is not None:
             self._interference_meter.report_applied(worker, now_s)
