Order of work between client accounts: rates, then weighted shares

Callers: while one account sent 240 of 400 requests within 6 s, the urgent work of all others was late. Cause: steps were placed by priority and due time only. Change: with accounts in the configuration, Engine.plan orders steps by ShareOrder. Jobs within their account's rate come first; then priority; then, for 1 s after a step has found no room, accounts by what they use of their weighted share of the scarcest resource (below half, below, above); then due time. A job is within the rate if no 5 s interval contains more jobs within the rate than 5.5 times the weight and 20. Work beyond the rate leaves 50 starts in flight and half of the policy proxies free, and holds no room. Steps of accounts that fit on no worker are passed over, which pays for the order. Log lines when an account begins and ceases to exceed its rate, and beyond_rate in "start".

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,13 +8,18 @@
 import sys
 import time
 
-from benchmarks import control, packing, routing
+from benchmarks import control, packing, routing, shares
 from benchmarks.rows import Report
 
 
 def main() -> int:
     """Run the sections named as arguments, or all."""
-    sections = {"control": control.run, "packing": packing.run, "routing": routing.run}
+    sections = {
+        "control": control.run,
+        "packing": packing.run,
+        "routing": routing.run,
+        "shares": shares.run,
+    }
     names = sys.argv[1:] or list(sections)
     report = Report()
     for name in names:
--- a/redwingrun/jobs/candidates.py
+++ b/redwingrun/jobs/candidates.py
@@ -22,6 +22,7 @@
         self._now_s = now_s
         self._by_pool: dict[str, dict[str, Worker]] | None = None
         self._largest_by_pool: dict[str, TaskSize] = {}
+        self._sizes_without_room_by_pool: dict[str, list[TaskSize]] = {}
 
     def in_pool(self, pool: str) -> Mapping[str, Worker]:
         """Return the usable workers of a pool, by id."""
@@ -42,6 +43,19 @@
             )
         return self._largest_by_pool[pool]
 
+    def has_room(self, pool: str, size: TaskSize) -> bool:
+        """Return whether a usable worker of a pool has room for a task now.
+
+        Room only becomes less during a plan, so a size that found none is kept.
+        """
+        without_room = self._sizes_without_room_by_pool.setdefault(pool, [])
+        if any(_is_as_large(size, other) for other in without_room):
+            return False
+        if any(worker.fits(size) for worker in self.in_pool(pool).values()):
+            return True
+        without_room.append(size)
+        return False
+
     def _group_by_pool(self) -> dict[str, dict[str, Worker]]:
         by_pool: dict[str, dict[str, Worker]] = {}
         for worker_id, worker in self._workers.items():
@@ -50,6 +64,14 @@
         return by_pool
 
 
+def _is_as_large(size: TaskSize, other: TaskSize) -> bool:
+    return (
+        size.cpu_milli >= other.cpu_milli
+        and size.memory_mb >= other.memory_mb
+        and size.gpus >= other.gpus
+    )
+
+
 def is_usable(worker: Worker, now_s: float) -> bool:
     """Return whether new runs may start on the worker now."""
     return (
--- a/redwingrun/jobs/decisionlog.py
+++ b/redwingrun/jobs/decisionlog.py
@@ -10,6 +10,7 @@
 from redwingrun.jobs.engine import Engine
 from redwingrun.jobs.evidence import EndedRun
 from redwingrun.jobs.ports import WorkerFault
+from redwingrun.jobs.shareorder import RateChange
 from redwingrun.jobs.spec import RunId, StepId, TaskId
 from redwingrun.jobs.workerpool import (
     EndKind,
@@ -28,6 +29,8 @@
 # Metrics show the use of so many accounts, so that their number is bounded.
 MAX_ACCOUNTS_SHOWN = 20
 ACCOUNT_METRICS_INTERVAL_S = 1.0
+# At most so many lines a second about accounts and their rates.
+MAX_RATE_LINES_PER_S = 20
 
 
 class DecisionLog:
@@ -41,6 +44,8 @@
         self._capped_accounts: frozenset[str] = frozenset()
         self._accounts_shown: Set[str] = frozenset()
         self._accounts_shown_s = -math.inf
+        self._rate_lines = 0
+        self._rate_lines_since_s = -math.inf
 
     def accounts(self, capped: frozenset[str]) -> None:
         """Log whose work begins or ceases to wait for a cap, and show what they use.
@@ -72,6 +77,27 @@
             self._metrics.gauge("account_runs", used.runs, account=account)
         self._accounts_shown = shown.keys()
 
+    def rates(self, changes: tuple[RateChange, ...]) -> None:
+        """Log which accounts begin or cease to exceed their rate.
+
+        All are counted, also those that are not logged.
+        """
+        if not changes:
+            return
+        now_s = self._clock.now()
+        if now_s - self._rate_lines_since_s >= 1:
+            self._rate_lines_since_s, self._rate_lines = now_s, 0
+        for change in changes:
+            if change.exceeds:
+                self._metrics.count("accounts_beyond_rate_total")
+            if self._rate_lines < MAX_RATE_LINES_PER_S:
+                self._rate_lines += 1
+                self._log.event(
+                    "account-beyond-rate" if change.exceeds else "account-within-rate",
+                    account=change.account,
+                    jobs_per_s=change.jobs_per_s,
+                )
+
     def starts(self, orders: tuple[StartOrder, ...], fence: int) -> None:
         """Log which tasks start on which workers, one line for each step.
 
@@ -82,6 +108,9 @@
             orders_by_step.setdefault(order.run_id.task.step_id, []).append(order)
         for step_id, step_orders in orders_by_step.items():
             job = self._engine.job_by_id[step_id.job]
+            account_fields: dict[str, object] = {}
+            if job.submission.account:
+                account_fields["beyond_rate"] = job.is_beyond_rate
             self._log.event(
                 "start",
                 job=step_id.job,
@@ -92,6 +121,7 @@
                     f"{order.run_id.task.index}/{order.run_id.run}@{order.worker_id}"
                     for order in step_orders
                 ],
+                **account_fields,
             )
         for order in orders:
             ended = self._engine.pop_ended_run(order.run_id.task)
--- a/redwingrun/jobs/engine.py
+++ b/redwingrun/jobs/engine.py
@@ -21,7 +21,8 @@
 from redwingrun.jobs.policycache import Ticket
 from redwingrun.jobs.policyqueries import PolicyQueryPlanner
 from redwingrun.jobs.progress import JobProgress, JobState
-from redwingrun.jobs.slicestate import SliceState
+from redwingrun.jobs.shareorder import RateChange, ShareOrder
+from redwingrun.jobs.slicestate import ReadyStep, SliceState
 from redwingrun.jobs.spec import (
     Queue,
     QueueSet,
@@ -85,6 +86,7 @@
     could start the same tasks again after a takeover.
 
     :param capped_accounts: the client accounts whose work waits for their cap.
+    :param rate_changes: those that began or ceased to exceed their rate.
     """
 
     starts: tuple[StartOrder, ...]
@@ -93,6 +95,7 @@
     policy_queries: tuple[PolicyQuery, ...]
     changed_jobs: frozenset[str]
     capped_accounts: frozenset[str] = frozenset()
+    rate_changes: tuple[RateChange, ...] = ()
 
 
 class Engine:
@@ -109,6 +112,7 @@
         self._reports = ReportProcessor(
             self.state, SpeedMeter(speed_model), speed_model, self._crashes
         )
+        self._share_order = ShareOrder(self.state)
         placer = Placer(speed_model)
         self._query_planner = PolicyQueryPlanner(placer)
         self._steps = StepScheduler(
@@ -167,6 +171,7 @@
         """Apply a newer configuration; a job of a removed queue keeps its old queue."""
         self._queues = queues
         self.state.account_usage.set_accounts(queues.accounts)
+        self._share_order.set_accounts(queues.accounts)
         for job in self.state.job_by_id.values():
             job.queue = queues.queue_by_name.get(job.queue.name, job.queue)
 
@@ -193,6 +198,7 @@
             due_s=self._due_s(submission, queue, now_s),
         )
         self.state.job_by_id[job_id] = job
+        self._share_order.add_job(job)
         if job.is_final:
             return
         job.complete_done_gangs()
@@ -408,12 +414,11 @@
         starts: list[StartOrder] = []
         policy_queries: list[PolicyQuery] = []
         candidates = Candidates(self.state.worker_by_id, now_s)
-        for step in sorted(self.state.ready_step_by_id.values(), key=lambda s: s.order):
-            if len(starts) >= max_starts:
+        for step in self._sorted_steps(now_s):
+            limit = self._share_order.max_starts(step, max_starts)
+            if len(starts) >= limit:
                 break
-            self._steps.schedule(
-                step, candidates, now_s, starts, policy_queries, max_starts
-            )
+            self._steps.schedule(step, candidates, now_s, starts, policy_queries, limit)
         stops, self.state.stops = self.state.stops, []
         paces = self._reports.pop_pace_orders()
         changed, self.state.changed = frozenset(self.state.changed), set()
@@ -424,8 +429,16 @@
             tuple(policy_queries),
             changed,
             self.state.account_usage.pop_capped(),
+            self._share_order.pop_rate_changes(),
         )
 
+    def _sorted_steps(self, now_s: float) -> list[ReadyStep]:
+        """Return the ready steps in the order in which they are scheduled."""
+        steps = self.state.ready_step_by_id.values()
+        if self._share_order.is_needed:
+            return self._share_order.sort(steps, now_s)
+        return sorted(steps, key=lambda step: step.order)
+
     def last_end_by_worker(self) -> dict[str, LastEnd]:
         """Return the last processed run end, by worker."""
         return {
--- a/redwingrun/jobs/job.py
+++ b/redwingrun/jobs/job.py
@@ -30,6 +30,7 @@
     :param has_suspects: whether workers may have crashed because of a task.
     :param suspects_wait_since_s: monotonic time since which suspected tasks wait for a
         worker that can be held for them; ``None`` if none waits.
+    :param is_beyond_rate: whether it exceeds the rate of its client account.
     :param moved_tasks: tasks that were moved off a slow worker; none is moved twice.
     """
 
@@ -42,6 +43,7 @@
     failed_s_by_worker_by_task: dict[TaskId, dict[str, float]] = field(factory=dict)
     moved_tasks: set[TaskId] = field(factory=set)
     has_suspects: bool = False
+    is_beyond_rate: bool = False
     suspects_wait_since_s: float | None = None
 
     @property
--- a/redwingrun/jobs/policyqueries.py
+++ b/redwingrun/jobs/policyqueries.py
@@ -26,6 +26,9 @@
 LONG_QUERY_S = 0.2
 # Number of proxies that send only short queries, if there are more.
 SHORT_QUERY_PROXIES = 2
+# Work beyond the rate of its client account uses at most this share of the proxies, and
+# of those for long queries, so that work within its rate finds some free.
+BEYOND_RATE_SHARE = 0.5
 # Room is sought for this many times the waiting tasks: the policy may allow fewer
 # workers than expected, and other steps may take the room first.
 ROOM_FACTOR = 1.5
@@ -67,6 +70,7 @@
     def __init__(self, placer: Placer):
         self._placer = placer
         self._long_queries = 0
+        self._queries_beyond_rate: set[PolicyQuery] = set()
         self._pledge_by_query: dict[PolicyQuery, _Pledge] = {}
         self._pledged_cpu_by_worker: Counter[str] = Counter()
         self._pledged_memory_by_worker: Counter[str] = Counter()
@@ -83,7 +87,8 @@
     ) -> list[PolicyQuery]:
         """Return the queries that a step sends now, none while others are pending.
 
-        Fewer are returned if they are long and the proxies for long queries are busy.
+        Fewer are returned if they are long and the proxies for long queries are busy,
+        or if the job is beyond its account's rate and others like it use its share.
 
         :param waiting: indexes of the tasks that have no worker.
         :param workers: the workers that may be given new runs, by id.
@@ -91,15 +96,21 @@
         policy_cache = view.policy_cache
         if policy_cache.pending or now_s < policy_cache.retry_at_s:
             return []
+        if job.is_beyond_rate and not self._may_query_beyond_rate():
+            return []
         named = self._workers_to_name(view, job, waiting, workers, now_s)
         queries = []
         for worker_ids in _split_evenly([worker.worker_id for worker in named]):
             expected_s = job.queue.policy_answer_s(len(worker_ids))
             is_long = expected_s > LONG_QUERY_S
-            if is_long and not self._may_send_long_query():
+            if is_long and not self._may_send_long_query(job):
+                break
+            if job.is_beyond_rate and not self._may_query_beyond_rate():
                 break
             query = PolicyQuery(view.step_id, worker_ids, expected_s)
             self._long_queries += is_long
+            if job.is_beyond_rate:
+                self._queries_beyond_rate.add(query)
             self._pledge(query, reserved_size(view.step), len(waiting) / len(named))
             policy_cache.pending.update(worker_ids)
             queries.append(query)
@@ -108,6 +119,7 @@
     def query_ended(self, query: PolicyQuery) -> None:
         """Record that a query is answered or has failed."""
         self._long_queries -= query.expected_answer_s > LONG_QUERY_S
+        self._queries_beyond_rate.discard(query)
         pledge = self._pledge_by_query.pop(query, None)
         if pledge is not None:
             self._add_pledge(query, pledge, -1)
@@ -117,9 +129,16 @@
         share = self._share_by_queue.setdefault(queue, _AllowedShare())
         share.record(allowed / named)
 
-    def _may_send_long_query(self) -> bool:
+    def _may_send_long_query(self, job: Job) -> bool:
         # The other proxies stay free for short queries; see policyproxies.py.
-        return self._long_queries < max(1, self.proxy_count - SHORT_QUERY_PROXIES)
+        most = max(1, self.proxy_count - SHORT_QUERY_PROXIES)
+        if job.is_beyond_rate:
+            most = max(1, int(most * BEYOND_RATE_SHARE))
+        return self._long_queries < most
+
+    def _may_query_beyond_rate(self) -> bool:
+        most = max(1, int(self.proxy_count * BEYOND_RATE_SHARE))
+        return len(self._queries_beyond_rate) < most
 
     def _workers_to_name(
         self,
--- a/redwingrun/jobs/sliceowner.py
+++ b/redwingrun/jobs/sliceowner.py
@@ -316,6 +316,7 @@
         if plan.starts or self._batch_delay_s() < MIN_BATCH_DELAY_S:
             await self._store()
         self.decisions.accounts(plan.capped_accounts)
+        self.decisions.rates(plan.rate_changes)
         self.decisions.starts(plan.starts, self.fence)
         for start in plan.starts:
             self._send_start(start)
--- a/redwingrun/jobs/slicestate.py
+++ b/redwingrun/jobs/slicestate.py
@@ -31,11 +31,13 @@
 
     :ivar no_room_since_s: monotonic time since which no worker has had room for a task
         of it; ``None`` if one had, or if that was not looked for.
+    :ivar lacks_room: whether the last plan left a task of it without room.
     """
 
     step_id: StepId
     job: Job
     no_room_since_s: float | None = None
+    lacks_room: bool = False
 
     @property
     def order(self) -> tuple[int, float]:
--- a/redwingrun/jobs/stepscheduler.py
+++ b/redwingrun/jobs/stepscheduler.py
@@ -80,6 +80,9 @@
         policy_cache = self._state.policy_cache_by_step.get(step_id)
         if policy_cache is not None and policy_cache.must_wait(now_s):
             return
+        if self._is_without_room(job, step_id, candidates):
+            ready_step.lacks_room = True
+            return
         waiting = [
             index
             for index in job.waiting_indexes(step_id)
@@ -118,7 +121,11 @@
                     # The next start is watched again.
                     job.suspects_wait_since_s = None
         missing = len(waiting) - (len(starts) - started)
-        if missing:
+        # Without an answer of the policy nothing is known about room.
+        ready_step.lacks_room = missing > 0 and (
+            policy_cache is None or bool(policy_cache.allowed)
+        )
+        if missing and not job.is_beyond_rate:
             hold_room(ready_step, view, workers, missing, now_s)
         if missing and view.policy_cache is not None:
             policy_queries += self._query_planner.plan(
@@ -138,6 +145,26 @@
         usage.note_capped(job.submission.account)
         return [] if step.gang else waiting[: int(room)]
 
+    def _is_without_room(
+        self, job: Job, step_id: StepId, candidates: Candidates
+    ) -> bool:
+        """Return whether a step of an account has no room, and none is held for it.
+
+        There is nothing else to do for it then, so that the steps that wait in a surge
+        cost the owner little time.
+        """
+        account, pool = job.submission.account, job.queue.pool
+        if not account or job.has_suspects:
+            return False
+        step = job.step(step_id)
+        size = reserved_size(step)
+        is_large = needs_large_part(size, candidates.largest_capacity(pool))
+        if (is_large and not job.is_beyond_rate) or candidates.has_room(pool, size):
+            return False
+        # Work that waits for its account's cap is reported as that.
+        room = self._state.account_usage.room_for(account, step.size)
+        return 0 < len(job.waiting_indexes(step_id)) <= room
+
     def _has_waited_too_long(self, job: Job, now_s: float) -> bool:
         """Return whether suspected tasks have waited too long for a held worker."""
         since_s = job.suspects_wait_since_s
