--- a/redwingrun/jobs/sliceowner.py
+++ b/redwingrun/jobs/sliceowner.py
@@ -317,6 +317,7 @@
             await self._store()
         self.decisions.accounts(plan.capped_accounts)
         self.decisions.interference()
+        self.decisions.rates(plan.rate_changes)
         self.decisions.starts(plan.starts, self.fence)
         for start in plan.starts:
             self._send_start(start)
