--- a/redwingrun/bodybudget.py
+++ b/redwingrun/bodybudget.py
@@ -149,11 +149,13 @@
 
 @define
 class BodyBudget:
-    """Decides which requests and connections are refused, without a network.
+    """Decides which requests and connections are refused; does no I/O.
 
     Methods that may refuse return the refused connections with the reasons. A refused
     request has not run. When something is used up, the address that uses the most of
     it gives way, so that one address may use everything while no other one needs it.
+
+    :ivar held_bytes: bytes of all unanswered requests.
     """
 
     limits: BodyLimits
--- a/redwingrun/jobs/accounts.py
+++ b/redwingrun/jobs/accounts.py
@@ -14,8 +14,8 @@
 class ClientAccount:
     """An account on whose behalf jobs are submitted.
 
-    :param weight: its share when there is not enough room for all, and the number of
-        jobs a second that it may submit before they come after those of others.
+    :param weight: its share, relative to other accounts, while room is short, and its
+        rate in jobs per second; jobs beyond that come last (``shareorder.JobRates``).
     :param cap: what its tasks may use over all workers; 0 for no limit, by resource.
     :param key_digests: digests of its keys. The keys themselves are not kept.
     """
--- a/redwingrun/jobs/candidates.py
+++ b/redwingrun/jobs/candidates.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Mapping
 
-from redwingrun.jobs.spec import TaskSize
+from redwingrun.jobs.tasksize import TaskSize, sum_sizes
 from redwingrun.jobs.workerpool import Worker
 
 # A worker whose last report is older gets no new runs.
@@ -47,20 +47,16 @@
     def total_capacity(self, pool: str) -> TaskSize:
         """Return the capacity of all usable workers of a pool, by resource."""
         if pool not in self._total_by_pool:
-            capacities = [
-                worker.info.capacity for worker in self.in_pool(pool).values()
-            ]
-            self._total_by_pool[pool] = TaskSize(
-                sum(item.cpu_milli for item in capacities),
-                sum(item.memory_mb for item in capacities),
-                sum(item.gpus for item in capacities),
+            workers = self.in_pool(pool).values()
+            self._total_by_pool[pool] = sum_sizes(
+                [worker.info.capacity for worker in workers]
             )
         return self._total_by_pool[pool]
 
     def has_room(self, pool: str, size: TaskSize) -> bool:
         """Return whether a usable worker of a pool has room for a task now.
 
-        Room only becomes less during a plan, so a size that found none is kept.
+        Room only becomes less during a plan, so sizes without room are remembered.
         """
         without_room = self._sizes_without_room_by_pool.setdefault(pool, [])
         if any(_is_as_large(size, other) for other in without_room):
--- a/redwingrun/jobs/exclusions.py
+++ b/redwingrun/jobs/exclusions.py
@@ -6,7 +6,8 @@
 from collections.abc import Collection, Sequence
 
 from redwingrun.jobs.job import Job
-from redwingrun.jobs.spec import StepId, TaskId, TaskSize
+from redwingrun.jobs.spec import StepId, TaskId
+from redwingrun.jobs.tasksize import TaskSize, tasks_that_fit
 from redwingrun.jobs.workerpool import Worker
 
 # A failed task waits for another worker for at most this time: one that could hold it
@@ -88,12 +89,5 @@
 
     :param limit: maximum number of the step's tasks on one worker; 0 for no limit.
     """
-    capacity = worker.info.capacity
-    counts = [limit] if limit else []
-    if size.cpu_milli:
-        counts.append(capacity.cpu_milli // size.cpu_milli)
-    if size.memory_mb:
-        counts.append(capacity.memory_mb // size.memory_mb)
-    if size.gpus:
-        counts.append(capacity.gpus // size.gpus)
-    return min(counts, default=1)
+    tasks = min(limit or math.inf, tasks_that_fit(worker.info.capacity, size))
+    return int(tasks) if math.isfinite(tasks) else 1
--- a/redwingrun/jobs/peerconfig.py
+++ b/redwingrun/jobs/peerconfig.py
@@ -22,7 +22,12 @@
 
 
 class PeerConfigReader:
-    """Keeps the configuration fresh through peers that reach the table."""
+    """Keeps the configuration fresh through peers that reach the table.
+
+    :param follower: applies newer configurations.
+    :param freshness: told what the peers confirm.
+    :param name: the member's name, the seed of the choice of peers.
+    """
 
     def __init__(
         self,
--- a/redwingrun/jobs/preemption.py
+++ b/redwingrun/jobs/preemption.py
@@ -4,7 +4,7 @@
 
 import heapq
 import math
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 
 from attrs import define, evolve, frozen
 
@@ -17,28 +17,30 @@
 from redwingrun.jobs.slicestate import SliceState
 from redwingrun.jobs.spec import JobSpec, RunId, StepId, TaskId
 from redwingrun.jobs.speeds import SpeedModel
-from redwingrun.jobs.tasksize import TaskSize
+from redwingrun.jobs.tasksize import TaskSize, sum_sizes, tasks_that_fit
 from redwingrun.jobs.workerpool import Run, RunPhase, Worker
 
 MS_PER_S = 1000
+# The reason of these stops in the log.
 PREEMPTED = "preempted"
 # From the end of a stopped run until a task starts in its room: the worker's report,
 # the write to the table, and the start.
 STOP_MARGIN_S = 0.2
-# Room that has come free is held for so long. It may need another ticket of the policy.
+# Room that has come free is held for this time. The policy may have to be queried again
+# before a task starts there.
 ROOM_WAIT_S = 0.5
 # A preempted task is not preempted again for this time, longer than a burst of urgent
 # work lasts.
 PREEMPT_AGAIN_S = 10.0
 # A step for which no run can be stopped looks for one again after this time.
 RETRY_S = 0.1
-# The runs to stop are chosen on so many workers at most, those with the most recently
+# The runs to stop are chosen on at most this many workers, those with the most recently
 # started or saved runs. Comparing all of 176 workers took an owner 13 ms for each step.
 MAX_WORKERS_COMPARED = 32
-# The forecast for the runs of a worker is kept for so long while none starts or ends:
+# The forecast for the runs of a worker is kept for this time while none starts or ends;
 # reports are not more frequent.
 RUNS_VALID_S = 0.2
-# A job counts a little until this many times its objective has passed.
+# A job that ends later than this many times its objective has no value to the client.
 USEFUL_OBJECTIVES = 3
 
 
@@ -46,8 +48,8 @@
 class _Shortage:
     """A step that has found no room.
 
-    :param since_s: monotonic time since which.
-    :param useful_until_s: monotonic time until which its tasks may start to be of use.
+    :param since_s: monotonic time at which it first found none.
+    :param useful_until_s: monotonic time after which a start is too late to be of use.
     :param retry_at_s: monotonic time from which runs to stop are looked for again.
     """
 
@@ -73,10 +75,12 @@
 class _WorkerRuns:
     """The runs of a worker that free room, or could.
 
-    :param stopping: the times from which stops are late, and the sizes of their runs.
-    :param ending: the expected times of the ends of others, and their sizes.
+    :param stopping: of the runs being stopped, the monotonic time from which the stop
+        is late, and the size.
+    :param ending: of runs that end soon by themselves, the expected monotonic time of
+        the end, and the size.
     :param victims: those that may be stopped, of all priorities.
-    :param made_s: monotonic time at which this was found out.
+    :param made_s: monotonic time at which this was computed.
     :param run_ids: all runs of the worker.
     """
 
@@ -96,9 +100,10 @@
 class _Offer:
     """Room that a worker can give to a step.
 
-    :param promised: tasks for which it has room without another stop.
-    :param victims: the runs to stop, in this order.
+    :param promised: number of the step's tasks for which its room is chosen.
+    :param victims: the runs that may be stopped, in this order.
     :param tasks_by_stops: tasks for which it has room, by the number of stops.
+    :param stops: how many of ``victims`` are chosen to be stopped.
     """
 
     worker: Worker
@@ -107,11 +112,12 @@
     tasks_by_stops: list[int]
     stops: int = 0
 
-    def best_step(self, need: int) -> tuple[float, float, int] | None:
-        """Return the next stops with the most tasks for each, ``None`` if none helps.
+    def next_stops(self, need: int) -> tuple[float, float, int] | None:
+        """Return the further stops that make the most room, ``None`` if none does.
 
-        :return: stops for a task and mean unsaved time, both lower for a better choice,
-            and the number of stops on the worker after it.
+        :param need: number of tasks that still need room.
+        :return: stops per task and mean unsaved time in seconds, both lower for a
+            better choice, and the number of stops on the worker with these.
         """
         best = None
         gained = self.tasks_by_stops[self.stops]
@@ -129,10 +135,11 @@
 class Preemptor:
     """Stops less urgent runs for urgent steps that have found no room.
 
-    Among the runs that free room for the same number of tasks, those of the least
-    urgent queue are stopped first, then those that have started or saved a checkpoint
-    most recently. A stop saves a checkpoint unless it takes too long; the work since
-    the last one is lost then.
+    Among the runs of a worker that free room for the same number of tasks, those of the
+    least urgent queue are stopped first, then those that have started or saved a
+    checkpoint most recently. Between workers, the fewest stops for a task decide, then
+    the time since these starts or checkpoints. A stop saves a checkpoint unless it
+    takes too long; the work since the last one is lost then.
 
     :param speed_model: read only.
     :param stop_timeout_s: how long a stop takes at most.
@@ -318,6 +325,7 @@
         return known
 
     def _sort_runs(self, worker: Worker, now_s: float) -> _WorkerRuns:
+        """Compute which runs are stopping, end soon or may be stopped."""
         stopping, ending, victims = [], [], []
         for run in worker.run_by_id.values():
             if run.phase is RunPhase.STOPPING:
@@ -380,7 +388,7 @@
             capacity.memory_mb - worker.memory_used - others.memory_mb,
             capacity.gpus - worker.gpus_used - others.gpus,
         )
-        return _sum((free, *freed))
+        return sum_sizes((free, *freed))
 
     # The choice of runs to stop.
 
@@ -407,14 +415,14 @@
         ]
         victims.sort(
             key=lambda victim: (
-                -_tasks_in(view, worker, _sum((room, victim.run.size))),
+                -_tasks_in(view, worker, sum_sizes((room, victim.run.size))),
                 -victim.priority,
                 victim.unsaved_s,
             )
         )
         tasks = [max(0, _tasks_in(view, worker, room) - own)]
         for victim in victims:
-            room = _sum((room, victim.run.size))
+            room = sum_sizes((room, victim.run.size))
             tasks.append(max(0, _tasks_in(view, worker, room) - own))
         return _Offer(worker, 0, victims, tasks)
 
@@ -478,11 +486,11 @@
         """Raise the stops and tasks of offers until there is room for all tasks."""
         chosen: list[_Victim] = []
         while need > 0:
-            steps = [(offer.best_step(need), offer) for offer in offers]
-            steps = [(step, offer) for step, offer in steps if step is not None]
-            if not steps:
+            choices = [(offer.next_stops(need), offer) for offer in offers]
+            choices = [item for item in choices if item[0] is not None]
+            if not choices:
                 return
-            (_, _, stops), offer = min(steps, key=lambda item: item[0])
+            (_, _, stops), offer = min(choices, key=lambda item: item[0])
             added = offer.victims[offer.stops : stops]
             runs = [victim.run for victim in chosen + added]
             if not self._budget.allows(pool, capacity, runs):
@@ -504,8 +512,8 @@
     ) -> None:
         """Stop the runs of an offer, and hold its room for the step.
 
-        Less urgent work is kept off. Other urgent work is not: of that the order of due
-        times decides.
+        Less urgent work may not use the room. Other urgent work may: the order of due
+        times decides between urgent steps.
         """
         worker, job_id = offer.worker, view.step_id.job
         for victim in offer.victims[: offer.stops]:
@@ -578,29 +586,11 @@
     return paths_ms
 
 
-def _sum(sizes: Sequence[TaskSize]) -> TaskSize:
-    return TaskSize(
-        sum(size.cpu_milli for size in sizes),
-        sum(size.memory_mb for size in sizes),
-        sum(size.gpus for size in sizes),
-    )
-
-
 def _tasks_in(view: StepView, worker: Worker, room: TaskSize) -> int:
-    """Return how many tasks of a step some room on a worker is for."""
+    """Return how many tasks of a step fit into some room on a worker."""
     step = view.step
-    tasks = min(_quotients(room, reserved_size(step)), default=step.tasks)
+    tasks = min(step.tasks, tasks_that_fit(room, reserved_size(step)))
     if step.max_per_worker:
         running = worker.tasks_by_step.get(view.step_id, 0)
         tasks = min(tasks, step.max_per_worker - running)
-    return max(0, min(tasks, step.tasks))
-
-
-def _quotients(room: TaskSize, size: TaskSize) -> Iterator[int]:
-    """Yield how many tasks fit by each resource that they need."""
-    if size.cpu_milli:
-        yield room.cpu_milli // size.cpu_milli
-    if size.memory_mb:
-        yield room.memory_mb // size.memory_mb
-    if size.gpus:
-        yield room.gpus // size.gpus
+    return max(0, tasks)
--- a/redwingrun/jobs/preemptionbudget.py
+++ b/redwingrun/jobs/preemptionbudget.py
@@ -26,6 +26,7 @@
 class _Preempted:
     """A run that was preempted.
 
+    :param stopped_s: monotonic time at which its stop was ordered.
     :param share: share of the pool's scarcest resource that it had reserved.
     """
 
--- a/redwingrun/jobs/shareorder.py
+++ b/redwingrun/jobs/shareorder.py
@@ -22,8 +22,8 @@
 from redwingrun.jobs.spec import StepId, TaskSize
 from redwingrun.jobs.workerpool import Worker
 
-# An account may submit its weight in jobs per second, a tenth more, and a burst in any
-# interval of the length of the window.
+# In any interval of RATE_WINDOW_S an account may submit its weight in jobs per second,
+# a tenth more, and RATE_BURST_JOBS.
 RATE_WINDOW_S = 5
 RATE_TOLERANCE = 0.1
 RATE_BURST_JOBS = 20
@@ -32,24 +32,24 @@
 BUCKETS_PER_WINDOW = RATE_WINDOW_S * 1000 // BUCKET_MS
 # Counts are kept for two windows, for jobs that arrive after later ones.
 BUCKETS_KEPT = 2 * BUCKETS_PER_WINDOW
-# Accounts that have been idle are removed at most so many at a time.
+# Each call removes at most this many idle accounts, so that its time is bounded.
 MAX_IDLE_REMOVED = 2
 # Room counts as short for this long after a step has found none. A plan that leaves no
 # step without room may fall between two that do.
 SHORT_ROOM_S = 1.0
 # The usable workers are found at this interval, not in each plan.
 CAPACITY_INTERVAL_S = 0.25
-# An account with a lower weight, or none, has this share.
+# A lower weight counts as this, so that no share is 0.
 MIN_WEIGHT = 0.001
-# Starts that work beyond its rate leave free, of those that may be in flight.
+# Of the starts that may be in flight, this many are reserved for work within its rate.
 STARTS_KEPT_FREE = 50
 
 
 class ShareRank(IntEnum):
     """What an account uses, compared with its share; lower ranks come first.
 
-    With two ranks only, an account that has nothing running waited behind the overdue
-    work of large accounts, each just below its share.
+    ``BELOW_HALF`` lets an account with little running precede the overdue work of large
+    accounts that are just below their shares.
     """
 
     BELOW_HALF = 0
@@ -73,7 +73,9 @@
 class _AcceptedJobs:
     """The jobs of an account that count as within its rate, by time of acceptance.
 
-    :ivar newest: the newest bucket with a job, in ``BUCKET_MS``.
+    :ivar newest: the newest bucket with a job. Buckets are numbered by Unix time, in
+        units of ``BUCKET_MS``.
+    :ivar count_by_bucket: number of jobs.
     """
 
     newest: int = 0
@@ -312,8 +314,8 @@
     def _sum_capacity(self, now_s: float) -> None:
         """Sum the capacity of the usable workers, and what is free of it.
 
-        What is free must be as new as what the accounts use: what is counted in both
-        would raise everybody's share.
+        The free capacity is summed in each plan, like what the accounts use. In an
+        older sum, the room of a run that has started since would still count as free.
         """
         if now_s - self._capacity_summed_s >= CAPACITY_INTERVAL_S:
             self._capacity_summed_s = now_s
@@ -413,8 +415,8 @@
 ) -> float:
     """Return the share of the capacity for each unit of weight.
 
-    What accounts with a low demand leave is divided between the others. Without any
-    other, the level is infinite.
+    What accounts with a low demand leave is divided between the others. The level is
+    infinite if there is enough for all.
     """
     wanted = [(demand.wanted.share_of(capacity), demand.weight) for demand in demands]
     wanted.sort(key=lambda item: item[0] / item[1])
--- a/redwingrun/peers.py
+++ b/redwingrun/peers.py
@@ -272,11 +272,11 @@
         self._connections[connection] = None
         if len(self._connections) <= self._max_connections:
             return
-        strangers = [
+        unauthenticated = [
             item for item in self._connections if not item.handler.is_authenticated
         ]
-        if len(strangers) > self._max_connections:
-            strangers[0].refuse(Refusal.PEER_CONNECTIONS)
+        if len(unauthenticated) > self._max_connections:
+            unauthenticated[0].refuse(Refusal.PEER_CONNECTIONS)
 
     def remove(self, connection: _GuardedProtocol) -> None:
         """Forget a connection."""
--- a/redwingrun/platform/__main__.py
+++ b/redwingrun/platform/__main__.py
@@ -41,7 +41,8 @@
 
 MAX_BODY_BYTES = 1_048_576
 MAX_HEADER_BYTES = 16_384
-# Slow bodies are refused before this, with an answer; see BodyLimits.
+# The connection is closed without an answer. A body below the minimum rate of
+# BodyLimits is refused before this, with an answer.
 BODY_TIMEOUT_S = 10.0
 IDLE_CONNECTION_TIMEOUT_S = 60.0
 # How long clients are still served after the member reports that it is not ready: the
--- a/redwingrun/platform/settings.py
+++ b/redwingrun/platform/settings.py
@@ -78,7 +78,7 @@
     speed: float = 1.0
     memory_mb: float = SMALLEST_MEMORY_MB
     max_descriptors: int = SMALLEST_MAX_DESCRIPTORS
-    header_timeout_s: float = 3.0
+    header_timeout_s: float = DEFAULT_HEADER_TIMEOUT_MS / 1000
 
 
 def settings_path() -> Path:
