Optional features are switched on by the deployment; lines about caps are bounded

Preemption, learned run times and learned interference could not be switched on without a change of the code. REDWINGRUN_FEATURES names them now, and an unknown name is refused. Lines about accounts at their cap come at most once a second, 20 at a time: a plan may end before it looks at all accounts, so that they alternated. Evidence: tests/platform, test_accountusage, test_shareorder, test_docs, test_boundaries pass.

--- a/benchmarks/shares.py
+++ b/benchmarks/shares.py
@@ -43,12 +43,13 @@
     "urgent": Queue("urgent", POOL, stretch=1.5, slack_ms=253),
     "long": Queue("long", POOL, priority=2, stretch=2.2, slack_ms=1203),
 }
-# Queue, tasks, cores in thousandths, run time and jobs a second. The workers have not
-# room for all of it, and one account sends half of it.
+# Rows of queue, tasks, cores in thousandths, run time in seconds and jobs per second.
+# The workers have no room for all of it, and one account sends half of it.
+#
 # Tasks of one kind, of which as many start in either order, for the cost of a start.
 EQUAL_WORK = (("urgent", 10, 2200, 2.0, 50.0), ("long", 17, 2200, 2.0, 20.0))
-# The newsroom's kinds of work. Of these, other ones start in the new order, and so not
-# as many. The owner's time for a second of the load shows what is due to that.
+# Short urgent work beside long work. Of these, other ones start in the new order, and
+# so not as many. The owner's time for a second of the load shows what is due to that.
 MIXED_WORK = (("urgent", 16, 2200, 0.64, 40.0), ("long", 34, 4500, 4.8, 4.0))
 TICK_S = 0.1
 WARM_UP_TICKS, TICKS = 40, 60
--- a/redwingrun/guardedserver.py
+++ b/redwingrun/guardedserver.py
@@ -40,6 +40,7 @@
 # How long the rest of a refused request is read and dropped. A close with unread bytes
 # resets the connection, which may destroy the answer before the client has read it.
 LINGER_S = 0.5
+# What is full frees up as soon as stalled requests have been dropped.
 RETRY_AFTER_S = 1
 
 
--- a/redwingrun/jobs/decisionlog.py
+++ b/redwingrun/jobs/decisionlog.py
@@ -26,9 +26,9 @@
 FIRST_RUN = 1
 # A line names at most so many tasks, so that its length is bounded.
 MAX_LOGGED_SUSPECTS = 20
-# Metrics show the use of so many accounts, so that their number is bounded.
+# Metrics show the use of so many accounts, and so many are logged at a time.
 MAX_ACCOUNTS_SHOWN = 20
-ACCOUNT_METRICS_INTERVAL_S = 1.0
+ACCOUNTS_INTERVAL_S = 1.0
 # Bounds the lines about pairs of images.
 PAIR_LINES_INTERVAL_S = 1.0
 MAX_PAIR_LINES = 5
@@ -45,6 +45,7 @@
         self._clock = clock
         self._metrics = metrics
         self._capped_accounts: frozenset[str] = frozenset()
+        self._capped_since: frozenset[str] = frozenset()
         self._accounts_shown: Set[str] = frozenset()
         self._accounts_shown_s = -math.inf
         self._pairs_logged_s = -math.inf
@@ -54,24 +55,35 @@
     def accounts(self, capped: frozenset[str]) -> None:
         """Log whose work begins or ceases to wait for a cap, and show what they use.
 
-        :param capped: the client accounts whose work waits for their cap.
+        A plan may end before it looks at all accounts, so the plans of an interval
+        count together.
+
+        :param capped: the client accounts whose work waits for their cap in one plan.
         """
-        usage = self._engine.state.account_usage
-        for account in sorted(capped ^ self._capped_accounts):
-            used = usage.usage(account)
-            self._log.event(
-                "account-at-cap" if account in capped else "account-below-cap",
-                account=account,
-                cpu_milli=used.cpu_milli,
-                memory_mb=used.memory_mb,
-                gpus=used.gpus,
-                runs=used.runs,
-            )
-        self._capped_accounts = capped
+        self._capped_since |= capped
         now_s = self._clock.now()
-        if now_s - self._accounts_shown_s < ACCOUNT_METRICS_INTERVAL_S:
+        if now_s - self._accounts_shown_s < ACCOUNTS_INTERVAL_S:
             return
         self._accounts_shown_s = now_s
+        changed = sorted(self._capped_since ^ self._capped_accounts)
+        for account in changed[:MAX_ACCOUNTS_SHOWN]:
+            self._log_cap(account, is_at_cap=account in self._capped_since)
+        self._capped_accounts, self._capped_since = self._capped_since, frozenset()
+        self._show_usage()
+
+    def _log_cap(self, account: str, is_at_cap: bool) -> None:
+        used = self._engine.state.account_usage.usage(account)
+        self._log.event(
+            "account-at-cap" if is_at_cap else "account-below-cap",
+            account=account,
+            cpu_milli=used.cpu_milli,
+            memory_mb=used.memory_mb,
+            gpus=used.gpus,
+            runs=used.runs,
+        )
+
+    def _show_usage(self) -> None:
+        usage = self._engine.state.account_usage
         shown = dict(usage.largest(MAX_ACCOUNTS_SHOWN))
         for account in self._accounts_shown - shown.keys():
             self._metrics.remove_gauge("account_cpu_milli", account=account)
--- a/redwingrun/platform/__main__.py
+++ b/redwingrun/platform/__main__.py
@@ -31,7 +31,9 @@
 from redwingrun.platform.queues import PlatformQueues
 from redwingrun.platform.registry import PlatformRegistry
 from redwingrun.platform.settings import (
+    Feature,
     PlatformSettings,
+    load_features,
     load_settings,
     settings_path,
 )
@@ -67,8 +69,11 @@
 class MemberProcess:
     """One member with its HTTP servers, run until SIGTERM or SIGINT."""
 
-    def __init__(self, settings: PlatformSettings, log: Log):
+    def __init__(
+        self, settings: PlatformSettings, features: frozenset[Feature], log: Log
+    ):
         self._settings = settings
+        self._features = features
         self._log = log
         self._metrics = Metrics()
         self._clock = MonotonicClock()
@@ -141,6 +146,9 @@
             bounds.early_s,
             max_lease_s=bounds.max_lease_s,
             stop_timeout_s=bounds.stop_timeout_s,
+            preempts=Feature.PREEMPTION in self._features,
+            learns_run_times=Feature.RUN_TIMES in self._features,
+            learns_interference=Feature.INTERFERENCE in self._features,
         )
         address = f"{settings.ip}:{settings.peer_port}"
         member_settings = MemberSettings(
@@ -162,7 +170,12 @@
         _listen(self._ready_server, self._settings.ready)
         self._member.start()
         poll = loop.create_task(self._poll_settings())
-        self._log.event("started", node=self._settings.node, zone=self._settings.zone)
+        self._log.event(
+            "started",
+            node=self._settings.node,
+            zone=self._settings.zone,
+            features=sorted(feature.value for feature in self._features),
+        )
         await self._stop_requested.wait()
         poll.cancel()
         await self._shut_down()
@@ -222,9 +235,11 @@
     server.listen(int(port), host)
 
 
-async def _run(settings: PlatformSettings, log: Log) -> None:
+async def _run(
+    settings: PlatformSettings, features: frozenset[Feature], log: Log
+) -> None:
     # HTTP clients bind to the running event loop, so build the process inside it.
-    await MemberProcess(settings, log).run()
+    await MemberProcess(settings, features, log).run()
 
 
 def main() -> int:
@@ -233,7 +248,7 @@
     log.open(to_stdout=True)
     try:
         settings = load_settings(settings_path())
-        asyncio.run(_run(settings, log))
+        asyncio.run(_run(settings, load_features(), log))
     except RedwingrunError as error:
         log.fault("not-started", why=str(error))
         return EXIT_NOT_STARTED
--- a/redwingrun/platform/settings.py
+++ b/redwingrun/platform/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from enum import Enum
 from pathlib import Path
 from typing import Any
 
@@ -12,9 +13,12 @@
 from redwingrun.errors import RedwingrunError
 
 SETTINGS_VARIABLE = "REDWINGRUN_BOOT"
+# Names of optional features, separated by commas.
+FEATURES_VARIABLE = "REDWINGRUN_FEATURES"
 # Of the smallest host, for settings that name no limits.
 SMALLEST_MEMORY_MB = 160.0
 SMALLEST_MAX_DESCRIPTORS = 1638
+DEFAULT_REVOKE_TIMEOUT_MS = 5000
 DEFAULT_HEADER_TIMEOUT_MS = 3000
 
 
@@ -47,6 +51,14 @@
     stop_timeout_s: float = 0.9
 
 
+class Feature(Enum):
+    """An optional feature, off unless the deployment names it."""
+
+    PREEMPTION = "preemption"
+    RUN_TIMES = "run-times"
+    INTERFERENCE = "interference"
+
+
 @frozen
 class PlatformSettings:
     """The settings of one process. All addresses are IP and port.
@@ -153,4 +165,17 @@
 def _revocation_timeout_s(bounds: dict[str, Any]) -> float | None:
     if not bounds.get("strictRevoke"):
         return None
-    return float(bounds["revokeTimeoutMs"]) / 1000
+    return float(bounds.get("revokeTimeoutMs", DEFAULT_REVOKE_TIMEOUT_MS)) / 1000
+
+
+def load_features() -> frozenset[Feature]:
+    """Return the optional features that the deployment switches on.
+
+    :raises SettingsError: if it names one that does not exist.
+    """
+    names = os.environ.get(FEATURES_VARIABLE, "").split(",")
+    try:
+        return frozenset(Feature(name.strip()) for name in names if name.strip())
+    except ValueError as error:
+        known = ", ".join(feature.value for feature in Feature)
+        raise SettingsError(f"{FEATURES_VARIABLE}: {error}; known: {known}") from error
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -7,7 +7,13 @@
 import orjson
 import pytest
 
-from redwingrun.platform.settings import SettingsError, load_settings
+from redwingrun.platform.settings import (
+    FEATURES_VARIABLE,
+    Feature,
+    SettingsError,
+    load_features,
+    load_settings,
+)
 
 VALID = {
     "nodeName": "edge-1",
@@ -88,3 +94,18 @@
     """The error names the path."""
     with pytest.raises(SettingsError, match="nowhere"):
         load_settings(tmp_path / "nowhere")
+
+
+def test_features_are_off_unless_they_are_named(monkeypatch):
+    """Guards against a deployment that is served by a feature it did not ask for."""
+    monkeypatch.delenv(FEATURES_VARIABLE, raising=False)
+    assert load_features() == frozenset()
+    monkeypatch.setenv(FEATURES_VARIABLE, "preemption, run-times")
+    assert load_features() == {Feature.PREEMPTION, Feature.RUN_TIMES}
+
+
+def test_an_unknown_feature_is_named(monkeypatch):
+    """Guards against a misspelt feature that stays off without a word."""
+    monkeypatch.setenv(FEATURES_VARIABLE, "pre-emption")
+    with pytest.raises(SettingsError, match="pre-emption.*preemption"):
+        load_features()
