--- a/tests/hostileclients.py
+++ b/tests/hostileclients.py
@@ -139,12 +139,13 @@
 def unfinished_header_block() -> bytes:
     """Return the start of an HTTP/2 header block that has no end."""
     padding = bytes(HTTP2_FRAME_BYTES)
-    frames = [_frame(HTTP2_SETTINGS, 0, b""), _frame(HTTP2_HEADERS, 1, padding)]
-    frames += [_frame(HTTP2_CONTINUATION, 1, padding)] * 60
+    frames = [frame(HTTP2_SETTINGS, 0, b""), frame(HTTP2_HEADERS, 1, padding)]
+    frames += [frame(HTTP2_CONTINUATION, 1, padding)] * 60
     return HTTP2_PREFACE + b"".join(frames)
 
 
-def _frame(kind: int, stream_id: int, payload: bytes) -> bytes:
+def frame(kind: int, stream_id: int, payload: bytes) -> bytes:
+    """Return an HTTP/2 frame without flags."""
     head = len(payload).to_bytes(3, "big") + bytes([kind, 0])
     return head + stream_id.to_bytes(4, "big") + payload
 
--- a/tests/test_untrustedclients.py
+++ b/tests/test_untrustedclients.py
@@ -39,7 +39,7 @@
 JOB = {"spec": "s", "steps": [{"taskCount": 1, "cpu": 100, "memMb": 16}]}
 
 
-async def _peak_use(pid: int, group: HostileGroup) -> tuple[float, int]:
+async def peak_use(pid: int, group: HostileGroup) -> tuple[float, int]:
     """Send a group's requests; return a process's peak MiB and its descriptors."""
     sending = asyncio.create_task(group.send())
     descriptors = 0
@@ -61,7 +61,7 @@
         await cell.start()
         pid = cell.process.pid
         group = HostileGroup(cell.port(port), count, data, piece_bytes, ADDRESSES)
-        memory_mb, descriptors = await _peak_use(pid, group)
+        memory_mb, descriptors = await peak_use(pid, group)
         used = f"{memory_mb:.1f} MB, {descriptors} descriptors"
         status, _ = await cell.call("POST", "/plans/00000000000000bb", JOB, TRIES)
         assert cell.process.poll() is None
@@ -125,7 +125,7 @@
         host = cell.hosts[0]
         process = host.process_by_daemon["entry"]
         group = HostileGroup(host.http_port, CONNECTIONS, data, PIECE_BYTES, ADDRESSES)
-        memory_mb, descriptors = await _peak_use(process.pid, group)
+        memory_mb, descriptors = await peak_use(process.pid, group)
         used = f"{memory_mb:.1f} MB, {descriptors} descriptors"
         status = 0
         for _ in range(TRIES):
