An answered request is freed with its answer, not by the garbage collector

Callers saw: clients that send whole bodies, get their answers and leave the connections open bring a process over the memory of its host; the memory stays in use afterwards.

Cause: the guard's delegate kept tornado's delegate, which holds the pieces of the body and, through the handler, the request with another copy. They stood in reference cycles until the cyclic collector ran, which counts objects, not bytes. The budget had the bytes back meanwhile: what was held and what was counted differed.

Change: the guard lets go of the inner delegate when the body is complete or the request is refused, and of the callback of a closed connection. Reference counts do the rest.

Evidence: the new test of GuardedServer turns the collector off and fails without the change.

--- a/redwingrun/bodybudget.py
+++ b/redwingrun/bodybudget.py
@@ -114,6 +114,10 @@
         )
 
 
+def ignore_refusal(reason: Refusal) -> None:
+    """Do nothing: the connection is closed, or not served yet."""
+
+
 @define(eq=False)
 class ClientConnection:
     """A connection of a client.
@@ -136,7 +140,7 @@
     held_bytes: int = 0
     body_bytes: int = 0
     is_chunked: bool = False
-    on_refused: Callable[[Refusal], None] = lambda reason: None
+    on_refused: Callable[[Refusal], None] = ignore_refusal
 
     def enter(self, phase: Phase, now_s: float) -> None:
         """Change the phase."""
--- a/redwingrun/guardedserver.py
+++ b/redwingrun/guardedserver.py
@@ -28,6 +28,7 @@
     Phase,
     Refusal,
     Refusals,
+    ignore_refusal,
 )
 from redwingrun.coordination.verdict import Verdict
 from redwingrun.httpclient import VERDICT_HEADER
@@ -183,6 +184,7 @@
         self._budget.release(record)
 
     def _forget(self, record: ClientConnection) -> None:
+        record.on_refused = ignore_refusal
         self._stream_by_record.pop(record, None)
         self._delegate_by_record.pop(record, None)
         if not self._stream_by_record:
@@ -273,7 +275,7 @@
         record: ClientConnection,
         server: GuardedServer,
     ):
-        self._inner = inner
+        self._inner: HTTPMessageDelegate | None = inner
         self._request_conn = request_conn
         self._record = record
         self._server = server
@@ -309,9 +311,10 @@
                 self._server.close_stream(self._record)
             return
         self._server.end_body(self._record)
-        self._is_passed_on = False
         self.is_running = True
-        self._inner.finish()
+        # It holds a copy of the body, which the handler does not need.
+        inner, self._inner = self._inner, None
+        inner.finish()
 
     def note_answer(self) -> None:
         """Note that the request has been answered and needs no memory."""
@@ -325,6 +328,6 @@
     def abandon(self) -> None:
         """Drop what has arrived, and read any rest of the request without a limit."""
         self._request_conn.set_max_body_size(sys.maxsize)
-        if self._is_passed_on:
-            self._is_passed_on = False
-            self._inner.on_connection_close()
+        inner, self._inner = self._inner, None
+        if inner is not None and self._is_passed_on:
+            inner.on_connection_close()
--- a/tests/test_guardedserver.py
+++ b/tests/test_guardedserver.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import gc
+import weakref
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+import pytest
 from tornado.testing import bind_unused_port
 from tornado.web import Application, RequestHandler
 
@@ -31,13 +34,24 @@
     """Answers with the length of the body, and counts the requests that ran."""
 
     runs = 0
+    requests: list[weakref.ref]
 
     def post(self) -> None:
         """Answer."""
         _Echo.runs += 1
+        _Echo.requests.append(weakref.ref(self.request))
         self.finish(str(len(self.request.body)))
 
 
+class _EchoSoon(_Echo):
+    """Answers in a later turn of the event loop."""
+
+    async def post(self) -> None:
+        """Wait for a moment, and answer."""
+        await asyncio.sleep(0.01)
+        super().post()
+
+
 class _Slow(RequestHandler):
     """Answers when ``go_on`` is set."""
 
@@ -54,13 +68,15 @@
 
     def __init__(self, limits: BodyLimits):
         _Echo.runs = 0
+        _Echo.requests = []
         _Slow.go_on = asyncio.Event()
         self.budget = BodyBudget(limits)
         self.metrics = Metrics()
         refusals = RefusalCounter(Log("test", "quiet"), self.metrics)
         self.http = GuardedServer(
             Application(
-                [("/", _Echo), ("/slow", _Slow)], log_function=lambda handler: None
+                [("/", _Echo), ("/soon", _EchoSoon), ("/slow", _Slow)],
+                log_function=lambda handler: None,
             ),
             self.budget,
             "clients",
@@ -259,3 +275,25 @@
         assert server.budget.held_bytes == 0
 
     run(scenario)
+
+
+@pytest.mark.parametrize("path", [b"/", b"/soon"])
+def test_an_answered_request_is_freed_without_the_garbage_collector(path: bytes):
+    """The collector counts objects, not bytes: bodies would be kept until it runs."""
+
+    async def scenario(server: _Server) -> None:
+        request = _post(bytes(200_000), length=200_000).replace(b"/", path, 1)
+        gc.collect()
+        gc.disable()
+        try:
+            reader, writer = await server.send(request)
+            async with asyncio.timeout(READ_TIMEOUT_S):
+                await reader.readuntil(b"200000")
+            # The answer may arrive before the handler's coroutine has ended.
+            await asyncio.sleep(0.05)
+            assert [item() for item in _Echo.requests] == [None]
+        finally:
+            gc.enable()
+        writer.close()
+
+    run(scenario)
