A body above the configuration's limit is refused at its headers, or as it arrives

Callers saw: 1 MB bodies are read whole, copied and kept for a while although they can only be answered 413, and take the budget away from bodies that may run.

Cause: only the program's own maximum, 1,048,576 bytes, was compared at the headers; the configuration's maxBodyBytes (262,144 on the sites) was compared in the handler.

Change: the server asks for the limit of the configuration in force at the headers; a chunked body is compared without its framing as it is decoded.

Evidence: test_a_body_above_the_present_configuration_is_answered_413_at_its_headers and test_a_body_is_refused_as_soon_as_it_exceeds_the_configuration are new, for calls that did not exist before.

--- a/redwingrun/bodybudget.py
+++ b/redwingrun/bodybudget.py
@@ -126,8 +126,11 @@
     :param port_name: the server's port that it uses.
     :param phase_since_s: monotonic time at which the phase began.
     :param progress_s: monotonic time of the last byte.
-    :param held_bytes: bytes of the present request.
-    :param body_bytes: those that arrived since its headers.
+    :param held_bytes: memory that the present request is counted with.
+    :param received_bytes: bytes of the present request that have arrived.
+    :param body_bytes: those that arrived since its headers, with framing.
+    :param payload_bytes: those of the body without framing.
+    :param max_payload_bytes: longest body that is accepted.
     :param is_chunked: whether the body has no declared length.
     :param on_refused: answers the request and closes the connection.
     """
@@ -138,7 +141,10 @@
     progress_s: float
     phase: Phase = Phase.IDLE
     held_bytes: int = 0
+    received_bytes: int = 0
     body_bytes: int = 0
+    payload_bytes: int = 0
+    max_payload_bytes: int = 0
     is_chunked: bool = False
     on_refused: Callable[[Refusal], None] = ignore_refusal
 
@@ -222,6 +228,7 @@
         """Give back the bytes of a request."""
         self.held_bytes -= connection.held_bytes
         connection.held_bytes = 0
+        connection.received_bytes = 0
         connection.body_bytes = 0
 
     def begin_request(self, connection: ClientConnection, now_s: float) -> None:
@@ -233,21 +240,37 @@
         self,
         connection: ClientConnection,
         declared_bytes: int | None,
+        max_payload_bytes: int,
         now_s: float,
     ) -> Refusals:
         """Expect a body after complete headers.
 
         :param declared_bytes: length of the body; ``None`` for a chunked one.
+        :param max_payload_bytes: longest body that is accepted, without framing.
         """
         if connection.phase is Phase.REFUSED:
             return []
-        if (declared_bytes or 0) > self.limits.max_body_bytes:
+        if (declared_bytes or 0) > max_payload_bytes:
             return [self._refuse(connection, Refusal.TOO_LARGE, now_s)]
         connection.enter(Phase.BODY, now_s)
         connection.body_bytes = 0
+        connection.payload_bytes = 0
+        connection.max_payload_bytes = max_payload_bytes
         connection.is_chunked = declared_bytes is None
         return []
 
+    def add_payload(
+        self, connection: ClientConnection, count: int, now_s: float
+    ) -> Refusals:
+        """Compare the part of a body that has been decoded with its limit.
+
+        :param count: number of bytes without framing.
+        """
+        connection.payload_bytes += count
+        if connection.payload_bytes <= connection.max_payload_bytes:
+            return []
+        return [self._refuse(connection, Refusal.TOO_LARGE, now_s)]
+
     def end_body(self, connection: ClientConnection, now_s: float) -> None:
         """Count a whole request until it is answered."""
         connection.enter(Phase.ANSWERING, now_s)
@@ -260,9 +283,8 @@
         is_open = connection in self._connections
         if connection.phase is Phase.REFUSED or not is_open:
             return []
-        connection.held_bytes += count
         connection.progress_s = now_s
-        self.held_bytes += count
+        connection.received_bytes += count
         refusals = []
         if connection.phase is Phase.IDLE:
             connection.enter(Phase.HEADERS, now_s)
@@ -274,6 +296,15 @@
                 and connection.body_bytes > self.limits.max_body_bytes
             ):
                 return [self._refuse(connection, Refusal.TOO_LARGE, now_s)]
+        return refusals + self._hold(connection, count, now_s)
+
+    def _hold(self, connection: ClientConnection, count: int, now_s: float) -> Refusals:
+        """Count memory for a request; other requests, or this one, may give way."""
+        if connection.phase is Phase.REFUSED:
+            return []
+        connection.held_bytes += count
+        self.held_bytes += count
+        refusals = []
         while self.held_bytes > self.limits.total_bytes:
             victim = self._heaviest(connection, now_s)
             refusals.append(self._refuse(victim, Refusal.NO_BUDGET, now_s))
@@ -292,7 +323,7 @@
             elif (
                 connection.phase is Phase.BODY
                 and elapsed_s > self.limits.rate_grace_s
-                and connection.held_bytes < elapsed_s * self.limits.min_bytes_per_s
+                and connection.received_bytes < elapsed_s * self.limits.min_bytes_per_s
             ):
                 found.append((connection, Refusal.SLOW_BODY))
         return [self._refuse(item, reason, now_s) for item, reason in found]
--- a/redwingrun/guardedserver.py
+++ b/redwingrun/guardedserver.py
@@ -97,11 +97,14 @@
         budget: BodyBudget,
         port_name: str,
         refusals: RefusalCounter,
+        max_body_bytes: Callable[[], int] | None = None,
         **options: Any,
     ) -> None:
         """Set the server up; called by tornado.
 
         :param port_name: name of the port, for its own maximum of connections.
+        :param max_body_bytes: returns the longest body that the configuration allows,
+            without framing; ``None`` if only the limits of the budget count.
         """
         super().initialize(
             application,
@@ -112,6 +115,7 @@
         self._budget = budget
         self._port_name = port_name
         self._refusals = refusals
+        self._max_body_bytes = max_body_bytes
         self._stream_by_record: dict[ClientConnection, _CountedStream] = {}
         self._delegate_by_record: dict[ClientConnection, _GuardedDelegate] = {}
         self._sweeper = PeriodicCallback(self._sweep, SWEEP_INTERVAL_MS)
@@ -165,9 +169,23 @@
         self._forget(record)
         super().on_close(server_conn)
 
+    def max_body_bytes(self) -> int:
+        """Return the longest body that is accepted now."""
+        limit = self._budget.limits.max_body_bytes
+        if self._max_body_bytes is None:
+            return limit
+        return min(limit, self._max_body_bytes())
+
     def begin_body(self, record: ClientConnection, declared_bytes: int | None) -> None:
         """Expect a body."""
-        self._apply(self._budget.begin_body(record, declared_bytes, time.monotonic()))
+        limit = self.max_body_bytes()
+        self._apply(
+            self._budget.begin_body(record, declared_bytes, limit, time.monotonic())
+        )
+
+    def add_payload(self, record: ClientConnection, count: int) -> None:
+        """Count bytes of a body without its framing."""
+        self._apply(self._budget.add_payload(record, count, time.monotonic()))
 
     def end_body(self, record: ClientConnection) -> None:
         """Note that a request has arrived completely."""
@@ -287,11 +305,7 @@
         self, start_line: RequestStartLine, headers: HTTPHeaders
     ) -> Awaitable[None] | None:
         """Decide by the declared length whether the body may follow."""
-        declared = headers.get("Content-Length", "")
-        if "Transfer-Encoding" in headers:
-            self._server.begin_body(self._record, None)
-        elif declared.isdecimal():
-            self._server.begin_body(self._record, int(declared))
+        self._server.begin_body(self._record, _declared_bytes(headers))
         if self._record.phase is Phase.REFUSED:
             return None
         self._is_passed_on = True
@@ -299,6 +313,8 @@
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Pass a part of the body on, or drop it."""
+        if self._record.phase is not Phase.REFUSED:
+            self._server.add_payload(self._record, len(chunk))
         if self._record.phase is Phase.REFUSED:
             return None
         return self._inner.data_received(chunk)
@@ -331,3 +347,14 @@
         inner, self._inner = self._inner, None
         if inner is not None and self._is_passed_on:
             inner.on_connection_close()
+
+
+def _declared_bytes(headers: HTTPHeaders) -> int | None:
+    """Return the declared length of a body, 0 without one, ``None`` if it is chunked.
+
+    Other values are left to tornado, which rejects them.
+    """
+    if "Transfer-Encoding" in headers:
+        return None
+    declared = headers.get("Content-Length", "")
+    return int(declared) if declared.isdecimal() else 0
--- a/redwingrun/platform/__main__.py
+++ b/redwingrun/platform/__main__.py
@@ -101,6 +101,7 @@
             self._budget,
             "clients",
             self._refusals,
+            self._max_body_bytes,
             max_header_size=MAX_HEADER_BYTES,
             body_timeout=BODY_TIMEOUT_S,
             idle_connection_timeout=IDLE_CONNECTION_TIMEOUT_S,
@@ -115,6 +116,11 @@
             idle_connection_timeout=IDLE_CONNECTION_TIMEOUT_S,
         )
 
+    def _max_body_bytes(self) -> int:
+        """Return the longest body that the configuration in force allows."""
+        queues = self._member.queues
+        return MAX_BODY_BYTES if queues is None else queues.limits.body_bytes
+
     def _build_member(self) -> Member:
         settings, log, metrics = self._settings, self._log, self._metrics
         service_client = HttpClient("", max_clients=MAX_CONCURRENT_SERVICE_CALLS)
--- a/tests/test_bodybudget.py
+++ b/tests/test_bodybudget.py
@@ -49,7 +49,7 @@
     """Send headers and a part of a body."""
     connection = _connect(budget, address, now_s)
     refusals = budget.add(connection, 10, now_s)
-    refusals += budget.begin_body(connection, 400, now_s)
+    refusals += budget.begin_body(connection, 400, 400, now_s)
     refusals += budget.add(connection, count, now_s)
     return connection, refusals
 
@@ -78,7 +78,9 @@
 def test_a_declared_excess_is_refused_before_the_body():
     budget = BodyBudget(LIMITS)
     connection = _connect(budget, "a")
-    assert budget.begin_body(connection, 401, 0.0) == [(connection, Refusal.TOO_LARGE)]
+    assert budget.begin_body(connection, 401, 400, 0.0) == [
+        (connection, Refusal.TOO_LARGE)
+    ]
     assert connection.phase is Phase.REFUSED
 
 
@@ -86,12 +88,25 @@
     """A chunk of one byte has five bytes of framing, which no handler counts."""
     budget = BodyBudget(LIMITS)
     connection = _connect(budget, "a")
-    assert budget.begin_body(connection, None, 0.0) == []
+    assert budget.begin_body(connection, None, 400, 0.0) == []
     assert budget.add(connection, 400, 0.0) == []
     assert budget.add(connection, 1, 0.0) == [(connection, Refusal.TOO_LARGE)]
     assert budget.held_bytes == 0
 
 
+def test_a_body_is_refused_as_soon_as_it_exceeds_the_configuration():
+    """The limit of the configuration is below that of the program."""
+    budget = BodyBudget(LIMITS)
+    connection = _connect(budget, "a")
+    assert budget.begin_body(connection, None, 100, 0.0) == []
+    assert budget.add(connection, 300, 0.0) == []
+    assert budget.add_payload(connection, 100, 0.0) == []
+    refused = [(connection, Refusal.TOO_LARGE)]
+    assert budget.add_payload(connection, 1, 0.0) == refused
+    declared = _connect(budget, "a")
+    assert budget.begin_body(declared, 101, 100, 0.0) == [(declared, Refusal.TOO_LARGE)]
+
+
 def test_the_address_that_holds_most_gives_way():
     """One client with many bodies must not stop those of other addresses."""
     budget = BodyBudget(LIMITS)
@@ -127,7 +142,7 @@
     connection = _connect(budget, "a", 0.0)
     budget.add(connection, 5, 0.0)
     assert budget.overdue(3.1) == [(connection, Refusal.SLOW_HEADERS)]
-    assert budget.begin_body(connection, 10, 3.2) == []
+    assert budget.begin_body(connection, 10, 400, 3.2) == []
     assert connection.phase is Phase.REFUSED
 
 
@@ -237,7 +252,9 @@
         connections.append(connection)
     for connection in connections[:CLIENTS]:
         refusals += budget.add(connection, LEGAL_HEADER_BYTES, 0.0)
-        refusals += budget.begin_body(connection, LEGAL_BODY_BYTES, 0.0)
+        refusals += budget.begin_body(
+            connection, LEGAL_BODY_BYTES, LEGAL_BODY_BYTES, 0.0
+        )
     for _ in range(16):
         for connection in connections[:CLIENTS]:
             refusals += budget.add(connection, LEGAL_BODY_BYTES // 16, 0.1)
@@ -256,6 +273,6 @@
         connection, refused = budget.open("10.0.0.1", PORT, 0.0)
         refusals += refused
         refusals += budget.add(connection, LEGAL_HEADER_BYTES, 0.0)
-        refusals += budget.begin_body(connection, None, 0.0)
+        refusals += budget.begin_body(connection, None, LEGAL_BODY_BYTES, 0.0)
         refusals += budget.add(connection, LEGAL_BODY_BYTES, 0.0)
     assert refusals == []
--- a/tests/test_guardedserver.py
+++ b/tests/test_guardedserver.py
@@ -67,6 +67,7 @@
     """A server with its budget and metrics."""
 
     def __init__(self, limits: BodyLimits):
+        self.max_body_bytes = limits.max_body_bytes
         _Echo.runs = 0
         _Echo.requests = []
         _Slow.go_on = asyncio.Event()
@@ -81,6 +82,7 @@
             self.budget,
             "clients",
             refusals,
+            lambda: self.max_body_bytes,
             max_header_size=16_384,
         )
         sock, self.port = bind_unused_port()
@@ -199,6 +201,26 @@
     run(scenario)
 
 
+def test_a_body_above_the_present_configuration_is_answered_413_at_its_headers():
+    """It need not arrive whole to be refused."""
+
+    async def scenario(server: _Server) -> None:
+        server.max_body_bytes = 1000
+        answer = await server.ask(_post(b"", length=1001))
+        assert answer.startswith(b"HTTP/1.1 413")
+        chunk = b"64\r\n" + bytes(100) + b"\r\n"
+        request = _post(chunk * 11, "Transfer-Encoding: chunked")
+        assert (await server.ask(request)).startswith(b"HTTP/1.1 413")
+        assert _Echo.runs == 0
+        # The framing of a legal body does not count.
+        request = _post(
+            chunk * 10 + b"0\r\n\r\n", "Connection: close", "Transfer-Encoding: chunked"
+        )
+        assert (await server.ask(request)).endswith(b"1000")
+
+    run(scenario)
+
+
 def test_a_request_beyond_the_budget_is_answered_503_and_does_not_run():
     async def scenario(server: _Server) -> None:
         first, first_writer = await server.send(_post(bytes(250_000), length=250_001))
