A connection may pipeline eight requests; the next one is refused and has not run

Callers saw: 503 for an ordinary job, 7 s after 600 clients had sent 300 small jobs each without waiting for answers, and a member that grows to 179 MB of 160; 6.7 s behind 3,000 requests each of an unknown queue.

Cause: what had arrived on a connection was handled request after request without a turn for others, and nothing limited how many jobs one connection has accepted in this way.

Change: a request that was sent before the answer to the one before is counted; the ninth of a connection is answered 503 with Retry-After and 'not run', and the connection closed.

Evidence: test_pipelined_requests_beyond_the_maximum_are_refused: all 50 ran before.

--- a/redwingrun/bodybudget.py
+++ b/redwingrun/bodybudget.py
@@ -41,6 +41,7 @@
     UNFINISHED = "unfinished-requests"
     SLOW_BODY = "slow-body"
     SLOW_HEADERS = "slow-headers"
+    PIPELINED = "pipelined-requests"
     CONNECTIONS = "connections"
     PEER_CONNECTIONS = "peer-connections"
     PEER_UNAUTHENTICATED = "peer-unauthenticated"
@@ -74,6 +75,8 @@
     :param rate_grace_s: time before the rate of a body is checked. A link that loses
         packets, or a host that is stopped, delays an ordinary body by some seconds.
     :param header_timeout_s: time from the first byte of the headers to their last.
+    :param max_pipelined: most requests of a connection that are sent before the answer
+        to the one before; they keep all other work waiting.
     """
 
     total_bytes: int
@@ -84,6 +87,7 @@
     min_bytes_per_s: int = 8_192
     rate_grace_s: float = 5.0
     header_timeout_s: float = 3.0
+    max_pipelined: int = 8
 
     @classmethod
     def for_host(
@@ -135,6 +139,9 @@
     :param payload_bytes: those of the body without framing.
     :param max_payload_bytes: longest body that is accepted.
     :param is_chunked: whether the body has no declared length.
+    :param is_next_arrived: whether nothing has arrived since the last answer, so that
+        a next request was sent before it.
+    :param pipelined_count: number of such requests.
     :param on_refused: answers the request and closes the connection.
     """
 
@@ -149,6 +156,8 @@
     payload_bytes: int = 0
     max_payload_bytes: int = 0
     is_chunked: bool = False
+    is_next_arrived: bool = False
+    pipelined_count: int = 0
     on_refused: Callable[[Refusal], None] = ignore_refusal
 
     def enter(self, phase: Phase, now_s: float) -> None:
@@ -239,6 +248,20 @@
         self.release(connection)
         connection.enter(Phase.IDLE, now_s)
 
+    def end_request(self, connection: ClientConnection) -> None:
+        """Give back the bytes of a request that was answered."""
+        self.release(connection)
+        connection.is_next_arrived = True
+
+    def check_pipelining(self, connection: ClientConnection, now_s: float) -> Refusals:
+        """Count a request that was sent before the answer to the one before."""
+        if connection.phase is Phase.REFUSED or not connection.is_next_arrived:
+            return []
+        connection.pipelined_count += 1
+        if connection.pipelined_count <= self.limits.max_pipelined:
+            return []
+        return [self._refuse(connection, Refusal.PIPELINED, now_s)]
+
     def begin_body(
         self,
         connection: ClientConnection,
@@ -299,6 +322,7 @@
             return []
         connection.progress_s = now_s
         connection.received_bytes += count
+        connection.is_next_arrived = False
         refusals = []
         if connection.phase is Phase.IDLE:
             connection.enter(Phase.HEADERS, now_s)
--- a/redwingrun/guardedserver.py
+++ b/redwingrun/guardedserver.py
@@ -193,6 +193,10 @@
             )
         )
 
+    def check_pipelining(self, record: ClientConnection) -> None:
+        """Refuse a request if too many were sent without waiting for answers."""
+        self._apply(self._budget.check_pipelining(record, time.monotonic()))
+
     def add_payload(self, record: ClientConnection, count: int) -> None:
         """Count bytes of a body without its framing."""
         self._apply(self._budget.add_payload(record, count, time.monotonic()))
@@ -207,9 +211,9 @@
         if stream is not None:
             stream.close()
 
-    def release(self, record: ClientConnection) -> None:
+    def end_request(self, record: ClientConnection) -> None:
         """Give back the bytes of a request that was answered."""
-        self._budget.release(record)
+        self._budget.end_request(record)
 
     def _forget(self, record: ClientConnection) -> None:
         record.on_refused = ignore_refusal
@@ -317,6 +321,7 @@
     ) -> Awaitable[None] | None:
         """Decide by the declared length whether the body may follow."""
         self._headers = headers
+        self._server.check_pipelining(self._record)
         self._server.begin_body(
             self._record, _declared_bytes(headers), sum(1 for _ in headers.get_all())
         )
@@ -350,7 +355,7 @@
     def note_answer(self) -> None:
         """Note that the request has been answered and needs no memory."""
         self.is_running = False
-        self._server.release(self._record)
+        self._server.end_request(self._record)
 
     def on_connection_close(self) -> None:
         """Tell the application that the rest of the request will not arrive."""
--- a/tests/test_guardedserver.py
+++ b/tests/test_guardedserver.py
@@ -319,3 +319,30 @@
         writer.close()
 
     run(scenario)
+
+
+def test_pipelined_requests_beyond_the_maximum_are_refused():
+    """They would keep the process busy while others wait, and fill its memory."""
+
+    async def scenario(server: _Server) -> None:
+        answer = await server.ask(_post(b"abc", length=3) * 50)
+        assert answer.count(b"HTTP/1.1 200") == 1 + LIMITS.max_pipelined
+        assert answer.count(b"HTTP/1.1 503") == 1
+        assert b"X-Verdict: not run\r\n" in answer
+        assert _Echo.runs == 1 + LIMITS.max_pipelined
+
+    run(scenario)
+
+
+def test_requests_after_an_answer_are_not_pipelined():
+    async def scenario(server: _Server) -> None:
+        request = _post(b"abc", length=3)
+        reader, writer = await server.send(request)
+        for _ in range(3 * LIMITS.max_pipelined):
+            async with asyncio.timeout(READ_TIMEOUT_S):
+                await reader.readuntil(b"\r\n\r\n3")
+            writer.write(request)
+        assert server.refusals() == 0
+        writer.close()
+
+    run(scenario)
