Clients' bytes are read within a bound a turn, those who sent least first

Callers saw: an ordinary request waits for 6.4 s behind 1,000 clients that send chunks of one byte, 2.5 s behind 300 that pipeline requests for metrics.

Cause: each connection with data was read 16,384 bytes in each turn of the event loop, and parsed in the next one. Bytes were bounded by the budget, the work of a turn was not: 384 connections times 2,700 chunks come to seconds, in which also no lease is renewed.

Change: readschedule.py, which needs no network, bounds the bytes of a turn over all connections of a process to 32,768. What could not be read is read in the next turn, in the order of what addresses and then connections have sent lately. A connection that is denied asks again in the next turn, because its socket is still readable.

Evidence: with the bound set out of reach, three of the tests fail, among them test_an_ordinary_request_overtakes_a_crowd_that_sends_more (1,638,400 bytes were read before its answer, 393,216 allowed).

--- a/redwingrun/guardedserver.py
+++ b/redwingrun/guardedserver.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 import sys
 import time
@@ -10,6 +11,7 @@
 from typing import Any
 
 import orjson
+from attrs import define, field
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
@@ -32,12 +34,15 @@
 )
 from redwingrun.coordination.verdict import Verdict
 from redwingrun.httpclient import VERDICT_HEADER
+from redwingrun.readschedule import ReadSchedule
 from redwingrun.refusals import RefusalCounter
 
 READ_CHUNK_BYTES = 16_384
 # A stream buffers at most the largest headers and one read.
 MAX_BUFFER_BYTES = 131_072
 SWEEP_INTERVAL_MS = 500
+# What clients have sent counts half as much after each interval.
+AGE_INTERVAL_S = 1.0
 # Fields that tornado needs to read the body.
 FRAMING_FIELDS = ("Connection", "Content-Length", "Transfer-Encoding")
 # How long the rest of a refused request is read and dropped. A close with unread bytes
@@ -64,6 +69,35 @@
     return "\r\n".join(head).encode() + body
 
 
+@define
+class ClientGuard:
+    """What the servers of one process share to limit their clients.
+
+    :param refusals: counts what is refused.
+    """
+
+    budget: BodyBudget
+    refusals: RefusalCounter
+    reads: ReadSchedule = field(factory=ReadSchedule)
+    _is_turn_open: bool = False
+    _aged_s: float = 0.0
+
+    def admit_read(self, record: ClientConnection, wanted_bytes: int) -> int:
+        """Return how many bytes may be read now, 0 to wait for a later turn."""
+        if not self._is_turn_open:
+            self._is_turn_open = True
+            asyncio.get_running_loop().call_soon(self._end_turn)
+        return self.reads.admit(record, wanted_bytes)
+
+    def _end_turn(self) -> None:
+        self._is_turn_open = False
+        self.reads.end_turn()
+        now_s = time.monotonic()
+        if now_s - self._aged_s >= AGE_INTERVAL_S:
+            self._aged_s = now_s
+            self.reads.age()
+
+
 class _CountedStream(IOStream):
     """A stream that reports bytes when they arrive, before anything parses them.
 
@@ -74,18 +108,27 @@
         self,
         sock: socket.socket,
         record: ClientConnection,
+        guard: ClientGuard,
         on_bytes: Callable[[ClientConnection, int], None],
     ):
         super().__init__(
             sock, max_buffer_size=MAX_BUFFER_BYTES, read_chunk_size=READ_CHUNK_BYTES
         )
         self.record = record
+        self._guard = guard
         self._on_bytes = on_bytes
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
-        """Read from the socket."""
-        count = super().read_from_fd(buf)
+        """Read from the socket, or nothing if the connection has to wait.
+
+        The event loop reports the socket again in the next turn.
+        """
+        admitted = self._guard.admit_read(self.record, len(buf))
+        if not admitted:
+            return None
+        count = super().read_from_fd(memoryview(buf)[:admitted])
         if count:
+            self._guard.reads.charge(self.record, count)
             self._on_bytes(self.record, count)
         return count
 
@@ -96,9 +139,8 @@
     def initialize(
         self,
         application: Application,
-        budget: BodyBudget,
+        guard: ClientGuard,
         port_name: str,
-        refusals: RefusalCounter,
         max_body_bytes: Callable[[], int] | None = None,
         **options: Any,
     ) -> None:
@@ -111,12 +153,13 @@
         super().initialize(
             application,
             chunk_size=READ_CHUNK_BYTES,
-            max_body_size=budget.limits.max_body_bytes,
+            max_body_size=guard.budget.limits.max_body_bytes,
             **options,
         )
-        self._budget = budget
+        self._guard = guard
+        self._budget = guard.budget
+        self._refusals = guard.refusals
         self._port_name = port_name
-        self._refusals = refusals
         self._max_body_bytes = max_body_bytes
         self._stream_by_record: dict[ClientConnection, _CountedStream] = {}
         self._delegate_by_record: dict[ClientConnection, _GuardedDelegate] = {}
@@ -128,7 +171,7 @@
             address[0], self._port_name, time.monotonic()
         )
         record.on_refused = lambda reason: self._refuse(record, reason)
-        counted = _CountedStream(stream.socket, record, self._count_bytes)
+        counted = _CountedStream(stream.socket, record, self._guard, self._count_bytes)
         self._stream_by_record[record] = counted
         if not self._sweeper.is_running():
             self._sweeper.start()
@@ -217,6 +260,7 @@
 
     def _forget(self, record: ClientConnection) -> None:
         record.on_refused = ignore_refusal
+        self._guard.reads.forget(record)
         self._stream_by_record.pop(record, None)
         self._delegate_by_record.pop(record, None)
         if not self._stream_by_record:
--- a/redwingrun/node.py
+++ b/redwingrun/node.py
@@ -21,7 +21,7 @@
 from redwingrun.coordination.groupcommit import GroupCommit
 from redwingrun.coordination.members import MemberRow
 from redwingrun.coordination.table import TableUnavailable, TableUnknown
-from redwingrun.guardedserver import GuardedServer
+from redwingrun.guardedserver import ClientGuard, GuardedServer
 from redwingrun.httpclient import HttpClient
 from redwingrun.logs import Log
 from redwingrun.membership import ENTRY, PLACER, Membership
@@ -208,9 +208,8 @@
     def _listen(self) -> HTTPServer:
         server = GuardedServer(
             self.application(),
-            self._budget,
+            ClientGuard(self._budget, self._refusals),
             self.kind,
-            self._refusals,
             max_header_size=MAX_HEADER_BYTES,
             idle_connection_timeout=IDLE_CONNECTION_TIMEOUT_S,
         )
--- a/redwingrun/platform/__main__.py
+++ b/redwingrun/platform/__main__.py
@@ -13,7 +13,7 @@
 from redwingrun.bodybudget import BodyBudget, BodyLimits
 from redwingrun.coordination.clock import MonotonicClock
 from redwingrun.errors import RedwingrunError
-from redwingrun.guardedserver import GuardedServer
+from redwingrun.guardedserver import ClientGuard, GuardedServer
 from redwingrun.httpclient import HttpClient
 from redwingrun.jobs.engine import EngineSettings
 from redwingrun.jobs.member import Member
@@ -87,6 +87,7 @@
             )
         )
         self._refusals = RefusalCounter(log, self._metrics)
+        guard = ClientGuard(self._budget, self._refusals)
         self._member = self._build_member()
         dependencies = ApiDependencies(
             self._member,
@@ -98,9 +99,8 @@
         )
         self._client_server = GuardedServer(
             client_application(dependencies),
-            self._budget,
+            guard,
             "clients",
-            self._refusals,
             self._max_body_bytes,
             max_header_size=MAX_HEADER_BYTES,
             body_timeout=BODY_TIMEOUT_S,
@@ -108,9 +108,8 @@
         )
         self._ready_server = GuardedServer(
             ready_application(dependencies),
-            self._budget,
+            guard,
             "ready",
-            self._refusals,
             max_header_size=MAX_HEADER_BYTES,
             body_timeout=BODY_TIMEOUT_S,
             idle_connection_timeout=IDLE_CONNECTION_TIMEOUT_S,
--- a/tests/test_guardedserver.py
+++ b/tests/test_guardedserver.py
@@ -9,13 +9,15 @@
 from typing import Any
 
 import pytest
+from attrs import evolve
 from tornado.testing import bind_unused_port
 from tornado.web import Application, RequestHandler
 
 from redwingrun.bodybudget import BodyBudget, BodyLimits
-from redwingrun.guardedserver import GuardedServer
+from redwingrun.guardedserver import ClientGuard, GuardedServer
 from redwingrun.logs import Log
 from redwingrun.metrics import Metrics
+from redwingrun.readschedule import BYTES_PER_TURN
 from redwingrun.refusals import RefusalCounter
 
 LIMITS = BodyLimits(
@@ -28,6 +30,8 @@
 )
 LEGAL_BODY_BYTES = 262_144
 READ_TIMEOUT_S = 5.0
+# From the arrival of a connection to the end of its answer.
+MAX_TURNS = 12
 
 
 class _Echo(RequestHandler):
@@ -79,9 +83,8 @@
                 [("/", _Echo), ("/soon", _EchoSoon), ("/slow", _Slow)],
                 log_function=lambda handler: None,
             ),
-            self.budget,
+            ClientGuard(self.budget, refusals),
             "clients",
-            refusals,
             lambda: self.max_body_bytes,
             max_header_size=16_384,
         )
@@ -103,6 +106,10 @@
         finally:
             writer.close()
 
+    def received_bytes(self) -> int:
+        """Return what has been read of the unanswered requests."""
+        return sum(item.received_bytes for item in self.http._stream_by_record)
+
     def refusals(self) -> float:
         """Return the number of refusals."""
         return self.metrics.counter_total("connection_refusals_total")
@@ -321,6 +328,25 @@
     run(scenario)
 
 
+def test_an_ordinary_request_overtakes_a_crowd_that_sends_more():
+    """Guards against clients that are served only after all that others have sent."""
+
+    async def scenario(server: _Server) -> None:
+        request = _post(b"1\r\na\r\n" * 40_000, "Transfer-Encoding: chunked")
+        crowd = await asyncio.gather(*(server.send(request) for _ in range(100)))
+        # Long enough for the crowd to be read.
+        await asyncio.sleep(0.1)
+        before = server.received_bytes()
+        answer = await server.ask(_post(b"abc", "Connection: close", length=3))
+        assert answer.endswith(b"3")
+        assert server.received_bytes() - before <= MAX_TURNS * BYTES_PER_TURN
+        for _, writer in crowd:
+            writer.transport.abort()
+
+    limits = evolve(LIMITS, total_bytes=10**8, max_connections=200, max_unfinished=200)
+    run(scenario, limits)
+
+
 def test_pipelined_requests_beyond_the_maximum_are_refused():
     """They would keep the process busy while others wait, and fill its memory."""
 
