Jobs are accepted within a bound on the memory that the owner needs for them

Callers saw: 100 submissions of 100 bytes, each of a job of 10,000 tasks, bring the owner to 237 to 242 MB of 160; a job with 10,000 repeats of 10,000 tasks that are due at once adds an occurrence of 2 MB with each plan.

Cause: the owner keeps about 185 bytes for each task until its job has ended, and nothing limited what it has accepted. The bytes of the request say nothing about it.

Change: backlog.py counts what unfinished jobs need (a job, its steps, its tasks). The owner reports the room that is left in its row, which all members read anyway; a member refuses a job that needs more than a quarter of what is left, less what it is storing and has stored since, with 503 'backlog-full', not run. Before that it asks the table whether the job was accepted before: then the answer is 200, as before, and 504 if the table does not say. A next occurrence waits for room. At most four requests may be pipelined now instead of eight, so that a crowd of them leaves room.

Members that all fill the same room between two reports can exceed it by their number; that is not tested.

--- a/redwingrun/bodybudget.py
+++ b/redwingrun/bodybudget.py
@@ -87,7 +87,7 @@
     min_bytes_per_s: int = 8_192
     rate_grace_s: float = 5.0
     header_timeout_s: float = 3.0
-    max_pipelined: int = 8
+    max_pipelined: int = 4
 
     @classmethod
     def for_host(
--- a/redwingrun/jobs/engine.py
+++ b/redwingrun/jobs/engine.py
@@ -83,6 +83,8 @@
     :param preempts: whether runs that can resume from a checkpoint are stopped for
         urgent steps that find no room.
     :param stop_timeout_s: how long the stop of a run takes at most.
+    :param max_backlog_bytes: memory that unfinished jobs may need; ``None`` for no
+        limit.
     """
 
     far_factor: float = 2.0
@@ -92,6 +94,7 @@
     learns_interference: bool = False
     preempts: bool = False
     stop_timeout_s: float = 0.9
+    max_backlog_bytes: int | None = None
 
 
 @frozen
@@ -121,6 +124,8 @@
     """
 
     def __init__(self, settings: EngineSettings):
+        self._max_backlog_bytes = settings.max_backlog_bytes
+        self._backlog_bytes = 0
         speed_model = SpeedModel()
         self.state = SliceState()
         self._queues = QueueSet(0)
@@ -247,6 +252,7 @@
             job.progress.add_occurrence(0, submission.spec)
         for occurrence in job.progress.tasks_by_occurrence:
             self.state.add_ready_steps(job, occurrence)
+        self._backlog_bytes += job.held_bytes
         if job_id in self._cancelled_early:
             self._cancelled_early.discard(job_id)
             self.cancel_job(job_id)
@@ -444,7 +450,10 @@
         :param max_starts: how many tasks to place at most, but for a gang, which is
             placed as a whole.
         """
-        self.state.add_due_occurrences()
+        if self.state.scheduled:
+            self._backlog_bytes += self.state.add_due_occurrences(
+                self.backlog_room_bytes()
+            )
         self._reports.check_progress(now_s)
         self.state.find_ready_steps()
         starts: list[StartOrder] = []
@@ -490,6 +499,20 @@
                 counts[job.queue.name] = counts.get(job.queue.name, 0) + 1
         return counts
 
+    def measure_backlog(self) -> None:
+        """Add up the memory that unfinished jobs need.
+
+        In between, only jobs that come are added to the sum.
+        """
+        jobs = self.state.job_by_id.values()
+        self._backlog_bytes = sum(job.held_bytes for job in jobs if not job.is_final)
+
+    def backlog_room_bytes(self) -> int | None:
+        """Return the memory that is left for jobs; ``None`` if it is not limited."""
+        if self._max_backlog_bytes is None:
+            return None
+        return max(0, self._max_backlog_bytes - self._backlog_bytes)
+
     def _due_s(self, submission: Submission, queue: Queue, now_s: float) -> float:
         """Return the monotonic time at which a job is due by its queue's objective.
 
--- a/redwingrun/jobs/job.py
+++ b/redwingrun/jobs/job.py
@@ -4,8 +4,9 @@
 
 from collections.abc import Iterator
 
-from attrs import define, field
+from attrs import Factory, define, field
 
+from redwingrun.jobs.backlog import description_bytes, occurrence_bytes
 from redwingrun.jobs.progress import JobProgress, JobState, TaskProgress, TaskState
 from redwingrun.jobs.spec import (
     JobSpec,
@@ -31,6 +32,7 @@
     :param suspects_wait_since_s: monotonic time since which suspected tasks wait for a
         worker that can be held for them; ``None`` if none waits.
     :param is_beyond_rate: whether it exceeds the rate of its client account.
+    :ivar occurrence_bytes: the memory of the tasks of one occurrence.
     :param moved_tasks: tasks that were moved off a slow worker; none is moved twice.
     """
 
@@ -45,6 +47,20 @@
     has_suspects: bool = False
     is_beyond_rate: bool = False
     suspects_wait_since_s: float | None = None
+    _description_bytes: int = field(
+        init=False,
+        default=Factory(lambda self: description_bytes(self.spec), takes_self=True),
+    )
+    occurrence_bytes: int = field(
+        init=False,
+        default=Factory(lambda self: occurrence_bytes(self.spec), takes_self=True),
+    )
+
+    @property
+    def held_bytes(self) -> int:
+        """The memory that the job needs until it has ended."""
+        occurrences = len(self.progress.tasks_by_occurrence)
+        return self._description_bytes + occurrences * self.occurrence_bytes
 
     @property
     def spec(self) -> JobSpec:
--- a/redwingrun/jobs/jobservice.py
+++ b/redwingrun/jobs/jobservice.py
@@ -7,10 +7,11 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from expression import Error, Result
+from expression import Error, Ok, Result
 
 from redwingrun.coordination.clock import Clock
-from redwingrun.coordination.verdict import Failure, Verdict, may_have_run
+from redwingrun.coordination.verdict import Failure, Verdict, may_have_run, not_run
+from redwingrun.jobs.backlog import BACKLOG_FULL, BacklogGate
 from redwingrun.jobs.cancellation import cancel_all
 from redwingrun.jobs.jobstore import TABLE_REJECTS, TABLE_UNAVAILABLE, JobStore
 from redwingrun.jobs.memberport import MemberPort
@@ -32,6 +33,7 @@
 
     :param job_store: access to the jobs through the table.
     :param peers: calls to the other members.
+    :param backlog: whether the owner has room for another job.
     """
 
     def __init__(
@@ -41,7 +43,9 @@
         member: MemberPort,
         clock: Clock,
         log: Log,
+        backlog: BacklogGate,
     ):
+        self._backlog = backlog
         self._job_store = job_store
         self._peers = peers
         self._member = member
@@ -49,19 +53,36 @@
         self._log = log
 
     async def submit(
-        self, job_id: str, submission: str, timeout_s: float
+        self, job_id: str, submission: str, timeout_s: float, needed_bytes: int
     ) -> Result[bool, Failure]:
-        """Accept a job; fail with *not run* only if the job will never run."""
+        """Accept a job; fail with *not run* only if the job will never run.
+
+        :param needed_bytes: memory that the owner will need for it.
+        """
+        if not self._backlog.has_room(needed_bytes):
+            return await self._refuse_unless_known(job_id, timeout_s)
         call = RelayCall(RelayVerb.SUBMIT, job_id, submission)
-        result = await self._serve_or_relay(
-            call,
-            lambda left_s: self._job_store.submit(job_id, submission, left_s),
-            timeout_s,
-        )
-        if result.default_value(None) is True:
-            self._member.notify_owner(job_id, submission)
+        with self._backlog.reserve(needed_bytes):
+            result = await self._serve_or_relay(
+                call,
+                lambda left_s: self._job_store.submit(job_id, submission, left_s),
+                timeout_s,
+            )
+            if result.default_value(None) is True:
+                self._member.notify_owner(job_id, submission)
         return result.map(lambda _: True)
 
+    async def _refuse_unless_known(
+        self, job_id: str, timeout_s: float
+    ) -> Result[bool, Failure]:
+        """Refuse a job, unless it was accepted before and is only submitted again."""
+        known = await self._job_store.exists(job_id, timeout_s)
+        if known.is_error():
+            return Error(may_have_run(known.error.reason, known.error.detail))
+        if known.ok:
+            return Ok(True)
+        return Error(not_run(BACKLOG_FULL, "the owner has no room for the job"))
+
     async def cancel(self, job_id: str, timeout_s: float) -> Result[bool, Failure]:
         """Cancel a job; return whether there is such a job."""
         result = await self._serve_or_relay(
--- a/redwingrun/jobs/jobstore.py
+++ b/redwingrun/jobs/jobstore.py
@@ -159,6 +159,10 @@
         row = await self._read_once(primary_key, deadline_s)
         return row if row.is_ok() else failure
 
+    async def exists(self, job_id: str, timeout_s: float) -> Result[bool, Failure]:
+        """Return whether a job was submitted."""
+        return await self._job_exists(job_id, self._clock.now() + timeout_s)
+
     async def _job_exists(
         self, job_id: str, deadline_s: float
     ) -> Result[bool, Failure]:
--- a/redwingrun/jobs/member.py
+++ b/redwingrun/jobs/member.py
@@ -12,6 +12,12 @@
 
 from redwingrun.coordination.table import Row, TableUnavailable, TableUnknown
 from redwingrun.coordination.verdict import Failure
+from redwingrun.jobs.backlog import (
+    UNKNOWN_OWNER_REPORT_S,
+    BacklogGate,
+    BacklogReport,
+    BacklogSource,
+)
 from redwingrun.jobs.cancellation import cancel_all
 from redwingrun.jobs.claimorder import ClaimOrder
 from redwingrun.jobs.configanswer import ConfigAnswer
@@ -60,7 +66,7 @@
 TASK_RESTART_INTERVAL_S = 1.0
 
 
-class Member(MemberPort):
+class Member(MemberPort, BacklogSource):
     """One of the processes that share a slice; at most one of them owns it.
 
     :param settings: the member's name, address and slice.
@@ -115,6 +121,7 @@
             self,
             dependencies.clock,
             dependencies.log,
+            BacklogGate(self),
         )
         self._owner: SliceOwner | None = None
         self._watch = OwnerWatch()
@@ -229,6 +236,18 @@
         """Return how many of a queue's jobs have not started; ``None`` if unknown."""
         return self._watch.waiting_count(queue, self._dependencies.clock.now())
 
+    def backlog_report(self) -> BacklogReport:
+        """Return what this member knows of the owner's room for jobs."""
+        if self._owner is not None and self._owner.has_loaded:
+            return BacklogReport(self._owner.engine.backlog_room_bytes())
+        owner = self._watch.owner
+        if owner is not None and owner.backlog_room_bytes is not None:
+            return BacklogReport(owner.backlog_room_bytes, self._watch.changed_s)
+        # The next owner is likely to have as much memory as this host.
+        max_bytes = self._settings.engine.max_backlog_bytes
+        now_s = self._dependencies.clock.now()
+        return BacklogReport(max_bytes, -1.0 - now_s // UNKNOWN_OWNER_REPORT_S)
+
     def start(self) -> None:
         """Start the tasks that follow the configuration, the peers and the owner."""
         loop = asyncio.get_running_loop()
--- a/redwingrun/jobs/partitionwriter.py
+++ b/redwingrun/jobs/partitionwriter.py
@@ -81,6 +81,8 @@
     :param claim: in a standby partition, the fencing token of the claim of the slice.
     :param used: in a standby partition, whether it holds changes that the primary
         partition lacks.
+    :param backlog_room_bytes: memory that the owner has left for jobs; ``None`` if that
+        is not limited.
     """
 
     member: str
@@ -91,6 +93,7 @@
     successor: str = ""
     claim: int = 0
     used: bool = False
+    backlog_room_bytes: int | None = None
 
 
 def owner_key(partition: str) -> str:
@@ -227,6 +230,10 @@
                 return outcome
         return CommitOutcome.STORED
 
+    def report_room(self, room_bytes: int | None) -> None:
+        """Have the next commits report the memory that is left for jobs."""
+        self.row = evolve(self.row, backlog_room_bytes=room_bytes)
+
     async def check_ownership(self) -> None:
         """Read the owner's row, and check that it still holds this claim.
 
--- a/redwingrun/jobs/sliceowner.py
+++ b/redwingrun/jobs/sliceowner.py
@@ -40,6 +40,8 @@
 from redwingrun.logs import Log
 from redwingrun.metrics import Metrics
 
+# How often the memory of unfinished jobs is added up.
+MEASURE_BACKLOG_INTERVAL_S = 1.0
 # The owner's row is renewed at this interval when nothing else is stored.
 RENEW_INTERVAL_S = 0.4
 PLAN_INTERVAL_S = 0.1
@@ -119,6 +121,7 @@
         self.stop_slots = asyncio.Semaphore(MAX_STOPS_IN_FLIGHT)
         self._reader = SliceReader(self)
         self._waiting_by_queue: dict[str, int] | None = None
+        self._backlog_measured_s = -math.inf
 
     # Used by the links to workers and the reader.
 
@@ -354,6 +357,7 @@
         if progress or not recently_committed:
             self._last_batch_s = started_s
             self._waiting_by_queue = self.engine.waiting_by_queue()
+            self._report_backlog()
             rejected = await self.writer.commit(
                 progress, self._waiting_by_queue, self.spawn
             )
@@ -366,6 +370,21 @@
         self._stored_event.set()
         self._stored_event = asyncio.Event()
 
+    @property
+    def has_loaded(self) -> bool:
+        """Whether all stored jobs are known."""
+        return self._reader.is_loaded
+
+    def _report_backlog(self) -> None:
+        """Have the members know how much memory is left for jobs."""
+        if self.now() - self._backlog_measured_s >= MEASURE_BACKLOG_INTERVAL_S:
+            self._backlog_measured_s = self.now()
+            self.engine.measure_backlog()
+        room_bytes = self.engine.backlog_room_bytes() if self.has_loaded else None
+        self.writer.report_room(room_bytes)
+        if room_bytes is not None:
+            self.dependencies.metrics.gauge("backlog_room_bytes", room_bytes)
+
     def _give_up_rejected(self, rejected: frozenset[str]) -> None:
         """Fail the jobs whose progress the table rejects.
 
--- a/redwingrun/jobs/slicereader.py
+++ b/redwingrun/jobs/slicereader.py
@@ -40,13 +40,14 @@
     """Passes registrations, submissions and progress from the table to the engine.
 
     :param owner: the slice owner that the reader works for.
+    :ivar is_loaded: whether all stored jobs have been passed on.
     """
 
     def __init__(self, owner: SliceOwner):
         self._owner = owner
         self._dependencies = owner.dependencies
         self._engine = owner.engine
-        self._is_loaded = False
+        self.is_loaded = False
 
     async def load(self) -> None:
         """Claim the standby partitions, read all rows, and start to follow changes.
@@ -81,7 +82,7 @@
             jobs=len(self._engine.job_by_id),
             workers=len(self._engine.worker_by_id),
         )
-        self._is_loaded = True
+        self.is_loaded = True
 
     def _add_stored_jobs(
         self, progress_by_id: dict[str, JobProgress], rows: tuple[Row, ...]
@@ -104,7 +105,7 @@
 
         :param submission: the job's submission; empty for a cancellation.
         """
-        if not self._is_loaded:
+        if not self.is_loaded:
             return
         if submission:
             job = decode_submission(submission)
--- a/redwingrun/jobs/slicestate.py
+++ b/redwingrun/jobs/slicestate.py
@@ -232,8 +232,14 @@
                 if job.waiting_indexes(step_id):
                     self.ready_step_by_id.setdefault(step_id, ReadyStep(step_id, job))
 
-    def add_due_occurrences(self) -> None:
-        """Start the occurrences of scheduled jobs that are due."""
+    def add_due_occurrences(self, room_bytes: int | None) -> int:
+        """Start the occurrences of scheduled jobs that are due.
+
+        :param room_bytes: memory that is left for them; those for which there is none
+            start later. ``None`` if it is not limited.
+        :return: the memory that they need.
+        """
+        added_bytes = 0
         for job_id in list(self.scheduled):
             job = self.job_by_id[job_id]
             spec = job.spec
@@ -243,7 +249,12 @@
             if started >= spec.occurrences:
                 self.scheduled.discard(job_id)
                 continue
+            needed_bytes = added_bytes + job.occurrence_bytes
+            if room_bytes is not None and needed_bytes > room_bytes:
+                continue
             due_ms = spec.first_due_ms + started * spec.period_ms
             if self.unix_ms >= due_ms:
+                added_bytes = needed_bytes
                 job.progress.add_occurrence(started, spec)
                 self.add_ready_steps(job, started)
+        return added_bytes
--- a/redwingrun/jobs/slicewriter.py
+++ b/redwingrun/jobs/slicewriter.py
@@ -132,6 +132,11 @@
             return self.primary.row
         return self._active_standby.row
 
+    def report_room(self, room_bytes: int | None) -> None:
+        """Have the next commits report the memory that is left for jobs."""
+        for writer in (self.primary, *self.standby_by_name.values()):
+            writer.report_room(room_bytes)
+
     def abandon(self) -> None:
         """End a commit that waits for the table."""
         for writer in (self.primary, *self.standby_by_name.values()):
--- a/redwingrun/platform/__main__.py
+++ b/redwingrun/platform/__main__.py
@@ -15,6 +15,7 @@
 from redwingrun.errors import RedwingrunError
 from redwingrun.guardedserver import ClientGuard, GuardedServer
 from redwingrun.httpclient import HttpClient
+from redwingrun.jobs.backlog import max_backlog_bytes
 from redwingrun.jobs.engine import EngineSettings
 from redwingrun.jobs.member import Member
 from redwingrun.jobs.memberconfig import MemberDependencies, MemberSettings
@@ -154,6 +155,7 @@
             preempts=Feature.PREEMPTION in self._features,
             learns_run_times=Feature.RUN_TIMES in self._features,
             learns_interference=Feature.INTERFERENCE in self._features,
+            max_backlog_bytes=max_backlog_bytes(settings.memory_mb),
         )
         address = f"{settings.ip}:{settings.peer_port}"
         member_settings = MemberSettings(
--- a/redwingrun/platform/clientapi.py
+++ b/redwingrun/platform/clientapi.py
@@ -12,6 +12,7 @@
 from redwingrun.coordination.clock import Clock
 from redwingrun.coordination.verdict import Failure, Verdict
 from redwingrun.jobs.accounts import ClientAccount
+from redwingrun.jobs.backlog import submission_bytes
 from redwingrun.jobs.jobstore import TABLE_REJECTS
 from redwingrun.jobs.member import Member
 from redwingrun.jobs.progress import JobState
@@ -254,7 +255,10 @@
         )
         started_s = self.dependencies.clock.now()
         result = await self.dependencies.member.jobs.submit(
-            job_id, encode_submission(submission), self._timeout_s()
+            job_id,
+            encode_submission(submission),
+            self._timeout_s(),
+            submission_bytes(spec),
         )
         if result.is_error():
             self.reply_failure(result.error, job_id)
--- a/tests/jobs/cluster.py
+++ b/tests/jobs/cluster.py
@@ -17,6 +17,7 @@
 from expression import Result
 
 from redwingrun.coordination.verdict import Failure
+from redwingrun.jobs.backlog import submission_bytes
 from redwingrun.jobs.engine import EngineSettings
 from redwingrun.jobs.member import Member
 from redwingrun.jobs.memberconfig import MemberDependencies, MemberSettings
@@ -247,7 +248,12 @@
         names = [at] if at else healthy or running
         member = self.member_by_name[names[0]]
         result = self.loop.run_until_complete(
-            member.jobs.submit(job_id, encode_submission(submission), 3.0)
+            member.jobs.submit(
+                job_id,
+                encode_submission(submission),
+                3.0,
+                submission_bytes(submission.spec),
+            )
         )
         if result.is_ok():
             self.accepted.add(job_id)
--- a/tests/jobs/test_faults.py
+++ b/tests/jobs/test_faults.py
@@ -6,6 +6,7 @@
 from attrs import evolve
 
 from redwingrun.coordination.verdict import Verdict
+from redwingrun.jobs.backlog import submission_bytes
 from redwingrun.jobs.progress import JobState
 from redwingrun.jobs.spec import Submission, encode_submission
 from tests.helpers import DOWN, LOST_ANSWER
@@ -26,7 +27,9 @@
     submission = Submission(QUEUE, spec, int(cluster.loop.time() * 1000))
     cluster.submission_by_job[job_id(number)] = submission
     member = cluster.member_by_name[name]
-    work = member.jobs.submit(job_id(number), encode_submission(submission), 2.8)
+    work = member.jobs.submit(
+        job_id(number), encode_submission(submission), 2.8, submission_bytes(spec)
+    )
     return cluster.loop.run_until_complete(work)
 
 
--- a/tests/jobs/test_jobservice.py
+++ b/tests/jobs/test_jobservice.py
@@ -7,7 +7,13 @@
 import pytest
 from expression import Error, Ok
 
-from redwingrun.coordination.verdict import Verdict, may_have_run
+from redwingrun.coordination.verdict import Verdict, may_have_run, not_run
+from redwingrun.jobs.backlog import (
+    BACKLOG_FULL,
+    BacklogGate,
+    BacklogReport,
+    BacklogSource,
+)
 from redwingrun.jobs.jobservice import RELAY_TIMEOUT_S, JobService
 from redwingrun.jobs.peercalls import PeerCalls
 from redwingrun.jobs.peerhealth import PeerHealth
@@ -22,6 +28,7 @@
 from tests.helpers import LoopClock, VirtualLoop, close_loop
 
 TIMEOUT_S = 2.85
+JOB_BYTES = 5_000
 PEERS = [f"p{number}" for number in range(1, 8)]
 # The longest that a request may wait for one peer that is lost.
 ONE_LOST_PEER_S = RELAY_TIMEOUT_S
@@ -46,6 +53,7 @@
 
     def __init__(self, clock: LoopClock) -> None:
         self.needed_s = 0.01
+        self.existing: set[str] = set()
         self._clock = clock
 
     async def submit(self, job_id: str, submission: str, timeout_s: float):
@@ -53,7 +61,15 @@
         await asyncio.sleep(min(self.needed_s, timeout_s))
         if self.needed_s > timeout_s:
             return Error(may_have_run("table-away"))
-        return Ok(True)
+        is_new = job_id not in self.existing
+        self.existing.add(job_id)
+        return Ok(is_new)
+
+    async def exists(self, job_id: str, timeout_s: float):
+        """Return whether a job is stored, unless that takes too long."""
+        if self.needed_s > timeout_s:
+            return Error(not_run("table-away"))
+        return Ok(job_id in self.existing)
 
 
 class StubPeers:
@@ -79,6 +95,15 @@
         return Liveness.ANSWERS
 
 
+class StubRoom(BacklogSource):
+    """The owner's room for jobs, not limited unless a test limits it."""
+
+    room_bytes: int | None = None
+
+    def backlog_report(self) -> BacklogReport:
+        return BacklogReport(self.room_bytes)
+
+
 class Setup:
     """A job service between stubs, in virtual time."""
 
@@ -87,19 +112,22 @@
         asyncio.set_event_loop(self.loop)
         clock = LoopClock(self.loop)
         self.member = StubMember()
+        self.room = StubRoom()
         self.store = StubStore(clock)
         self.peers = StubPeers()
         log = Log("test", "quiet")
         self.health = PeerHealth("m0", clock)
         self.health.set_peers(PEERS)
         calls = PeerCalls(self.peers, self.health, log, self.loop.create_task)
-        self.service = JobService(self.store, calls, self.member, clock, log)
+        self.service = JobService(
+            self.store, calls, self.member, clock, log, BacklogGate(self.room)
+        )
 
     def submit(self):
         """Submit a job; return the result and how long it took."""
         started_s = self.loop.time()
         result = self.loop.run_until_complete(
-            self.service.submit("0" * 16, "{}", TIMEOUT_S)
+            self.service.submit("0" * 16, "{}", TIMEOUT_S, JOB_BYTES)
         )
         return result, self.loop.time() - started_s
 
@@ -183,3 +211,27 @@
     result, took_s = setup.submit()
     assert result.error.verdict is Verdict.NOT_RUN
     assert took_s < ONE_LOST_PEER_S
+
+
+def test_a_job_without_room_is_refused_and_not_stored(setup: Setup):
+    """Guards against an owner that runs out of memory by the jobs that it accepted."""
+    setup.room.room_bytes = JOB_BYTES
+    result, _ = setup.submit()
+    assert result.error.verdict is Verdict.NOT_RUN
+    assert result.error.reason == BACKLOG_FULL
+    assert not setup.store.existing
+
+
+def test_an_accepted_job_that_is_submitted_again_is_not_refused(setup: Setup):
+    """Clients repeat a request that got no answer; 503 would say that it never runs."""
+    assert setup.submit()[0].is_ok()
+    setup.room.room_bytes = 0
+    assert setup.submit()[0].is_ok()
+
+
+def test_a_job_without_room_may_have_run_if_the_table_does_not_say(setup: Setup):
+    """An earlier submission of it may be stored."""
+    setup.room.room_bytes = 0
+    setup.store.needed_s = 60.0
+    result, _ = setup.submit()
+    assert result.error.verdict is Verdict.MAY_HAVE_RUN
