A client's deadline is bounded, and a malformed one is no internal error

Callers saw: 500 for a request whose X-Deadline-Ms is a superscript digit or has hundreds of digits, which says that it may have run; and a request may wait for years.

Cause: str.isdigit() holds for digits that int() rejects, and nothing limited the number.

Change: only ASCII digits count, and a request waits for 60 s at most.

Evidence: the header's decoding, run by itself before the change, raised ValueError, ValueError and OverflowError for the three forms; test_a_deadline_is_bounded has them.

--- a/redwingrun/platform/clientapi.py
+++ b/redwingrun/platform/clientapi.py
@@ -30,6 +30,8 @@
 
 JOB_ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}\Z")
 DEFAULT_DEADLINE_MS = 3000
+# A request whose client waits for longer is answered by then.
+MAX_DEADLINE_MS = 60_000
 MS_PER_S = 1000
 # The client's deadline starts when it sends the request. The reply is sent this long
 # before the deadline, so that it arrives before it.
@@ -232,8 +234,7 @@
 
     def _timeout_s(self) -> float:
         """Return the time left until the reply must be sent, at least 0.1 s."""
-        header = self.request.headers.get("X-Deadline-Ms", "")
-        deadline_ms = int(header) if header.isdigit() else DEFAULT_DEADLINE_MS
+        deadline_ms = decode_deadline_ms(self.request.headers.get("X-Deadline-Ms", ""))
         elapsed_s = self.request.request_time()
         return max(0.1, deadline_ms / MS_PER_S - REPLY_MARGIN_S - elapsed_s)
 
@@ -316,6 +317,15 @@
             self.reply(200, {"pending": waiting_count})
 
 
+def decode_deadline_ms(text: str) -> int:
+    """Return how long a client waits, the default if it does not say."""
+    if not (text.isascii() and text.isdigit()):
+        return DEFAULT_DEADLINE_MS
+    if len(text.lstrip("0")) > len(str(MAX_DEADLINE_MS)):
+        return MAX_DEADLINE_MS
+    return min(int(text), MAX_DEADLINE_MS)
+
+
 def client_application(parts: ApiDependencies) -> Application:
     """Return the application that serves clients."""
     return Application(
--- a/tests/platform/test_clientapi.py
+++ b/tests/platform/test_clientapi.py
@@ -19,7 +19,13 @@
 from redwingrun.jobs.spec import Queue, QueueAddress, QueueSet
 from redwingrun.logs import Log
 from redwingrun.metrics import Metrics
-from redwingrun.platform.clientapi import ApiDependencies, client_application
+from redwingrun.platform.clientapi import (
+    DEFAULT_DEADLINE_MS,
+    MAX_DEADLINE_MS,
+    ApiDependencies,
+    client_application,
+    decode_deadline_ms,
+)
 
 HOST = "hura70.example"
 DEADLINE_S = 2.0
@@ -203,3 +209,22 @@
         reply = get(evolve(member, outage_s=outage_s), path)
         assert reply.status == 503
         assert reply.headers["Retry-After"] in waits
+
+
+# Guards against a client that keeps a request running for as long as it likes, or that
+# causes an internal error.
+@pytest.mark.parametrize(
+    ("text", "timeout_s"),
+    [
+        ("1200", 1.2),
+        ("", DEFAULT_DEADLINE_MS / 1000),
+        ("soon", DEFAULT_DEADLINE_MS / 1000),
+        ("\u00b2", DEFAULT_DEADLINE_MS / 1000),
+        ("-5", DEFAULT_DEADLINE_MS / 1000),
+        ("000000001200", 1.2),
+        ("60001", MAX_DEADLINE_MS / 1000),
+        ("9" * 5000, MAX_DEADLINE_MS / 1000),
+    ],
+)
+def test_a_deadline_is_bounded(text: str, timeout_s: float):
+    assert decode_deadline_ms(text) / 1000 == timeout_s
