Answers that nobody reads count, and their connections give way

Callers saw: a server whose connections all send an answer that is not read accepts nobody else, for as long as their clients like.

Cause: only connections that wait for a request could be closed for a new one, and the bytes of an answer were not counted at all.

Nothing is written behind a part of an answer. An answer is never refused for its own length.

Evidence: test_clients_that_do_not_read_their_answers_do_not_keep_others_out fails without the change; test_answers_that_nobody_reads_count asserts what was not counted.

--- a/redwingrun/bodybudget.py
+++ b/redwingrun/bodybudget.py
@@ -42,6 +42,7 @@
     SLOW_BODY = "slow-body"
     SLOW_HEADERS = "slow-headers"
     PIPELINED = "pipelined-requests"
+    UNREAD = "unread-answer"
     CONNECTIONS = "connections"
     PEER_CONNECTIONS = "peer-connections"
     PEER_UNAUTHENTICATED = "peer-unauthenticated"
@@ -54,6 +55,7 @@
     HEADERS = "headers"
     BODY = "body"
     ANSWERING = "answering"
+    SENDING = "sending"
     REFUSED = "refused"
 
 
@@ -209,7 +211,9 @@
         same_port.remove(connection)
         refused = [item for item in same_port if item.phase is Phase.REFUSED]
         waiting = [
-            item for item in same_port if item.phase in (Phase.IDLE, Phase.HEADERS)
+            item
+            for item in same_port
+            if item.phase in (Phase.IDLE, Phase.HEADERS) or _is_unread(item, now_s)
         ]
         victim = min(refused, key=_phase_since_s, default=None)
         if victim is None and waiting:
@@ -223,9 +227,12 @@
                 ),
             )
         victim = victim or connection
+        reason = Refusal.CONNECTIONS
+        if victim.phase is Phase.SENDING:
+            reason = Refusal.UNREAD
         # It must not be chosen again before the server reports that it is closed.
         self.close(victim)
-        return connection, [(victim, Refusal.CONNECTIONS)]
+        return connection, [(victim, reason)]
 
     def close(self, connection: ClientConnection) -> None:
         """Remove a connection."""
@@ -248,10 +255,20 @@
         self.release(connection)
         connection.enter(Phase.IDLE, now_s)
 
-    def end_request(self, connection: ClientConnection) -> None:
-        """Give back the bytes of a request that was answered."""
+    def end_request(
+        self, connection: ClientConnection, unsent_bytes: int, now_s: float
+    ) -> Refusals:
+        """Give back the bytes of a request that was answered.
+
+        :param unsent_bytes: length of the answer while its client has not read all of
+            it, else 0.
+        """
         self.release(connection)
         connection.is_next_arrived = True
+        if connection.phase is not Phase.ANSWERING:
+            return []
+        connection.enter(Phase.SENDING, now_s)
+        return self._hold(connection, unsent_bytes, now_s)
 
     def check_pipelining(self, connection: ClientConnection, now_s: float) -> Refusals:
         """Count a request that was sent before the answer to the one before."""
@@ -345,6 +362,9 @@
         refusals = []
         while self.held_bytes > self.limits.total_bytes:
             victim = self._heaviest(connection, now_s)
+            if victim.phase is Phase.SENDING and victim is connection:
+                # Its client has had no time to read the answer yet.
+                break
             refusals.append(self._refuse(victim, Refusal.NO_BUDGET, now_s))
             if victim is connection:
                 break
@@ -384,6 +404,7 @@
         """Return the unfinished request that gives way to other bytes."""
         held_by_address: Counter[str] = Counter()
         unfinished = self._unfinished()
+        unfinished += [item for item in self._connections if _is_unread(item, now_s)]
         for item in unfinished:
             held_by_address[item.address] += item.held_bytes
         most = max(held_by_address.values(), default=0)
@@ -398,6 +419,8 @@
     def _refuse(
         self, connection: ClientConnection, reason: Refusal, now_s: float
     ) -> tuple[ClientConnection, Refusal]:
+        if connection.phase is Phase.SENDING:
+            reason = Refusal.UNREAD
         self.release(connection)
         connection.enter(Phase.REFUSED, now_s)
         return connection, reason
@@ -407,6 +430,12 @@
     return connection.phase_since_s
 
 
+def _is_unread(connection: ClientConnection, now_s: float) -> bool:
+    """Return whether a client has not read its answer for a while."""
+    is_sending = connection.phase is Phase.SENDING
+    return is_sending and now_s - connection.phase_since_s >= STALL_S
+
+
 def _least_active(
     connections: list[ClientConnection], now_s: float
 ) -> ClientConnection | None:
--- a/redwingrun/guardedserver.py
+++ b/redwingrun/guardedserver.py
@@ -254,9 +254,12 @@
         if stream is not None:
             stream.close()
 
-    def end_request(self, record: ClientConnection) -> None:
-        """Give back the bytes of a request that was answered."""
-        self._budget.end_request(record)
+    def end_request(self, record: ClientConnection, answer_bytes: int) -> None:
+        """Give back the bytes of a request, and count its answer until it is sent."""
+        stream = self._stream_by_record.get(record)
+        is_unsent = stream is not None and stream.writing()
+        unsent_bytes = answer_bytes if is_unsent else 0
+        self._apply(self._budget.end_request(record, unsent_bytes, time.monotonic()))
 
     def _forget(self, record: ClientConnection) -> None:
         record.on_refused = ignore_refusal
@@ -285,6 +288,10 @@
         stream = self._stream_by_record.get(record)
         if stream is None or stream.closed():
             return
+        if reason is Refusal.UNREAD:
+            # Nothing may follow a part of an answer.
+            stream.close()
+            return
         delegate = self._delegate_by_record.get(record)
         stream.write(response_to(reason))
         if delegate is not None:
@@ -311,7 +318,8 @@
 
     def __init__(self, inner: HTTPConnection):
         self._inner = inner
-        self.on_answered: Callable[[], None] = lambda: None
+        self._answer_bytes = 0
+        self.on_answered: Callable[[int], None] = lambda answer_bytes: None
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self._inner, name)
@@ -323,10 +331,12 @@
         chunk: bytes | None = None,
     ) -> Future[None]:
         """Write the headers of an answer."""
+        self._answer_bytes += len(chunk or b"")
         return self._inner.write_headers(start_line, headers, chunk)
 
     def write(self, chunk: bytes) -> Future[None]:
         """Write a part of an answer."""
+        self._answer_bytes += len(chunk)
         return self._inner.write(chunk)
 
     def finish(self) -> None:
@@ -334,7 +344,7 @@
         try:
             self._inner.finish()
         finally:
-            self.on_answered()
+            self.on_answered(self._answer_bytes)
 
 
 class _GuardedDelegate(HTTPMessageDelegate):
@@ -396,10 +406,10 @@
         inner, self._inner = self._inner, None
         inner.finish()
 
-    def note_answer(self) -> None:
+    def note_answer(self, answer_bytes: int) -> None:
         """Note that the request has been answered and needs no memory."""
         self.is_running = False
-        self._server.end_request(self._record)
+        self._server.end_request(self._record, answer_bytes)
 
     def on_connection_close(self) -> None:
         """Tell the application that the rest of the request will not arrive."""
--- a/tests/test_guardedserver.py
+++ b/tests/test_guardedserver.py
@@ -30,6 +30,7 @@
 )
 LEGAL_BODY_BYTES = 262_144
 READ_TIMEOUT_S = 5.0
+LARGE_ANSWER_BYTES = 8_000_000
 # From the arrival of a connection to the end of its answer.
 MAX_TURNS = 12
 
@@ -67,6 +68,14 @@
         self.finish("done")
 
 
+class _Large(RequestHandler):
+    """Answers with more than the kernel buffers for a client."""
+
+    def get(self) -> None:
+        """Answer."""
+        self.finish(bytes(LARGE_ANSWER_BYTES))
+
+
 class _Server:
     """A server with its budget and metrics."""
 
@@ -80,7 +89,12 @@
         refusals = RefusalCounter(Log("test", "quiet"), self.metrics)
         self.http = GuardedServer(
             Application(
-                [("/", _Echo), ("/soon", _EchoSoon), ("/slow", _Slow)],
+                [
+                    ("/", _Echo),
+                    ("/soon", _EchoSoon),
+                    ("/slow", _Slow),
+                    ("/large", _Large),
+                ],
                 log_function=lambda handler: None,
             ),
             ClientGuard(self.budget, refusals),
@@ -372,3 +386,45 @@
         writer.close()
 
     run(scenario)
+
+
+LARGE_REQUEST = b"GET /large HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+def test_clients_that_do_not_read_their_answers_do_not_keep_others_out():
+    """A connection that sends an answer was never closed for a new one."""
+
+    async def scenario(server: _Server) -> None:
+        crowd = [await server.send(LARGE_REQUEST) for _ in range(3)]
+        await asyncio.sleep(0.5)
+        request = _post(b"abc", "Connection: close", length=3)
+        assert (await server.ask(request)).endswith(b"3")
+        for _, writer in crowd:
+            writer.transport.abort()
+
+    run(scenario, evolve(LIMITS, total_bytes=10**8))
+
+
+def test_answers_that_nobody_reads_count():
+    """They are memory, and give way like unfinished requests."""
+
+    async def scenario(server: _Server) -> None:
+        crowd = [await server.send(LARGE_REQUEST) for _ in range(3)]
+        await asyncio.sleep(0.5)
+        held_bytes = server.budget.held_bytes
+        assert LARGE_ANSWER_BYTES <= held_bytes <= 2 * LARGE_ANSWER_BYTES
+        request = _post(bytes(200_000), "Connection: close", length=200_000)
+        assert (await server.ask(request)).endswith(b"200000")
+        for _, writer in crowd:
+            writer.transport.abort()
+
+    run(scenario, evolve(LIMITS, total_bytes=2 * LARGE_ANSWER_BYTES, max_connections=9))
+
+
+def test_a_large_answer_is_sent_whole_to_a_client_that_reads_it():
+    async def scenario(server: _Server) -> None:
+        request = LARGE_REQUEST.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+        assert len(await server.ask(request)) > LARGE_ANSWER_BYTES
+        assert server.refusals() == 0
+
+    run(scenario)
