Requests that run although their client has gone are bounded

Callers saw: nothing yet; found by reading. A client that sends a small job and leaves at once, again and again while the table answers slowly, has any number of requests run: its connection was no longer counted, and its bytes are few.

Cause: the maximum of connections counted open ones only.

Change: while as many abandoned requests run as connections may be unfinished, the address that left most of them is refused with 503, not run; at the maximum of connections, all are.

Evidence: with the check taken out, test_a_client_that_leaves_its_running_requests_is_refused and test_an_address_that_leaves_its_running_requests_gets_no_more fail. No crowd of processes was played for it.

--- a/redwingrun/bodybudget.py
+++ b/redwingrun/bodybudget.py
@@ -43,6 +43,7 @@
     SLOW_HEADERS = "slow-headers"
     PIPELINED = "pipelined-requests"
     UNREAD = "unread-answer"
+    ABANDONED = "abandoned-requests"
     CONNECTIONS = "connections"
     PEER_CONNECTIONS = "peer-connections"
     PEER_UNAUTHENTICATED = "peer-unauthenticated"
@@ -180,11 +181,13 @@
     it gives way, so that one address may use everything while no other one needs it.
 
     :ivar held_bytes: bytes of all unanswered requests.
+    :ivar _abandoned: connections whose client has gone while its request runs.
     """
 
     limits: BodyLimits
     held_bytes: int = 0
     _connections: set[ClientConnection] = field(factory=set)
+    _abandoned: set[ClientConnection] = field(factory=set)
 
     @property
     def connection_count(self) -> int:
@@ -237,14 +240,17 @@
     def close(self, connection: ClientConnection) -> None:
         """Remove a connection."""
         self.release(connection)
-        self.leave(connection)
+        self._connections.discard(connection)
 
     def leave(self, connection: ClientConnection) -> None:
-        """Remove a connection, but count its bytes until they are released."""
-        self._connections.discard(connection)
+        """Remove a connection, but count its request until that is released."""
+        if connection in self._connections:
+            self._connections.discard(connection)
+            self._abandoned.add(connection)
 
     def release(self, connection: ClientConnection) -> None:
         """Give back the bytes of a request."""
+        self._abandoned.discard(connection)
         self.held_bytes -= connection.held_bytes
         connection.held_bytes = 0
         connection.received_bytes = 0
@@ -295,6 +301,8 @@
             return []
         if (declared_bytes or 0) > max_payload_bytes:
             return [self._refuse(connection, Refusal.TOO_LARGE, now_s)]
+        if self._has_abandoned_too_many(connection.address):
+            return [self._refuse(connection, Refusal.ABANDONED, now_s)]
         connection.enter(Phase.BODY, now_s)
         connection.body_bytes = 0
         connection.payload_bytes = 0
@@ -400,6 +408,14 @@
         victim = _least_active(candidates, now_s)
         return [self._refuse(victim or connection, Refusal.UNFINISHED, now_s)]
 
+    def _has_abandoned_too_many(self, address: str) -> bool:
+        """Return whether an address left most of the many requests that still run."""
+        if len(self._abandoned) < self.limits.max_unfinished:
+            return False
+        count_by_address = Counter(item.address for item in self._abandoned)
+        is_full = len(self._abandoned) >= self.limits.max_connections
+        return is_full or count_by_address[address] == max(count_by_address.values())
+
     def _heaviest(self, connection: ClientConnection, now_s: float) -> ClientConnection:
         """Return the unfinished request that gives way to other bytes."""
         held_by_address: Counter[str] = Counter()
--- a/tests/test_bodybudget.py
+++ b/tests/test_bodybudget.py
@@ -121,6 +121,28 @@
     assert budget.held_bytes == 0
 
 
+def test_an_address_that_leaves_its_running_requests_gets_no_more():
+    """Clients that send a request and leave must not have any number of them run."""
+    budget = BodyBudget(LIMITS)
+    left = []
+    for _ in range(LIMITS.max_unfinished):
+        connection, refusals = _send_body(budget, "greedy", 10)
+        assert refusals == []
+        budget.end_body(connection, 0.0)
+        budget.leave(connection)
+        left.append(connection)
+    connection, refusals = _send_body(budget, "greedy", 10)
+    assert refusals == [(connection, Refusal.ABANDONED)]
+    _, refusals = _send_body(budget, "modest", 10)
+    assert refusals == []
+    # The requests of the one that has gone end.
+    for item in left:
+        budget.end_request(item, 0, 1.0)
+    _, refusals = _send_body(budget, "greedy", 10)
+    assert refusals == []
+    assert budget.held_bytes > 0
+
+
 def test_the_address_that_holds_most_gives_way():
     """One client with many bodies must not stop those of other addresses."""
     budget = BodyBudget(LIMITS)
--- a/tests/test_guardedserver.py
+++ b/tests/test_guardedserver.py
@@ -428,3 +428,22 @@
         assert server.refusals() == 0
 
     run(scenario)
+
+
+def test_a_client_that_leaves_its_running_requests_is_refused():
+    async def scenario(server: _Server) -> None:
+        request = _post(b"abc", length=3).replace(b"/", b"/slow", 1)
+        for _ in range(LIMITS.max_unfinished):
+            _, writer = await server.send(request)
+            await asyncio.sleep(0.05)
+            writer.transport.abort()
+            await asyncio.sleep(0.05)
+        answer = await server.ask(_post(b"abc", length=3))
+        assert answer.startswith(b"HTTP/1.1 503")
+        assert _Echo.runs == 0
+        _Slow.go_on.set()
+        await asyncio.sleep(0.05)
+        answer = await server.ask(_post(b"abc", "Connection: close", length=3))
+        assert answer.endswith(b"3")
+
+    run(scenario)
