Two of three circles of imports are gone: the slice owner's and the peers' service's

Cause: the reader and the links of a slice's owner, and the service of a daemon's peers, named the class that creates them, behind TYPE_CHECKING.

PeerService gets the membership, the configuration and the news instead of the whole daemon. No behaviour changes. The circle of entry.py and its handlers stays.

--- a/redwingrun/entry.py
+++ b/redwingrun/entry.py
@@ -260,17 +260,19 @@
 class EntryService(PeerService):
     """The calls of peers that an entry serves."""
 
-    _node: Entry
+    def __init__(self, entry: Entry):
+        super().__init__(entry.membership, entry.config, entry.news)
+        self._router = entry.router
 
     def receive_news(self, news: News) -> None:
         """Apply a peer's load."""
-        self._node.router.receive_news(news)
+        self._router.receive_news(news)
 
     async def Run(self, stream: Stream) -> None:  # noqa: N802
         """Run a peer's request on a minion of this host, if a slot is free."""
         message = await stream.recv_message()
-        self._node.router.receive_news(message.news)
-        await stream.send_message(await self._node.router.run_for_peer(message))
+        self._router.receive_news(message.news)
+        await stream.send_message(await self._router.run_for_peer(message))
 
 
 def main() -> None:
--- a/redwingrun/jobs/member.py
+++ b/redwingrun/jobs/member.py
@@ -27,6 +27,7 @@
 from redwingrun.jobs.memberconfig import MemberDependencies, MemberSettings
 from redwingrun.jobs.memberport import MemberPort
 from redwingrun.jobs.memberregistry import MemberRegistry
+from redwingrun.jobs.ownerbase import OwnerDependencies
 from redwingrun.jobs.ownerprobe import OwnerProbe
 from redwingrun.jobs.ownerwatch import FAILURE_TIMEOUT_READS, PROBE_AFTER_S, OwnerWatch
 from redwingrun.jobs.partitionwriter import owner_key
@@ -40,7 +41,7 @@
 from redwingrun.jobs.policysender import PolicySender
 from redwingrun.jobs.ports import PolicyAnswer
 from redwingrun.jobs.queuefollower import QueueFollower
-from redwingrun.jobs.sliceowner import OwnerDependencies, SliceOwner
+from redwingrun.jobs.sliceowner import SliceOwner
 from redwingrun.jobs.slicewriter import SliceWriter
 from redwingrun.jobs.spec import QueueSet
 from redwingrun.jobs.workerpool import PolicyQuery
--- a/redwingrun/jobs/slicereader.py
+++ b/redwingrun/jobs/slicereader.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from redwingrun.coordination.table import (
     HistoryTruncated,
@@ -13,6 +13,7 @@
     TableUnavailable,
     TableUnknown,
 )
+from redwingrun.jobs.ownerbase import OwnerBase
 from redwingrun.jobs.partitionwriter import OwnershipLost
 from redwingrun.jobs.ports import WorkerChanges
 from redwingrun.jobs.progress import JobProgress
@@ -25,9 +26,6 @@
 from redwingrun.jobs.spec import decode_submission
 from redwingrun.jobs.workerlease import INHERITED_LEASE_S
 
-if TYPE_CHECKING:
-    from redwingrun.jobs.sliceowner import SliceOwner
-
 FEED_WAIT_S = 1.0
 FEED_RETRY_INTERVAL_S = 0.2
 # Pause between two reads of a feed, so that one read returns several changes: workers
@@ -43,7 +41,7 @@
     :ivar is_loaded: whether all stored jobs have been passed on.
     """
 
-    def __init__(self, owner: SliceOwner):
+    def __init__(self, owner: OwnerBase):
         self._owner = owner
         self._dependencies = owner.dependencies
         self._engine = owner.engine
--- a/redwingrun/jobs/workerlink.py
+++ b/redwingrun/jobs/workerlink.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
 
 from expression import Result
 
 from redwingrun.coordination.verdict import TIMEOUT, Verdict
 from redwingrun.jobs.endacks import EndAcks
 from redwingrun.jobs.evidence import Evidence, LeaseExpired, OtherWorkerAtAddress
+from redwingrun.jobs.ownerbase import OwnerBase
 from redwingrun.jobs.pacing import has_mixed_load
 from redwingrun.jobs.ports import Heartbeat, WorkerAddress, WorkerFault, WorkerPort
 from redwingrun.jobs.spec import RunId
@@ -23,9 +23,6 @@
     WorkerReport,
 )
 
-if TYPE_CHECKING:
-    from redwingrun.jobs.sliceowner import SliceOwner
-
 # Longest delay of a worker's answer to a heartbeat; it answers earlier if a run ends.
 IDLE_WAIT_S = 1.8
 BUSY_WAIT_S = 1.0
@@ -55,7 +52,7 @@
     :param owner: the slice owner that the link works for.
     """
 
-    def __init__(self, owner: SliceOwner, port: WorkerPort, worker_id: str):
+    def __init__(self, owner: OwnerBase, port: WorkerPort, worker_id: str):
         self._owner = owner
         self._port = port
         self._worker_id = worker_id
--- a/redwingrun/placer.py
+++ b/redwingrun/placer.py
@@ -189,16 +189,20 @@
 class PlacerService(PeerService):
     """The calls of peers that a placer serves."""
 
-    _node: Placer
+    def __init__(self, placer: Placer):
+        super().__init__(placer.membership, placer.config, placer.news)
+        self._placer = placer
 
     async def Submit(self, stream: Stream) -> None:  # noqa: N802
         """Store a new task."""
-        await stream.send_message(await self._node.submit(await stream.recv_message()))
+        await stream.send_message(
+            await self._placer.submit(await stream.recv_message())
+        )
 
     async def Task(self, stream: Stream) -> None:  # noqa: N802
         """Return a task's state; cancel or explain it if requested."""
         await stream.send_message(
-            await self._node.query_task(await stream.recv_message())
+            await self._placer.query_task(await stream.recv_message())
         )
 
 
