Tests of crowds: mixed kinds, and one way to attack an entry

A thousand connections of ten kinds, half of them valid, at the client port and at the readiness port: a crowd beyond those that were red. The attack on an entry and the opening of a connection stood twice.

--- a/tests/hostileclients.py
+++ b/tests/hostileclients.py
@@ -178,15 +178,25 @@
         """Send from all connections at the same time."""
         await asyncio.gather(*(self._send_one(item) for item in self._addresses))
 
-    async def _send_one(self, address: str) -> None:
+    async def connect(
+        self, address: str
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | None:
+        """Open a connection from an address; return ``None`` if that fails."""
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 reader, writer = await asyncio.open_connection(
                     HOST, self._port, local_addr=(address, 0)
                 )
         except OSError:
-            return
+            return None
         self._writers.append(writer)
+        return reader, writer
+
+    async def _send_one(self, address: str) -> None:
+        connection = await self.connect(address)
+        if connection is None:
+            return
+        reader, writer = connection
         try:
             async with asyncio.timeout(SEND_TIMEOUT_S):
                 for piece in self._pieces():
--- a/tests/hostilerequests.py
+++ b/tests/hostilerequests.py
@@ -10,13 +10,15 @@
 from review.cell.cell import HOST, QUEUE_HOST
 from tests.hostileclients import (
     BODY_BYTES,
-    CONNECT_TIMEOUT_S,
     HTTP2_PREFACE,
     HTTP2_SETTINGS,
     PIECE_BYTES,
     SEND_TIMEOUT_S,
     HostileGroup,
+    declared_excess,
     frame,
+    short_body,
+    short_chunks,
 )
 
 HTTP2_PING = 6
@@ -102,6 +104,23 @@
     )
 
 
+def mixed(number: int) -> bytes:
+    """Return a request of one of ten kinds, half of which are valid."""
+    kinds = (
+        padded_job,
+        lambda _: short_body(),
+        padded_job,
+        lambda _: short_chunks(1, 8_000),
+        lambda position: post(orjson.dumps(JOB), position),
+        lambda _: short_chunks(BODY_BYTES, 1),
+        lambda position: post(orjson.dumps(JOB).ljust(2_000), position),
+        lambda _: declared_excess(),
+        lambda position: post(orjson.dumps(JOB), position),
+        many_fields,
+    )
+    return kinds[number % len(kinds)](number)
+
+
 class RequestGroup(HostileGroup):
     """Connections that each send a request, wait for an answer and then stay open.
 
@@ -132,14 +151,10 @@
 
     async def _ask(self, number: int, address: str) -> None:
         async with self._at_once:
-            try:
-                async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                    reader, writer = await asyncio.open_connection(
-                        HOST, self._port, local_addr=(address, 0)
-                    )
-            except OSError:
+            connection = await self.connect(address)
+            if connection is None:
                 return
-            self._writers.append(writer)
+            reader, writer = connection
             try:
                 async with asyncio.timeout(SEND_TIMEOUT_S):
                     await _send_in_pieces(writer, self._request(number))
--- a/tests/test_hostilecrowds.py
+++ b/tests/test_hostilecrowds.py
@@ -12,8 +12,6 @@
 import pytest
 from attrs import frozen
 
-from lab.cell import SHORT_INTERVALS, Layout
-from lab.cell import Cell as OwnCell
 from tests.hostileclients import GuardedCell, peak_memory_mb
 from tests.hostilerequests import (
     JOB,
@@ -24,12 +22,13 @@
     many_fields,
     many_objects,
     many_steps,
+    mixed,
     padded_job,
     pings,
     pipelined_jobs,
     wide_job,
 )
-from tests.test_untrustedclients import peak_use
+from tests.test_untrustedclients import attack_entry, peak_use
 
 ADDRESSES = tuple(f"127.0.0.{number}" for number in range(1, 10))
 TRIES = 12
@@ -39,7 +38,7 @@
 class Host:
     """The limits of a process.
 
-    :param memory_mb: memory in MiB; an idle member or entry uses about 55 MB.
+    :param memory_mb: memory in MiB; an idle member uses about 55 MB.
     """
 
     memory_mb: int
@@ -48,7 +47,6 @@
 
 SMALLEST = Host(160, 1638)
 TINY = Host(90, 160)
-ENTRY = Host(96, 160)
 
 
 @frozen
@@ -104,6 +102,8 @@
         pytest.param(Crowd("front", large_job, 100, 100), id="large-jobs"),
         pytest.param(Crowd("front", wide_job, 100, 100), id="wide-jobs"),
         pytest.param(Crowd("front", pipelined_jobs, 600, 600), id="pipelined-jobs"),
+        pytest.param(Crowd("front", mixed, 1000, 1000), id="mixed"),
+        pytest.param(Crowd("ready", mixed, 1000, 1000), id="mixed-ready"),
         pytest.param(
             Crowd("peers", empty_settings_frames, 200, 200), id="peers-settings"
         ),
@@ -114,28 +114,6 @@
     asyncio.run(_attack(crowd))
 
 
-async def _attack_entry(request: Callable[[int], bytes], at_once: int) -> None:
-    """Send requests to an entry of our own interface, and check it."""
-    limits = {"memory_mb": ENTRY.memory_mb, "max_descriptors": ENTRY.max_descriptors}
-    layout = Layout(weights=(1.0,), norte=False, settings={**SHORT_INTERVALS, **limits})
-    async with OwnCell(layout) as cell:
-        host = cell.hosts[0]
-        process = host.process_by_daemon["entry"]
-        group = RequestGroup(host.http_port, 200, request, at_once, ADDRESSES)
-        memory_mb, descriptors = await peak_use(process.pid, group)
-        used = f"{memory_mb:.1f} MB, {descriptors} descriptors"
-        status = 0
-        for _ in range(TRIES):
-            status = (await cell.call("GET", host.url + "/readyz")).status
-            if status == 200:
-                break
-            await asyncio.sleep(0.5)
-        assert process.poll() is None
-        assert memory_mb <= ENTRY.memory_mb, used
-        assert descriptors <= ENTRY.max_descriptors, used
-        assert status == 200, used
-
-
 # Guards against the same faults in the daemons of our own interface.
 @pytest.mark.parametrize(
     ("request_of", "at_once"),
@@ -146,4 +124,8 @@
     ],
 )
 def test_an_entry_survives_a_crowd(request_of: Callable[[int], bytes], at_once: int):
-    asyncio.run(_attack_entry(request_of, at_once))
+    asyncio.run(
+        attack_entry(
+            lambda port: RequestGroup(port, 200, request_of, at_once, ADDRESSES)
+        )
+    )
--- a/tests/test_untrustedclients.py
+++ b/tests/test_untrustedclients.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import pytest
 
@@ -117,14 +118,17 @@
     asyncio.run(_attack(port, data, count, piece_bytes))
 
 
-async def _attack_entry(data: bytes) -> None:
-    """Send a group's requests to an entry of our own interface, and check it."""
+async def attack_entry(create_group: Callable[[int], HostileGroup]) -> None:
+    """Have a group attack an entry of our own interface, and check the entry.
+
+    :param create_group: returns the group for the entry's port.
+    """
     limits = {"memory_mb": ENTRY_MEMORY_MB, "max_descriptors": ENTRY_DESCRIPTORS}
     layout = Layout(weights=(1.0,), norte=False, settings={**SHORT_INTERVALS, **limits})
     async with OwnCell(layout) as cell:
         host = cell.hosts[0]
         process = host.process_by_daemon["entry"]
-        group = HostileGroup(host.http_port, CONNECTIONS, data, PIECE_BYTES, ADDRESSES)
+        group = create_group(host.http_port)
         memory_mb, descriptors = await peak_use(process.pid, group)
         used = f"{memory_mb:.1f} MB, {descriptors} descriptors"
         status = 0
@@ -149,4 +153,8 @@
     ],
 )
 def test_an_entry_survives_hostile_clients(data: bytes):
-    asyncio.run(_attack_entry(data))
+    asyncio.run(
+        attack_entry(
+            lambda port: HostileGroup(port, CONNECTIONS, data, PIECE_BYTES, ADDRESSES)
+        )
+    )
