A step's repeated dependencies are stored once

Cause, found by reading: a step may name an earlier one thousands of times, and each plan compares all of them; a row of 64 KB holds 32,000.

Change: the decoder drops repetitions, so that a step has at most 99 dependencies. test_repeated_dependencies_are_stored_once fails without it.

--- a/redwingrun/platform/jobdecoder.py
+++ b/redwingrun/platform/jobdecoder.py
@@ -73,7 +73,8 @@
             get_integer(data, "gpu"),
         ),
         estimate_ms=get_number(data, "estRuntimeMs"),
-        after=tuple(after),
+        # Without repetitions, as each plan looks at all of them.
+        after=tuple(dict.fromkeys(after)),
         checkpointed=get_boolean(data, "checkpointed"),
         gang=get_boolean(data, "gang"),
         same_rack=get_boolean(data, "sameRack"),
--- a/tests/platform/test_jobdecoder.py
+++ b/tests/platform/test_jobdecoder.py
@@ -91,3 +91,10 @@
     body = b'{"spec":"","steps":[' + b'"not a step",' * 100 + b"{}]}"
     with pytest.raises(BadJobError, match="1 to 100 steps"):
         decode_job(body)
+
+
+def test_repeated_dependencies_are_stored_once():
+    """A plan looks at all of them: thousands of copies of one would slow each plan."""
+    steps = [{"taskCount": 1}, {"taskCount": 1, "after": [0] * 5_000}]
+    spec = decode_job(orjson.dumps({"spec": "", "steps": steps}))
+    assert spec.steps[1].after == (0,)
