--- a/redwingrun/jobs/backlog.py
+++ b/redwingrun/jobs/backlog.py
@@ -42,11 +42,10 @@
 
 def description_bytes(spec: JobSpec) -> int:
     """Return the memory of a job without its tasks."""
-    step_bytes = sum(
-        BYTES_PER_STEP + 8 * len(step.after) + len(step.required_label)
-        for step in spec.steps
-    )
-    return BYTES_PER_JOB + len(spec.payload) + step_bytes
+    text_bytes = len(spec.payload)
+    for step in spec.steps:
+        text_bytes += len(step.required_label) + len(step.data_rack) + len(step.image)
+    return BYTES_PER_JOB + BYTES_PER_STEP * len(spec.steps) + text_bytes
 
 
 def occurrence_bytes(spec: JobSpec) -> int:
--- a/tests/jobs/test_backlog.py
+++ b/tests/jobs/test_backlog.py
@@ -98,6 +98,11 @@
     assert _accept(BacklogGate(_Room(None)), LARGEST, 1000) == 1000
 
 
+def test_the_texts_of_a_job_need_room():
+    long = JobSpec("", (StepSpec(1, required_label="a" * 9_000, image="b" * 9_000),))
+    assert submission_bytes(long) == submission_bytes(SMALL) + 18_000
+
+
 def _engine(max_bytes: int) -> Engine:
     engine = Engine(EngineSettings(max_backlog_bytes=max_bytes))
     engine.set_queues(QUEUES)
