A Content-Length of thousands of digits is answered 413

Callers saw: no answer, and a traceback on standard error for each request, which nothing bounds.

Cause: Python converts no number of more than 4,300 digits, and raises a ValueError.

Change: a length of more than 18 digits is larger than any limit. The test test_a_declared_excess_of_any_length_is_answered_413 fails without the change for 5,000 digits.

--- a/redwingrun/guardedserver.py
+++ b/redwingrun/guardedserver.py
@@ -43,6 +43,8 @@
 SWEEP_INTERVAL_MS = 500
 # What clients have sent counts half as much after each interval.
 AGE_INTERVAL_S = 1.0
+# Python converts no number with thousands of digits.
+MAX_LENGTH_DIGITS = 18
 # Fields that tornado needs to read the body.
 FRAMING_FIELDS = ("Connection", "Content-Length", "Transfer-Encoding")
 # How long the rest of a refused request is read and dropped. A close with unread bytes
@@ -438,5 +440,9 @@
     """
     if "Transfer-Encoding" in headers:
         return None
-    declared = headers.get("Content-Length", "")
-    return int(declared) if declared.isdecimal() else 0
+    declared = headers.get("Content-Length", "").lstrip("0")
+    if not declared.isdecimal():
+        return 0
+    if len(declared) > MAX_LENGTH_DIGITS:
+        return sys.maxsize
+    return int(declared)
--- a/tests/test_guardedserver.py
+++ b/tests/test_guardedserver.py
@@ -447,3 +447,16 @@
         assert answer.endswith(b"3")
 
     run(scenario)
+
+
+@pytest.mark.parametrize(
+    "declared", ["9" * 5000, "9" * 19, "0" * 30 + "300001", "300001"]
+)
+def test_a_declared_excess_of_any_length_is_answered_413(declared: str):
+    """A number that Python does not convert caused an error without an answer."""
+
+    async def scenario(server: _Server) -> None:
+        answer = await server.ask(_post(b"", f"Content-Length: {declared}"))
+        assert answer.startswith(b"HTTP/1.1 413")
+
+    run(scenario)
