Bodies are never decoded as forms

Callers saw: 400 for a job whose Content-Type says that it is a form, as some tools set it by default, if it has many '&'; and an unbounded line on standard error for each.

Cause: tornado decodes such a body, which needs many times its memory, though no handler uses the result.

Change: the guard passes these types on as opaque. test_a_body_is_not_decoded_as_a_form fails without it for both types.

--- a/redwingrun/guardedserver.py
+++ b/redwingrun/guardedserver.py
@@ -45,6 +45,10 @@
 AGE_INTERVAL_S = 1.0
 # Python converts no number with thousands of digits.
 MAX_LENGTH_DIGITS = 18
+# Types that tornado would decode, into many times the memory of the body. No handler
+# uses them: bodies are JSON or opaque.
+FORM_TYPES = ("application/x-www-form-urlencoded", "multipart/form-data")
+OPAQUE_TYPE = "application/octet-stream"
 # Fields that tornado needs to read the body.
 FRAMING_FIELDS = ("Connection", "Content-Length", "Transfer-Encoding")
 # How long the rest of a refused request is read and dropped. A close with unread bytes
@@ -384,6 +388,8 @@
         if self._record.phase is Phase.REFUSED:
             _drop_fields(headers)
             return None
+        if headers.get("Content-Type", "").startswith(FORM_TYPES):
+            headers["Content-Type"] = OPAQUE_TYPE
         self._is_passed_on = True
         return self._inner.headers_received(start_line, headers)
 
--- a/tests/test_guardedserver.py
+++ b/tests/test_guardedserver.py
@@ -460,3 +460,18 @@
         assert answer.startswith(b"HTTP/1.1 413")
 
     run(scenario)
+
+
+@pytest.mark.parametrize(
+    "content_type", ["application/x-www-form-urlencoded", "multipart/form-data"]
+)
+def test_a_body_is_not_decoded_as_a_form(content_type: str):
+    """It would need many times its memory, and be refused for its fields."""
+
+    async def scenario(server: _Server) -> None:
+        body = b"a=1&" * 5_000
+        fields = ("Connection: close", f"Content-Type: {content_type}")
+        answer = await server.ask(_post(body, *fields, length=len(body)))
+        assert answer.endswith(b"20000")
+
+    run(scenario)
