--- a/redwingrun/bodybudget.py
+++ b/redwingrun/bodybudget.py
@@ -3,175 +3,20 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable
-from enum import Enum
-from typing import Any
-
-from attrs import define, field, frozen
-
-BYTES_PER_MB = 1_048_576
-# A process uses about 61 MB at its peak without requests in flight.
-PROCESS_MB = 64
-# A byte of a body needs up to four bytes of memory: the buffer that grows, the copy for
-# the handler and the decoded request.
-MEMORY_PER_BODY_BYTE = 4
+
+from attrs import define, field
+
+from redwingrun.bodylimits import BodyLimits
+from redwingrun.clientconnection import ClientConnection, Phase, Refusal, Refusals
+
 # What the name, the value and the list of a field of the headers are counted as: they
 # need more memory than their bytes.
 BYTES_PER_HEADER_FIELD = 256
-# What tornado and the kernel's descriptor need for a connection without a body.
-MEMORY_PER_CONNECTION_BYTES = 65_536
-# The largest body that a process accepts must fit into the budget beside other bodies.
-MIN_LARGEST_BODIES = 2
-# Part of the memory beside the process that connections without bodies may use. Bodies
-# rarely need the whole rest: not all of them are copied and decoded at the same time.
-CONNECTION_MEMORY_SHARE = 0.25
-MIN_CONNECTIONS = 16
-# Clients get this part of the descriptors; calls to workers, peers and the store need
-# the rest.
-CLIENT_DESCRIPTOR_SHARE = 0.25
 # An unfinished request without progress for this time is dropped before an active one.
 STALL_S = 0.2
-
-
-class Refusal(Enum):
-    """Why a request or connection is refused; the values are labels of a counter."""
-
-    TOO_LARGE = "body-too-large"
-    NO_BUDGET = "body-budget"
-    UNFINISHED = "unfinished-requests"
-    SLOW_BODY = "slow-body"
-    SLOW_HEADERS = "slow-headers"
-    PIPELINED = "pipelined-requests"
-    UNREAD = "unread-answer"
-    ABANDONED = "abandoned-requests"
-    CONNECTIONS = "connections"
-    PEER_CONNECTIONS = "peer-connections"
-    PEER_UNAUTHENTICATED = "peer-unauthenticated"
-
-
-class Phase(Enum):
-    """What a connection does."""
-
-    IDLE = "idle"
-    HEADERS = "headers"
-    BODY = "body"
-    ANSWERING = "answering"
-    SENDING = "sending"
-    REFUSED = "refused"
-
-
 UNFINISHED_PHASES = (Phase.HEADERS, Phase.BODY)
 
 
-@frozen
-class BodyLimits:
-    """Limits of one process.
-
-    :param total_bytes: bytes held by unanswered requests, with headers and framing.
-    :param max_connections: most connections of clients.
-    :param max_unfinished: most connections with an unfinished request.
-    :param max_peer_connections: most connections to the peers' port that have not sent
-        the secret yet.
-    :param max_body_bytes: longest body; a chunked one counts with its framing.
-    :param min_bytes_per_s: minimum rate of a body since its headers, whose bytes are
-        counted too.
-    :param rate_grace_s: time before the rate of a body is checked. A link that loses
-        packets, or a host that is stopped, delays an ordinary body by some seconds.
-    :param header_timeout_s: time from the first byte of the headers to their last.
-    :param max_pipelined: most requests of a connection that are sent before the answer
-        to the one before; they keep all other work waiting.
-    """
-
-    total_bytes: int
-    max_connections: int
-    max_unfinished: int
-    max_peer_connections: int
-    max_body_bytes: int = BYTES_PER_MB
-    min_bytes_per_s: int = 8_192
-    rate_grace_s: float = 5.0
-    header_timeout_s: float = 3.0
-    max_pipelined: int = 4
-
-    @classmethod
-    def for_host(
-        cls,
-        memory_mb: float,
-        max_descriptors: int,
-        max_body_bytes: int = BYTES_PER_MB,
-        **others: Any,
-    ) -> BodyLimits:
-        """Return the limits for a process that has the memory of its host to itself.
-
-        :param memory_mb: memory of the host, in MiB.
-        :param max_descriptors: most open file descriptors of the process.
-        :param others: values of further limits.
-        """
-        room_bytes = int(max(0.0, memory_mb - PROCESS_MB) * BYTES_PER_MB)
-        connections = min(
-            int(room_bytes * CONNECTION_MEMORY_SHARE) // MEMORY_PER_CONNECTION_BYTES,
-            int(max_descriptors * CLIENT_DESCRIPTOR_SHARE),
-        )
-        connections = max(MIN_CONNECTIONS, connections)
-        return cls(
-            total_bytes=max(
-                MIN_LARGEST_BODIES * max_body_bytes, room_bytes // MEMORY_PER_BODY_BYTE
-            ),
-            max_connections=connections,
-            max_unfinished=connections // 2,
-            max_peer_connections=connections // 2,
-            max_body_bytes=max_body_bytes,
-            **others,
-        )
-
-
-def ignore_refusal(reason: Refusal) -> None:
-    """Do nothing: the connection is closed, or not served yet."""
-
-
-@define(eq=False)
-class ClientConnection:
-    """A connection of a client.
-
-    :param address: the client's IP address.
-    :param port_name: the server's port that it uses.
-    :param phase_since_s: monotonic time at which the phase began.
-    :param progress_s: monotonic time of the last byte.
-    :param held_bytes: memory that the present request is counted with.
-    :param received_bytes: bytes of the present request that have arrived.
-    :param body_bytes: those that arrived since its headers, with framing.
-    :param payload_bytes: those of the body without framing.
-    :param max_payload_bytes: longest body that is accepted.
-    :param is_chunked: whether the body has no declared length.
-    :param is_next_arrived: whether nothing has arrived since the last answer, so that
-        a next request was sent before it.
-    :param pipelined_count: number of such requests.
-    :param on_refused: answers the request and closes the connection.
-    """
-
-    address: str
-    port_name: str
-    phase_since_s: float
-    progress_s: float
-    phase: Phase = Phase.IDLE
-    held_bytes: int = 0
-    received_bytes: int = 0
-    body_bytes: int = 0
-    payload_bytes: int = 0
-    max_payload_bytes: int = 0
-    is_chunked: bool = False
-    is_next_arrived: bool = False
-    pipelined_count: int = 0
-    on_refused: Callable[[Refusal], None] = ignore_refusal
-
-    def enter(self, phase: Phase, now_s: float) -> None:
-        """Change the phase."""
-        self.phase = phase
-        self.phase_since_s = now_s
-
-
-Refusals = list[tuple[ClientConnection, Refusal]]
-
-
 @define
 class BodyBudget:
     """Decides which requests and connections are refused; does no I/O.
--- a/redwingrun/guardedserver.py
+++ b/redwingrun/guardedserver.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import socket
 import sys
 import time
@@ -11,7 +10,6 @@
 from typing import Any
 
 import orjson
-from attrs import define, field
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
@@ -24,27 +22,21 @@
 from tornado.iostream import IOStream
 from tornado.web import Application
 
-from redwingrun.bodybudget import (
-    BodyBudget,
+from redwingrun.clientconnection import (
     ClientConnection,
     Phase,
     Refusal,
     Refusals,
     ignore_refusal,
 )
+from redwingrun.clientguard import ClientGuard
 from redwingrun.coordination.verdict import Verdict
 from redwingrun.httpclient import VERDICT_HEADER
-from redwingrun.readschedule import ReadSchedule
-from redwingrun.refusals import RefusalCounter
 
 READ_CHUNK_BYTES = 16_384
 # A stream buffers at most the largest headers and one read.
 MAX_BUFFER_BYTES = 131_072
 SWEEP_INTERVAL_MS = 500
-# Work on a request counts like bytes that were read: 16 ms of it fill a turn.
-BYTES_PER_WORK_S = 2_097_152
-# What clients have sent counts half as much after each interval.
-AGE_INTERVAL_S = 1.0
 # Python converts no number with thousands of digits.
 MAX_LENGTH_DIGITS = 18
 # Types that tornado would decode, into many times the memory of the body. No handler
@@ -77,44 +69,6 @@
     return "\r\n".join(head).encode() + body
 
 
-@define
-class ClientGuard:
-    """What the servers of one process share to limit their clients.
-
-    :param refusals: counts what is refused.
-    """
-
-    budget: BodyBudget
-    refusals: RefusalCounter
-    reads: ReadSchedule = field(factory=ReadSchedule)
-    _is_turn_ending: bool = False
-    _aged_s: float = 0.0
-
-    def admit(self, record: ClientConnection, wanted_bytes: int) -> int:
-        """Return how many bytes may be read now, 0 to wait for a later turn."""
-        admitted = self.reads.admit(record, wanted_bytes)
-        self._plan_end_of_turn()
-        return admitted
-
-    def charge(self, record: ClientConnection, count: int) -> None:
-        """Count bytes that were read, or work that counts like them."""
-        self.reads.charge(record, count)
-        self._plan_end_of_turn()
-
-    def _plan_end_of_turn(self) -> None:
-        if self.reads.must_end_turn and not self._is_turn_ending:
-            self._is_turn_ending = True
-            asyncio.get_running_loop().call_soon(self._end_turn)
-
-    def _end_turn(self) -> None:
-        self._is_turn_ending = False
-        self.reads.end_turn()
-        now_s = time.monotonic()
-        if now_s - self._aged_s >= AGE_INTERVAL_S:
-            self._aged_s = now_s
-            self.reads.age()
-
-
 class _CountedStream(IOStream):
     """A stream that reports bytes when they arrive, before anything parses them.
 
@@ -259,7 +213,7 @@
 
     def charge_work(self, record: ClientConnection, took_s: float) -> None:
         """Count the time that a request has taken in this turn."""
-        self._guard.charge(record, int(took_s * BYTES_PER_WORK_S))
+        self._guard.charge_work(record, took_s)
 
     def add_payload(self, record: ClientConnection, count: int) -> None:
         """Count bytes of a body without its framing."""
--- a/redwingrun/jobs/backlog.py
+++ b/redwingrun/jobs/backlog.py
@@ -12,7 +12,7 @@
 
 from attrs import define, frozen
 
-from redwingrun.bodybudget import BYTES_PER_MB, PROCESS_MB
+from redwingrun.bodylimits import BYTES_PER_MB, PROCESS_MB
 from redwingrun.jobs.spec import JobSpec
 
 BYTES_PER_JOB = 4_096
--- a/redwingrun/node.py
+++ b/redwingrun/node.py
@@ -13,7 +13,9 @@
 from tornado.web import Application
 
 from redwingrun.auth import TokenStore, load_secret
-from redwingrun.bodybudget import BodyBudget, BodyLimits
+from redwingrun.bodybudget import BodyBudget
+from redwingrun.bodylimits import BodyLimits
+from redwingrun.clientguard import ClientGuard
 from redwingrun.config import Settings
 from redwingrun.configtask import ConfigTask
 from redwingrun.coordination.clock import MonotonicClock
@@ -21,7 +23,7 @@
 from redwingrun.coordination.groupcommit import GroupCommit
 from redwingrun.coordination.members import MemberRow
 from redwingrun.coordination.table import TableUnavailable, TableUnknown
-from redwingrun.guardedserver import ClientGuard, GuardedServer
+from redwingrun.guardedserver import GuardedServer
 from redwingrun.httpclient import HttpClient
 from redwingrun.logs import Log
 from redwingrun.membership import ENTRY, PLACER, Membership
--- a/redwingrun/peers.py
+++ b/redwingrun/peers.py
@@ -17,7 +17,7 @@
 from grpclib.server import Server
 
 from redwingrun.auth import secrets_equal
-from redwingrun.bodybudget import Refusal
+from redwingrun.clientconnection import Refusal
 from redwingrun.coordination.verdict import Failure, may_have_run, not_run
 from redwingrun.peer_grpc import PeerStub
 from redwingrun.refusals import RefusalCounter
--- a/redwingrun/platform/__main__.py
+++ b/redwingrun/platform/__main__.py
@@ -10,10 +10,12 @@
 from attrs import asdict
 from tornado.httpserver import HTTPServer
 
-from redwingrun.bodybudget import BodyBudget, BodyLimits
+from redwingrun.bodybudget import BodyBudget
+from redwingrun.bodylimits import BodyLimits
+from redwingrun.clientguard import ClientGuard
 from redwingrun.coordination.clock import MonotonicClock
 from redwingrun.errors import RedwingrunError
-from redwingrun.guardedserver import ClientGuard, GuardedServer
+from redwingrun.guardedserver import GuardedServer
 from redwingrun.httpclient import HttpClient
 from redwingrun.jobs.backlog import max_backlog_bytes
 from redwingrun.jobs.engine import EngineSettings
--- a/redwingrun/readschedule.py
+++ b/redwingrun/readschedule.py
@@ -11,7 +11,7 @@
 
 from attrs import define, field
 
-from redwingrun.bodybudget import ClientConnection
+from redwingrun.clientconnection import ClientConnection
 
 BYTES_PER_TURN = 32_768
 # The most that one connection is read in a turn while others wait.
--- a/redwingrun/refusals.py
+++ b/redwingrun/refusals.py
@@ -5,7 +5,7 @@
 import time
 from collections import Counter
 
-from redwingrun.bodybudget import Refusal
+from redwingrun.clientconnection import Refusal
 from redwingrun.logs import Log
 from redwingrun.metrics import Metrics
 
--- a/tests/jobs/test_backlog.py
+++ b/tests/jobs/test_backlog.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from redwingrun.bodybudget import BYTES_PER_MB
+from redwingrun.bodylimits import BYTES_PER_MB
 from redwingrun.jobs.backlog import (
     BacklogGate,
     BacklogReport,
--- a/tests/test_bodybudget.py
+++ b/tests/test_bodybudget.py
@@ -6,18 +6,14 @@
 
 import pytest
 
-from redwingrun.bodybudget import (
-    BYTES_PER_HEADER_FIELD,
+from redwingrun.bodybudget import BYTES_PER_HEADER_FIELD, BodyBudget
+from redwingrun.bodylimits import (
     BYTES_PER_MB,
     MEMORY_PER_CONNECTION_BYTES,
     PROCESS_MB,
-    BodyBudget,
     BodyLimits,
-    ClientConnection,
-    Phase,
-    Refusal,
-    Refusals,
 )
+from redwingrun.clientconnection import ClientConnection, Phase, Refusal, Refusals
 
 SMALLEST_MEMORY_MB = 160
 SMALLEST_MAX_FDS = 1638
--- a/tests/test_guardedserver.py
+++ b/tests/test_guardedserver.py
@@ -13,8 +13,11 @@
 from tornado.testing import bind_unused_port
 from tornado.web import Application, RequestHandler
 
-from redwingrun.bodybudget import BodyBudget, BodyLimits, ClientConnection
-from redwingrun.guardedserver import ClientGuard, GuardedServer
+from redwingrun.bodybudget import BodyBudget
+from redwingrun.bodylimits import BodyLimits
+from redwingrun.clientconnection import ClientConnection
+from redwingrun.clientguard import ClientGuard
+from redwingrun.guardedserver import GuardedServer
 from redwingrun.logs import Log
 from redwingrun.metrics import Metrics
 from redwingrun.readschedule import BYTES_PER_TURN
--- a/tests/test_readschedule.py
+++ b/tests/test_readschedule.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from redwingrun.bodybudget import ClientConnection
+from redwingrun.clientconnection import ClientConnection
 from redwingrun.readschedule import BYTES_PER_TURN, SHARED_READ_BYTES, ReadSchedule
 
 CHUNK_BYTES = 16_384
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from redwingrun.bodybudget import Refusal
+from redwingrun.clientconnection import Refusal
 from redwingrun.logs import Log
 from redwingrun.metrics import Metrics
 from redwingrun.refusals import LOG_INTERVAL_S, RefusalCounter
