--- /dev/null
+++ b/review/standins3/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, its workers, its clients and its operator."""
