--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,9 +1,9 @@
-"""A minion goes down and up by turns while jobs run."""
+"""A route is removed while a job of it runs, and the members are restarted."""
 
 from __future__ import annotations
 
 import asyncio
-import random
+import os
 import time
 from pathlib import Path
 
@@ -11,88 +11,97 @@
 from review.standins3.cell import BOUNDS, Cell, route
 from review.standins3.record import Record
 
-PATH = "/checks/"
-WATCHES = "/watches/"
-ROUTES = [route("checks", PATH), route("watches", WATCHES, priority=1, attempts=2)]
-MINIONS = 10
-TASK_S = 0.7
-JOB = {
+CHECKS = route("checks", "/checks/")
+PLANS = route("plans", "/plans/", priority=2, attempts=4)
+CHECK_S = 0.7
+PLAN_S = 4.0
+CHECK_JOB = {
     "spec": "check",
-    "steps": [{"taskCount": 2, "cpu": 2500, "memMb": 1000, "estRuntimeMs": 700}],
+    "steps": [{"taskCount": 6, "cpu": 2500, "memMb": 1000, "estRuntimeMs": 700}],
 }
-WATCH = {
-    "spec": "watch",
-    "steps": [{"taskCount": 20, "cpu": 1000, "memMb": 500, "longRunning": True}],
+PLAN_STEP = {"taskCount": 4, "cpu": 2500, "memMb": 1000, "estRuntimeMs": 4000}
+PLAN_JOB = {
+    "spec": "plan",
+    "steps": [PLAN_STEP, {**PLAN_STEP, "after": [0]}, {**PLAN_STEP, "after": [1]}],
 }
-JOB_GAP_S = 0.25
-# Three times in the day one of the ten minions goes down and up.
-FLAPS = 3
-FLAP_S = 6.5
-FLAP_PERIOD_S = 1.4
-FLAP_GAP_S = 5.0
+PLAN_TASKS = 12
+CONFIG_DEADLINE_S = BOUNDS["configDeadlineMs"] / 1000
 FINISH_S = BOUNDS["finish_s"]
-SEED = 1
+STILL_S = 3.0
+POLL_S = 0.05
+# The last client's request comes this long after the job was handed in.
+TRAFFIC_S = 20.0
+CHECK_GAP_S = 1.0
 
 
 async def play(record: Record, with_trouble: bool) -> list[str]:
-    """Play the case; return how the rule was broken."""
-    cell = Cell(
-        record,
-        lambda task, spec: float("inf") if spec == "watch" else TASK_S,
-        minions=MINIONS,
-    )
+    """Play the case; return how the rule was broken.
+
+    ``TROUBLE=config`` or ``TROUBLE=restart`` leaves out the other disruption.
+    """
+    only = os.environ.get("TROUBLE", "")
+    cell = Cell(record, lambda task, spec: PLAN_S if spec == "plan" else CHECK_S)
     try:
-        await cell.open(ROUTES)
-        await cell.submit(WATCHES, WATCH)
-        await asyncio.sleep(2.0)
-        traffic = asyncio.get_running_loop().create_task(_traffic(cell))
-        if with_trouble:
-            await _flap(cell)
-        else:
-            await asyncio.sleep(FLAPS * (FLAP_S + FLAP_GAP_S))
-        traffic.cancel()
+        await cell.open([CHECKS, PLANS])
+        plan = await cell.submit("/plans/", PLAN_JOB)
+        traffic = asyncio.get_running_loop().create_task(_checks(cell))
+        await asyncio.sleep(1.5)
+        if with_trouble and only != "restart":
+            cell.configure([CHECKS])
+        await asyncio.sleep(CONFIG_DEADLINE_S)
+        if with_trouble and only != "config":
+            await _restart_in_turn(cell)
+        checks = await traffic
         await asyncio.sleep(FINISH_S)
-        jobs = cell.accepted[1:]
+        ran = await _runs_within(cell, plan, STILL_S)
+        done = {
+            end.task
+            for end in cell.history
+            if end.how == "done" and end.task.startswith(plan)
+        }
+        record.note("case", "tasks of the job that are done", count=len(done))
+        shown = [await cell.state("/checks/", job) for job in checks]
+        record.note("case", "states of the other jobs", states=shown)
         broken = []
-        for job in jobs:
-            state = await cell.state(PATH, job)
-            failed = [
-                end
-                for end in cell.history
-                if end.task.startswith(job) and end.how == "failed"
-            ]
-            if state in ("failed", "cancelled"):
-                hows = [end.how for end in cell.history if end.task.startswith(job)]
-                record.note("case", "runs of the job", job=job, ended=hows)
-                broken.append(
-                    f"LOST: job {job} is shown as {state}; none of its runs ended as"
-                    f" failed ({len(failed)}), nobody has cancelled it"
-                )
-        given_up = cell.log_lines("task-given-up")
-        record.note("members", "tasks given up", lines=given_up)
-        record.note("case", "jobs", accepted=len(jobs), broken=len(broken))
+        if len(done) < PLAN_TASKS and not ran:
+            broken.append(
+                f"LOST: {FINISH_S} s after the end of the traffic {len(done)} of the"
+                f" {PLAN_TASKS} tasks of the accepted job {plan} are done, and nothing"
+                f" of it ran for {STILL_S} s on idle minions"
+            )
         return broken
     finally:
         await cell.close()
 
 
-async def _traffic(cell: Cell) -> None:
-    while True:
-        await cell.submit(PATH, JOB)
-        await asyncio.sleep(JOB_GAP_S)
+async def _checks(cell: Cell) -> list[str]:
+    """Hand in jobs of the other queue; return them."""
+    jobs = []
+    until_s = time.monotonic() + TRAFFIC_S
+    while time.monotonic() < until_s:
+        jobs.append(await cell.submit("/checks/", CHECK_JOB))
+        await asyncio.sleep(CHECK_GAP_S)
+    return jobs
+
+
+async def _restart_in_turn(cell: Cell) -> None:
+    """Restart the members one after the other, the owner first."""
+    owner = cell.owner()
+    names = [owner, *(name for name in cell.names if name != owner)]
+    for name in names:
+        await cell.restart_gracefully(name)
+        await asyncio.sleep(1.0)
 
 
-async def _flap(cell: Cell) -> None:
-    """Have one minion after another go down and up by turns."""
-    rng = random.Random(SEED)
-    for minion in rng.sample(cell.minions, FLAPS):
-        until_s = time.monotonic() + FLAP_S
-        while time.monotonic() < until_s:
-            await minion.crash()
-            await asyncio.sleep(FLAP_PERIOD_S / 2)
-            await minion.start_again()
-            await asyncio.sleep(FLAP_PERIOD_S / 2)
-        await asyncio.sleep(FLAP_GAP_S)
+async def _runs_within(cell: Cell, job: str, seconds: float) -> bool:
+    """Return whether anything of a job runs within a time."""
+    until_s = time.monotonic() + seconds
+    while time.monotonic() < until_s:
+        for minion in cell.minions:
+            if any(task.startswith(job) for task in minion.runs):
+                return True
+        await asyncio.sleep(POLL_S)
+    return False
 
 
 if __name__ == "__main__":
