--- a/review/standins3/cell.py
+++ b/review/standins3/cell.py
@@ -304,14 +304,18 @@
         return status
 
     async def call(
-        self, method: str, path: str, body: dict[str, Any] | None = None
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None = None,
+        tries: int = RETRIES + 1,
     ) -> tuple[int, dict[str, Any]]:
         """Send a client's request, again at other members as the pages say.
 
         :return: the status and body of the last answer; status 0 without one.
         """
         status, data = 0, {}
-        for attempt in range(RETRIES + 1):
+        for attempt in range(tries):
             if attempt:
                 await asyncio.sleep(RETRY_DELAY_S)
             live = [
@@ -336,22 +340,24 @@
                 break
         return status, data
 
-    async def submit(self, path: str, body: dict[str, Any]) -> str:
+    async def submit(
+        self, path: str, body: dict[str, Any], tries: int = RETRIES + 1
+    ) -> str:
         """Hand a job in; return its id.
 
         :raises CaseNotRun: if it is not accepted.
         """
         job_id = new_job_id()
         self.record.note("client", "submits", job=job_id, body=body)
-        status, _ = await self.call("POST", path + job_id, body)
+        status, _ = await self.call("POST", path + job_id, body, tries)
         if not 200 <= status < 300:
             raise CaseNotRun(f"job {job_id} was not accepted: status {status}")
         self.accepted.append(job_id)
         return job_id
 
-    async def state(self, path: str, job_id: str) -> str:
+    async def state(self, path: str, job_id: str, tries: int = RETRIES + 1) -> str:
         """Return the state that a job is shown with, or the status of the answer."""
-        status, data = await self.call("GET", path + job_id)
+        status, data = await self.call("GET", path + job_id, tries=tries)
         return data.get("state", "") if status == 200 else f"status {status}"
 
     async def _fetch(
