--- a/review/13/case.py
+++ b/review/13/case.py
@@ -25,6 +25,9 @@
 GANG_TASKS = 6_000
 FINISH_S = BOUNDS["finish_s"]
 STILL_S = 3.0
+# In thousandths of a core: a task, and all tasks of a step.
+LARGEST_TASK_CPU = 2500
+LARGEST_STEP_CPU = 30_000
 POLL_S = 0.05
 # The stand-ins must not be what is slow.
 MAX_LAG_S = 0.5
@@ -98,12 +101,19 @@
 
 
 async def _watch(cell: Cell, jobs: list[str]) -> set[str]:
-    """Return the jobs of which nothing runs for ``STILL_S``."""
+    """Return the jobs of which nothing runs for ``STILL_S`` although there is room.
+
+    As the rule says: there is room twice over, and under half of it is in use.
+    """
+    service_cpu = sum(minion.cpu for minion in cell.minions)
     still = set(jobs)
     until_s = time.monotonic() + STILL_S
     while time.monotonic() < until_s:
         for minion in cell.minions:
             still -= {task.partition(".")[0] for task in minion.runs}
+        used_cpu = sum(len(minion.runs) for minion in cell.minions) * LARGEST_TASK_CPU
+        if 2 * used_cpu >= service_cpu or service_cpu - used_cpu < 2 * LARGEST_STEP_CPU:
+            return set()
         await asyncio.sleep(POLL_S)
     return still
 
--- a/review/standins3/case.py
+++ b/review/standins3/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import traceback
 from collections.abc import Awaitable, Callable
@@ -24,11 +25,14 @@
     record = Record(folder / "record.txt")
     record.note("case", "begins", trouble=with_trouble)
     try:
-        broken = asyncio.run(play(record, with_trouble))
+        broken = asyncio.run(_play_until_stopped(play, record, with_trouble))
     except CaseNotRun as error:
         record.note("case", "could not run", why=str(error))
         print(f"could not run: {error}")
         sys.exit(NOT_RUN)
+    except asyncio.CancelledError:
+        record.note("case", "could not run", why="it was stopped")
+        sys.exit(NOT_RUN)
     except Exception:
         record.note("case", "could not run", why=traceback.format_exc())
         traceback.print_exc()
@@ -41,3 +45,14 @@
         print("the rule held")
     record.close()
     sys.exit(BROKEN if broken else HELD)
+
+
+async def _play_until_stopped(
+    play: Play, record: Record, with_trouble: bool
+) -> list[str]:
+    """Play a case; SIGTERM and SIGINT cancel it, so that it ends its processes."""
+    task = asyncio.current_task()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
+    return await play(record, with_trouble)
--- a/review/standins3/minion.py
+++ b/review/standins3/minion.py
@@ -14,6 +14,7 @@
 
 from attrs import define
 from tornado.httpserver import HTTPServer
+from tornado.ioloop import IOLoop
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
@@ -25,6 +26,8 @@
 # The store drops an entry after so many heartbeats without a renewal.
 HEARTBEATS_UNTIL_EXPIRY = 3
 STOP_S = 0.1
+# Connections that fill the queue of a dark minion's port.
+QUEUE_FILLERS = 4
 # How long a run waits for the others of its gang.
 GANG_WAIT_S = 3.0
 CHECKPOINT = ""
@@ -139,6 +142,8 @@
         self._gangs = gangs or GangBoard(lambda task, spec: 0)
         self._server: HTTPServer | None = None
         self._port = 0
+        self._sockets: list[socket.socket] = []
+        self._fillers: list[socket.socket] = []
         self._tasks: list[asyncio.Task] = []
         self._seq = 0
         self.is_up = False
@@ -168,6 +173,7 @@
         """Start the first incarnation, or one after a crash."""
         sockets = bind_sockets(self._port, "127.0.0.1", family=socket.AF_INET)
         self._port = sockets[0].getsockname()[1]
+        self._sockets = sockets
         self._server = HTTPServer(self._application())
         self._server.add_sockets(sockets)
         self.is_up = True
@@ -198,11 +204,18 @@
     async def go_dark(self) -> None:
         """Lose power for good: nothing is answered any more, and all runs are gone.
 
-        Unlike with a real machine, new connections are still accepted; what is sent on
-        them is not answered either.
+        New connections hang: the queue of the port is full and nobody accepts.
         """
         self._record.note(self.name, "goes dark", running=sorted(self.runs))
         self.is_dark = True
+        for sock in self._sockets:
+            IOLoop.current().remove_handler(sock)
+            sock.listen(0)
+            for _ in range(QUEUE_FILLERS):
+                filler = socket.socket()
+                filler.setblocking(False)
+                filler.connect_ex(sock.getsockname())
+                self._fillers.append(filler)
         for task in self._tasks:
             task.cancel()
         now_s = time.monotonic()
@@ -233,6 +246,8 @@
         """End the minion."""
         for task in self._tasks:
             task.cancel()
+        for filler in self._fillers:
+            filler.close()
         if self.is_up:
             self.is_up = False
             self._server.stop()
